Serve one call end to end over separate processes

Cause: nothing existed to measure or to test against. Change: a stand-in of the platform's key-value service, a daemon that takes announcements, spreads configuration and membership and carries calls, a stand-in target, and the apply command. Ruled out: embedding everything in one process; the path must cross real process boundaries to be worth measuring.

--- /dev/null
+++ b/cmd/fake.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/faketarget"
+)
+
+const headerTimeout = 10 * time.Second
+
+// fakeStoreCommand runs the stand-in of the platform's key-value service.
+type fakeStoreCommand struct{ address string }
+
+func (f *fakeStoreCommand) command() *cobra.Command {
+	c := &cobra.Command{Use: "fake-store", Short: "Run a stand-in of the platform's key-value service", Args: cobra.NoArgs, RunE: f.run}
+	c.Flags().StringVar(&f.address, "address", "127.0.0.1:7000", "address to listen on, as IP:port")
+	return c
+}
+
+func (f *fakeStoreCommand) run(c *cobra.Command, _ []string) error {
+	return listen(c.Context(), f.address, fakestorer.Handler(new(fakestorer.Store)))
+}
+
+// fakeTargetCommand runs a stand-in of a target.
+type fakeTargetCommand struct{ target faketarget.Target }
+
+func (f *fakeTargetCommand) command() *cobra.Command {
+	c := &cobra.Command{Use: "fake-target", Short: "Run a stand-in of a target", Args: cobra.NoArgs, RunE: f.run}
+	c.Flags().StringVar(&f.target.Address, "address", "127.0.0.1:8080", "address to listen on, as IP:port")
+	c.Flags().StringVar(&f.target.Service, "service", "", "service to announce")
+	c.Flags().StringVar(&f.target.DaemonURL, "daemon", "", "operator URL of the daemon beside the target")
+	return c
+}
+
+func (f *fakeTargetCommand) run(c *cobra.Command, _ []string) error {
+	go f.target.Announce(c.Context())
+	return listen(c.Context(), f.target.Address, &f.target)
+}
+
+func listen(ctx context.Context, addr string, h http.Handler) error {
+	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,117 @@
+// Package daemon assembles the parts that run beside one target.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/announcer"
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/forwarder"
+	"bambooweir.example/bambooweir/loader"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/spreader"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg       *loader.Daemon
+	log       *zap.Logger
+	applier   *applier.Applier
+	table     *tracker.Table
+	spreader  *spreader.Spreader
+	announcer *announcer.Announcer
+	executor  *executor.Executor
+	forwarder *forwarder.Forwarder
+	acceptor  *acceptor.Acceptor
+}
+
+// New assembles a daemon. Nothing runs before Run.
+func New(cfg *loader.Daemon, store storer.Client, log *zap.Logger) *Daemon {
+	d := &Daemon{cfg: cfg, log: log, applier: new(applier.Applier), table: new(tracker.Table)}
+	d.spreader = &spreader.Spreader{
+		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
+		Store: store, Applier: d.applier, Table: d.table, Log: log,
+	}
+	d.announcer = &announcer.Announcer{
+		Self: tracker.Record{
+			InstanceID: cfg.InstanceID, Incarnation: uint64(time.Now().UnixNano()),
+			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
+		},
+		Changed: func(r tracker.Record) {
+			d.spreader.Announce(context.Background(), []tracker.Record{r})
+		},
+	}
+	d.executor = &executor.Executor{Target: d.announcer.Target}
+	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
+	d.acceptor = &acceptor.Acceptor{Store: store}
+	return d
+}
+
+// Run serves until ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
+	g.Go(func() error { return serve(ctx, d.cfg.PeerAddress, d.peerHandler(ctx)) })
+	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
+	g.Go(func() error {
+		d.spreader.Run(ctx)
+		return nil
+	})
+	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
+	return g.Wait()
+}
+
+// peerHandler accepts the links of other daemons.
+func (d *Daemon) peerHandler(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(messenger.ControlPath, acceptLink(func(l *messenger.Link) error { return d.spreader.Serve(ctx, l) }))
+	mux.HandleFunc(messenger.CallPath, acceptLink(func(l *messenger.Link) error { return d.executor.Serve(ctx, l) }))
+	return mux
+}
+
+func acceptLink(serve func(*messenger.Link) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		link, err := messenger.Accept(w, r)
+		if err != nil {
+			return
+		}
+		defer link.Close()
+		_ = serve(link)
+	}
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errorx.Decorate(err, "listening")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errorx.Decorate(err, "serving %s", addr)
+	}
+	return nil
+}
+
+// operatorHandler is the HTTP surface of operators and of the target.
+func (d *Daemon) operatorHandler() http.Handler {
+	e := echo.New()
+	d.announcer.Register(e)
+	e.GET("/v1/status", d.status)
+	e.POST("/v1/changes", d.change)
+	return e
+}
--- /dev/null
+++ b/versioner/entries.go
@@ -0,0 +1,103 @@
+package versioner
+
+import "time"
+
+// Call classes. Their entries set the limits; the names are fixed.
+const (
+	ClassLookup       = "lookup"
+	ClassPosting      = "posting"
+	ClassScan         = "scan"
+	ClassInternalRead = "internal-read"
+)
+
+// FleetName is the name of the only entry of KindFleet.
+const FleetName = "defaults"
+
+// Fleet holds the fleet-wide defaults that are not bound to a call class.
+// A zero field means the built-in default that docs/SETTINGS.md states.
+type Fleet struct {
+	// RetryBudgetPercent bounds retries to this share of first attempts, 0-100.
+	RetryBudgetPercent int `json:"retry-budget-percent,omitempty" toml:"retry-budget-percent"`
+	// EjectAfterFailures is the number of consecutive failures that ejects a target.
+	EjectAfterFailures int `json:"eject-after-failures,omitempty" toml:"eject-after-failures"`
+	// EjectMS is the first ejection's length in milliseconds; it doubles on repeats.
+	EjectMS int `json:"eject-ms,omitempty" toml:"eject-ms"`
+	// MaxEjectedPercent caps the share of a service's targets that may be ejected, 0-100.
+	MaxEjectedPercent int `json:"max-ejected-percent,omitempty" toml:"max-ejected-percent"`
+	// SlowStartMS is how long a new target's weight grows to its full value, in milliseconds.
+	SlowStartMS int `json:"slow-start-ms,omitempty" toml:"slow-start-ms"`
+	// SpillOverPercent is the load of the local failure domain, in percent of its
+	// slots, above which calls go to other domains.
+	SpillOverPercent int `json:"spill-over-percent,omitempty" toml:"spill-over-percent"`
+	// DrainMS bounds a planned stop, in milliseconds.
+	DrainMS int `json:"drain-ms,omitempty" toml:"drain-ms"`
+}
+
+// Partner is one owner of services who edits the shared configuration.
+type Partner struct {
+	// SharePercent is the partner's guaranteed share of shared capacity, 0-100.
+	SharePercent int `json:"share-percent,omitempty" toml:"share-percent"`
+	// TokenSHA256 is the hexadecimal SHA-256 of the operators' token.
+	TokenSHA256 string `json:"token-sha256,omitempty" toml:"token-sha256"`
+}
+
+// Class sets how calls of one class are treated.
+type Class struct {
+	// TimeoutMS is the longest time a call may take, in milliseconds.
+	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms"`
+	// Idempotent says that a call may run more than once.
+	Idempotent bool `json:"idempotent,omitempty" toml:"idempotent"`
+	// ReservedPercent is the share of a target's slots kept for the class, 0-100.
+	ReservedPercent int `json:"reserved-percent,omitempty" toml:"reserved-percent"`
+	// QueueLength bounds the calls that wait for a slot; 0 means that none waits.
+	QueueLength int `json:"queue-length,omitempty" toml:"queue-length"`
+	// QueueMS bounds the wait for a slot, in milliseconds.
+	QueueMS int `json:"queue-ms,omitempty" toml:"queue-ms"`
+	// MaxRetries bounds the retries of one call.
+	MaxRetries int `json:"max-retries,omitempty" toml:"max-retries"`
+	// HedgeMS is the wait before a second attempt is started beside the first,
+	// in milliseconds; 0 means never.
+	HedgeMS int `json:"hedge-ms,omitempty" toml:"hedge-ms"`
+}
+
+// Service is a set of equal targets.
+type Service struct {
+	Partner string `json:"partner" toml:"partner"`
+	// Slots is the number of calls that one target runs at a time.
+	Slots int `json:"slots,omitempty" toml:"slots"`
+	// Connections bounds the open connections to one target.
+	Connections int `json:"connections,omitempty" toml:"connections"`
+}
+
+// Route sends matching calls to a service.
+type Route struct {
+	Partner string `json:"partner" toml:"partner"`
+	// Hosts lists the host names that match; empty matches every host.
+	Hosts []string `json:"hosts,omitempty" toml:"hosts"`
+	// PathPrefix matches whole path segments.
+	PathPrefix string `json:"path-prefix" toml:"path-prefix"`
+	// Methods lists the HTTP methods that match; empty matches every method.
+	Methods []string `json:"methods,omitempty" toml:"methods"`
+	Service string   `json:"service" toml:"service"`
+	Class   string   `json:"class" toml:"class"`
+	// TimeoutMS overrides the class's timeout, in milliseconds.
+	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms"`
+}
+
+// Exception departs from one default within a scope.
+//
+// Invariant: Reason is not empty, and at least one scope field is set.
+type Exception struct {
+	Partner       string `json:"partner,omitempty" toml:"partner"`
+	Service       string `json:"service,omitempty" toml:"service"`
+	FailureDomain string `json:"failure-domain,omitempty" toml:"failure-domain"`
+	// Setting names the default that is departed from: a field of the fleet
+	// defaults ("eject-ms") or of a class ("lookup.timeout-ms").
+	Setting string `json:"setting" toml:"setting"`
+	// Value replaces the default, in the unit that Setting's name states.
+	Value  int    `json:"value" toml:"value"`
+	Reason string `json:"reason" toml:"reason"`
+	// Author and At are set when the exception is accepted.
+	Author string    `json:"author,omitempty" toml:"-"`
+	At     time.Time `json:"at,omitzero" toml:"-"`
+}
