--- a/applier/applier.go
+++ b/applier/applier.go
@@ -20,7 +20,9 @@
 type Snapshot struct {
 	Document *versioner.Document
 	Digest   versioner.Digest
-	routes   []namedRoute
+	// Domain is the failure domain for which exceptions are resolved.
+	Domain string
+	routes []namedRoute
 }
 
 // Version returns the snapshot's version.
@@ -36,9 +38,9 @@
 	return fmt.Sprintf("version %d offered, version %d is in force", e.Offered, e.InForce)
 }
 
-// Build checks a document and makes its snapshot. It fails with a
-// *validator.InvalidError.
-func Build(doc *versioner.Document) (*Snapshot, error) {
+// Build checks a document and makes its snapshot for a daemon in the failure
+// domain. It fails with a *validator.InvalidError.
+func Build(doc *versioner.Document, domain string) (*Snapshot, error) {
 	if err := validator.Check(doc); err != nil {
 		return nil, err
 	}
@@ -46,11 +48,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Snapshot{Document: doc, Digest: digest, routes: sortRoutes(doc)}, nil
+	return &Snapshot{Document: doc, Digest: digest, Domain: domain, routes: sortRoutes(doc)}, nil
 }
 
 // Applier holds the snapshot in force. The zero value holds none and works.
 type Applier struct {
+	// Domain is the failure domain of this daemon.
+	Domain string
+
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
 }
@@ -72,7 +77,7 @@
 			return false, nil
 		}
 	}
-	snapshot, err := Build(doc)
+	snapshot, err := Build(doc, a.Domain)
 	if err != nil {
 		return false, err
 	}
--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"bambooweir.example/bambooweir/daemon"
+	"bambooweir.example/bambooweir/operator"
 )
 
 // applyCommand sends edits to a daemon for acceptance.
@@ -49,7 +49,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("not accepted: %s", body)
 	}
-	var answer daemon.ChangeAnswer
+	var answer operator.ChangeAnswer
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -35,12 +36,12 @@
 	announcer *announcer.Announcer
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
-	acceptor  *acceptor.Acceptor
+	surface   *operator.Surface
 }
 
 // New assembles a daemon. Nothing runs before Run.
 func New(cfg *loader.Daemon, store storer.Client, log *zap.Logger) *Daemon {
-	d := &Daemon{cfg: cfg, log: log, applier: new(applier.Applier), table: new(tracker.Table)}
+	d := &Daemon{cfg: cfg, log: log, applier: &applier.Applier{Domain: cfg.FailureDomain}, table: new(tracker.Table)}
 	d.spreader = &spreader.Spreader{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
 		Store: store, Applier: d.applier, Table: d.table, Log: log,
@@ -56,7 +57,10 @@
 	}
 	d.executor = &executor.Executor{Target: d.announcer.Target}
 	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
-	d.acceptor = &acceptor.Acceptor{Store: store}
+	d.surface = &operator.Surface{
+		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
+		Acceptor: &acceptor.Acceptor{Store: store},
+	}
 	return d
 }
 
@@ -111,7 +115,6 @@
 func (d *Daemon) operatorHandler() http.Handler {
 	e := echo.New()
 	d.announcer.Register(e)
-	e.GET("/v1/status", d.status)
-	e.POST("/v1/changes", d.change)
+	d.surface.Register(e)
 	return e
 }
--- a/daemon/operator.go
+++ b/operator/changes.go
@@ -1,4 +1,4 @@
-package daemon
+package operator
 
 import (
 	"io"
@@ -8,35 +8,18 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/parser"
-	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
 const maxChangeBytes = 1 << 20
 
-// Status is what a daemon says of itself.
-type Status struct {
-	InstanceID    string            `json:"instance-id"`
-	FailureDomain string            `json:"failure-domain"`
-	Version       versioner.Version `json:"version"`
-	Targets       []tracker.Record  `json:"targets"`
-}
-
 // ChangeAnswer answers an accepted change.
 type ChangeAnswer struct {
 	Version  versioner.Version `json:"version"`
 	ChangeID string            `json:"change-id"`
 }
 
-func (d *Daemon) status(c echo.Context) error {
-	s := Status{InstanceID: d.cfg.InstanceID, FailureDomain: d.cfg.FailureDomain, Targets: d.table.All()}
-	if snapshot := d.applier.Current(); snapshot != nil {
-		s.Version = snapshot.Version()
-	}
-	return c.JSON(http.StatusOK, s)
-}
-
-func (d *Daemon) change(c echo.Context) error {
+func (s *Surface) change(c echo.Context) error {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
 	if err != nil {
 		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, err.Error())
@@ -52,7 +35,7 @@
 		},
 		Upserts: edits.Upserts, Deletes: edits.Deletes,
 	}
-	v, err := d.acceptor.Accept(c.Request().Context(), change)
+	v, err := s.Acceptor.Accept(c.Request().Context(), change)
 	if err != nil {
 		return echo.NewHTTPError(http.StatusUnprocessableEntity, err.Error())
 	}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,26 @@
+// Package operator is the HTTP surface of a daemon towards operators: status,
+// health, metrics, and the acceptance of changes.
+package operator
+
+import (
+	"github.com/labstack/echo/v4"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// Surface is the operators' view of one daemon. All fields must be set.
+type Surface struct {
+	InstanceID string
+	Domain     string
+	Applier    *applier.Applier
+	Table      *tracker.Table
+	Acceptor   *acceptor.Acceptor
+}
+
+// Register adds the surface's resources to the router.
+func (s *Surface) Register(e *echo.Echo) {
+	e.GET("/v1/status", s.status)
+	e.POST("/v1/changes", s.change)
+}
--- a/versioner/entries.go
+++ b/versioner/entries.go
@@ -14,23 +14,16 @@
 const FleetName = "defaults"
 
 // Fleet holds the fleet-wide defaults that are not bound to a call class.
-// A zero field means the built-in default that docs/SETTINGS.md states.
+// A nil field means the built-in default, see Settings.
 type Fleet struct {
-	// RetryBudgetPercent bounds retries to this share of first attempts, 0-100.
-	RetryBudgetPercent int `json:"retry-budget-percent,omitempty" toml:"retry-budget-percent"`
-	// EjectAfterFailures is the number of consecutive failures that ejects a target.
-	EjectAfterFailures int `json:"eject-after-failures,omitempty" toml:"eject-after-failures"`
-	// EjectMS is the first ejection's length in milliseconds; it doubles on repeats.
-	EjectMS int `json:"eject-ms,omitempty" toml:"eject-ms"`
-	// MaxEjectedPercent caps the share of a service's targets that may be ejected, 0-100.
-	MaxEjectedPercent int `json:"max-ejected-percent,omitempty" toml:"max-ejected-percent"`
-	// SlowStartMS is how long a new target's weight grows to its full value, in milliseconds.
-	SlowStartMS int `json:"slow-start-ms,omitempty" toml:"slow-start-ms"`
-	// SpillOverPercent is the load of the local failure domain, in percent of its
-	// slots, above which calls go to other domains.
-	SpillOverPercent int `json:"spill-over-percent,omitempty" toml:"spill-over-percent"`
-	// DrainMS bounds a planned stop, in milliseconds.
-	DrainMS int `json:"drain-ms,omitempty" toml:"drain-ms"`
+	RetryBudgetPercent *int `json:"retry-budget-percent,omitempty" toml:"retry-budget-percent"`
+	EjectAfterFailures *int `json:"eject-after-failures,omitempty" toml:"eject-after-failures"`
+	EjectMS            *int `json:"eject-ms,omitempty" toml:"eject-ms"`
+	MaxEjectedPercent  *int `json:"max-ejected-percent,omitempty" toml:"max-ejected-percent"`
+	SlowStartMS        *int `json:"slow-start-ms,omitempty" toml:"slow-start-ms"`
+	SpillOverPercent   *int `json:"spill-over-percent,omitempty" toml:"spill-over-percent"`
+	DrainMS            *int `json:"drain-ms,omitempty" toml:"drain-ms"`
+	KeyRetentionMS     *int `json:"key-retention-ms,omitempty" toml:"key-retention-ms"`
 }
 
 // Partner is one owner of services who edits the shared configuration.
@@ -41,23 +34,18 @@
 	TokenSHA256 string `json:"token-sha256,omitempty" toml:"token-sha256"`
 }
 
-// Class sets how calls of one class are treated.
+// Class sets how calls of one class are treated. A nil field means the
+// built-in default of the class, see Settings.
 type Class struct {
-	// TimeoutMS is the longest time a call may take, in milliseconds.
-	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms"`
-	// Idempotent says that a call may run more than once.
-	Idempotent bool `json:"idempotent,omitempty" toml:"idempotent"`
-	// ReservedPercent is the share of a target's slots kept for the class, 0-100.
-	ReservedPercent int `json:"reserved-percent,omitempty" toml:"reserved-percent"`
-	// QueueLength bounds the calls that wait for a slot; 0 means that none waits.
-	QueueLength int `json:"queue-length,omitempty" toml:"queue-length"`
-	// QueueMS bounds the wait for a slot, in milliseconds.
-	QueueMS int `json:"queue-ms,omitempty" toml:"queue-ms"`
-	// MaxRetries bounds the retries of one call.
-	MaxRetries int `json:"max-retries,omitempty" toml:"max-retries"`
-	// HedgeMS is the wait before a second attempt is started beside the first,
-	// in milliseconds; 0 means never.
-	HedgeMS int `json:"hedge-ms,omitempty" toml:"hedge-ms"`
+	// Idempotent says that a call may run more than once. By default lookups and
+	// internal reads are, postings and scans are not.
+	Idempotent      *bool `json:"idempotent,omitempty" toml:"idempotent"`
+	TimeoutMS       *int  `json:"timeout-ms,omitempty" toml:"timeout-ms"`
+	ReservedPercent *int  `json:"reserved-percent,omitempty" toml:"reserved-percent"`
+	QueueLength     *int  `json:"queue-length,omitempty" toml:"queue-length"`
+	QueueMS         *int  `json:"queue-ms,omitempty" toml:"queue-ms"`
+	MaxRetries      *int  `json:"max-retries,omitempty" toml:"max-retries"`
+	HedgeMS         *int  `json:"hedge-ms,omitempty" toml:"hedge-ms"`
 }
 
 // Service is a set of equal targets.
--- /dev/null
+++ b/versioner/settings.go
@@ -0,0 +1,103 @@
+package versioner
+
+import "slices"
+
+// Setting describes one number that operators may set fleet-wide and depart
+// from by an exception.
+type Setting struct {
+	// Name is "field" for fleet defaults and "class.field" for classes.
+	Name string
+	// Default applies where the configuration sets nothing.
+	Default  int
+	Min, Max int
+	// Doc states the meaning and the unit.
+	Doc string
+
+	fleet func(*Fleet) *int
+	class func(*Class) *int
+	// className is the class that the setting belongs to, "" for fleet defaults.
+	className string
+}
+
+const (
+	minuteMS = 60_000
+	hourMS   = 60 * minuteMS
+)
+
+var fleetSettings = []Setting{
+	{Name: "retry-budget-percent", Default: 10, Max: 100, Doc: "retries, in percent of first attempts, that one daemon may make on one route", fleet: func(f *Fleet) *int { return f.RetryBudgetPercent }},
+	{Name: "eject-after-failures", Default: 5, Min: 1, Max: 1000, Doc: "consecutive failures after which a target is ejected", fleet: func(f *Fleet) *int { return f.EjectAfterFailures }},
+	{Name: "eject-ms", Default: 5000, Min: 100, Max: hourMS, Doc: "length of a target's first ejection, in milliseconds; it doubles on repeats", fleet: func(f *Fleet) *int { return f.EjectMS }},
+	{Name: "max-ejected-percent", Default: 34, Max: 100, Doc: "largest share of a service's targets that may be ejected, in percent", fleet: func(f *Fleet) *int { return f.MaxEjectedPercent }},
+	{Name: "slow-start-ms", Default: 10_000, Max: hourMS, Doc: "time in which a new target's weight grows to its full value, in milliseconds", fleet: func(f *Fleet) *int { return f.SlowStartMS }},
+	{Name: "spill-over-percent", Default: 80, Min: 1, Max: 100, Doc: "load of the local failure domain, in percent of its slots, above which calls go to other domains", fleet: func(f *Fleet) *int { return f.SpillOverPercent }},
+	{Name: "drain-ms", Default: 30_000, Min: 100, Max: hourMS, Doc: "longest time that a planned stop waits for calls in flight, in milliseconds", fleet: func(f *Fleet) *int { return f.DrainMS }},
+	{Name: "key-retention-ms", Default: 2 * minuteMS, Min: 1000, Max: hourMS, Doc: "time for which a target's daemon remembers an idempotency key, in milliseconds", fleet: func(f *Fleet) *int { return f.KeyRetentionMS }},
+}
+
+// classDefaults holds the built-in values of one class.
+type classDefaults struct {
+	name                                                         string
+	timeoutMS, reservedPercent, queueLength, queueMS, maxRetries int
+}
+
+var builtinClasses = []classDefaults{
+	{name: ClassInternalRead, timeoutMS: 1000, reservedPercent: 20, maxRetries: 2},
+	{name: ClassLookup, timeoutMS: 2000, queueLength: 16, queueMS: 50, maxRetries: 2},
+	{name: ClassPosting, timeoutMS: 10_000, queueLength: 32, queueMS: 500},
+	{name: ClassScan, timeoutMS: 2 * minuteMS, queueLength: 8, queueMS: 2000},
+}
+
+var allSettings = newSettings()
+
+func newSettings() []Setting {
+	settings := slices.Clone(fleetSettings)
+	for _, c := range builtinClasses {
+		settings = append(settings,
+			Setting{Name: c.name + ".timeout-ms", Default: c.timeoutMS, Min: 1, Max: hourMS, Doc: "longest time that a call may take, in milliseconds", class: func(c *Class) *int { return c.TimeoutMS }, className: c.name},
+			Setting{Name: c.name + ".reserved-percent", Default: c.reservedPercent, Max: 90, Doc: "share of a target's slots kept for the class, in percent", class: func(c *Class) *int { return c.ReservedPercent }, className: c.name},
+			Setting{Name: c.name + ".queue-length", Default: c.queueLength, Max: 10_000, Doc: "calls that may wait for a slot at a target's daemon", class: func(c *Class) *int { return c.QueueLength }, className: c.name},
+			Setting{Name: c.name + ".queue-ms", Default: c.queueMS, Max: hourMS, Doc: "longest wait for a slot, in milliseconds", class: func(c *Class) *int { return c.QueueMS }, className: c.name},
+			Setting{Name: c.name + ".max-retries", Default: c.maxRetries, Max: 10, Doc: "retries of one call", class: func(c *Class) *int { return c.MaxRetries }, className: c.name},
+			Setting{Name: c.name + ".hedge-ms", Default: 0, Max: minuteMS, Doc: "wait before a second attempt is started beside the first, in milliseconds; 0 means never", class: func(c *Class) *int { return c.HedgeMS }, className: c.name},
+		)
+	}
+	return settings
+}
+
+// Settings returns every setting, fleet defaults first.
+func Settings() []Setting { return slices.Clone(allSettings) }
+
+// FindSetting returns the setting with the name.
+func FindSetting(name string) (Setting, bool) {
+	i := slices.IndexFunc(allSettings, func(s Setting) bool { return s.Name == name })
+	if i < 0 {
+		return Setting{}, false
+	}
+	return allSettings[i], true
+}
+
+// FleetWide returns the value that the document sets for the whole fleet, or
+// the built-in default.
+func (s Setting) FleetWide(doc *Document) int {
+	var value *int
+	if s.class != nil {
+		if e, ok := doc.Find(Key{Kind: KindClass, Name: s.className}); ok && e.Class != nil {
+			value = s.class(e.Class)
+		}
+	} else if e, ok := doc.Find(Key{Kind: KindFleet, Name: FleetName}); ok && e.Fleet != nil {
+		value = s.fleet(e.Fleet)
+	}
+	if value == nil {
+		return s.Default
+	}
+	return *value
+}
+
+// IsIdempotent says whether calls of the class may run more than once.
+func (d *Document) IsIdempotent(class string) bool {
+	if e, ok := d.Find(Key{Kind: KindClass, Name: class}); ok && e.Class != nil && e.Class.Idempotent != nil {
+		return *e.Class.Idempotent
+	}
+	return class == ClassLookup || class == ClassInternalRead
+}
