Settle lost answers, conflicts and history at acceptance

The acceptor told a lost answer as a failure, let the second of two racing edits of one entry win silently, and kept neither audit nor bounds.

A change now carries a change id and a base version. After a swap of the head without an answer the head is read until it settles what happened: change id found, or head moved on without it, or head unmoved and the same swap sent again; what stays open until the deadline is an UnknownOutcomeError. An edit of an entry changed after the base is a ConflictError with both values; edits of other entries retry with jittered backoff. Deltas that leave the head's ring (6 KiB) are written to the history, with an index by change id, before the swap that drops them, so the trail has neither gaps nor orphans. Ruled out: searching the history for a change id (cost grows with retention), writing the history entry of the new version before the swap (an orphan when the swap loses).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,149 +1,188 @@
 // Package acceptor turns operators' edits into accepted versions.
 //
 // A version is accepted by one compare-and-swap of the head key in the
-// platform's key-value service.
+// platform's key-value service. The head names the document by digest and
+// carries the newest deltas with their audit; older deltas are in the history.
+// The argument for lost answers is in docs/design/acceptance.md.
 package acceptor
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/joomcode/errorx"
+	"github.com/cenkalti/backoff/v5"
 
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
 
-// HeadKey is the key whose compare-and-swap accepts a version.
-const HeadKey = "config/head"
-
-const maxAttempts = 8
-
-// Head is the value of HeadKey.
-type Head struct {
-	Version versioner.Version `json:"version"`
-	Digest  versioner.Digest  `json:"digest"`
-	// Recent holds the newest deltas, oldest first; the last leads to Version.
-	Recent []versioner.Delta `json:"recent"`
-}
-
-// ContentKey returns the immutable key under which a version's document is kept.
-func ContentKey(d versioner.Digest) string { return "config/content/" + d.String() }
+const (
+	maxAttempts            = 32
+	maxChangeIDBytes       = 128
+	defaultTimeout         = 10 * time.Second
+	defaultRecentBytes     = 6 << 10
+	defaultHistoryVersions = 10_000
+)
 
 // Change is a set of edits with the account of who makes it and why.
 type Change struct {
-	Audit   versioner.Audit
+	// Audit.ChangeID is required. Audit.At is set when the change is accepted.
+	Audit versioner.Audit
+	// Base is the version that the author looked at; 0 means the newest at the
+	// time of the call.
+	Base    versioner.Version
 	Upserts []versioner.Entry
 	Deletes []versioner.Key
 }
 
-// Acceptor accepts changes. Store must be set.
+// Policy decides who may make which change.
+type Policy interface {
+	// Authorize fails when the change that leads from one document to the next
+	// is not allowed. It may complete the change's audit.
+	Authorize(change *Change, from, to *versioner.Document) error
+}
+
+// Acceptor accepts changes. Store must be set; the other fields' zero values
+// work. It is safe for concurrent use.
 type Acceptor struct {
 	Store storer.Client
+	// Policy is asked before each attempt; nil allows every valid change.
+	Policy Policy
+	// Timeout bounds one call of Accept; 0 means ten seconds.
+	Timeout time.Duration
+	// RecentBytes bounds the deltas in the head, but the newest; 0 means 6 KiB.
+	RecentBytes int
+	// HistoryVersions bounds the audit trail; 0 means 10,000 versions.
+	HistoryVersions int
+	Counters        Counters
+
+	// newest caches the document of the newest version seen.
+	newest atomic.Pointer[cached]
 }
 
-// ReadHead returns the head and the revision of its key; before the first
-// version both are zero.
-func ReadHead(ctx context.Context, store storer.Client) (Head, storer.Revision, error) {
-	item, err := store.Get(ctx, HeadKey)
-	var missing *storer.NotFoundError
-	if errors.As(err, &missing) {
-		return Head{}, 0, nil
-	}
-	if err != nil {
-		return Head{}, 0, err
-	}
-	head, err := DecodeHead(item.Value)
-	return head, item.Revision, err
+type cached struct {
+	digest versioner.Digest
+	doc    *versioner.Document
 }
 
-// DecodeHead reads the value of HeadKey.
-func DecodeHead(b []byte) (Head, error) {
-	var head Head
-	if err := cbor.Unmarshal(b, &head); err != nil {
-		return Head{}, errorx.Decorate(err, "decoding head")
-	}
-	return head, nil
+// Accept makes the change the next version and returns it. A change whose id
+// was accepted before is not made again; its version is returned.
+//
+// After an *UnknownOutcomeError the change may have been accepted. After any
+// other error this call did not make it and never will. The errors of a
+// refusal are *ConflictError, *StaleBaseError, *ContentionError,
+// *TooLargeError, *InvalidChangeError, *NoChangeError, *validator.InvalidError
+// and those of Policy.
+func (a *Acceptor) Accept(ctx context.Context, change Change) (versioner.Version, error) {
+	v, err := a.accept(ctx, change)
+	a.Counters.count(err)
+	return v, err
 }
 
-// ReadDocument returns the document that the head names.
-func ReadDocument(ctx context.Context, store storer.Client, head Head) (*versioner.Document, error) {
-	if head.Version == 0 {
-		return &versioner.Document{}, nil
-	}
-	item, err := store.Get(ctx, ContentKey(head.Digest))
-	if err != nil {
-		return nil, err
+func (a *Acceptor) accept(ctx context.Context, change Change) (versioner.Version, error) {
+	if err := change.check(); err != nil {
+		return 0, err
 	}
-	doc := new(versioner.Document)
-	if err := cbor.Unmarshal(item.Value, doc); err != nil {
-		return nil, errorx.Decorate(err, "decoding version %d", head.Version)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(a.Timeout, defaultTimeout))
+	defer cancel()
+	change.Audit.At = time.Now().UTC().Truncate(time.Millisecond)
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = 5 * time.Millisecond
+	wait.MaxInterval = 500 * time.Millisecond
+	for n := range maxAttempts {
+		v, err := a.try(ctx, &change)
+		var lost *lostRaceError
+		if !errors.As(err, &lost) {
+			return v, err
+		}
+		a.Counters.Retries.Add(1)
+		if sleep(ctx, wait.NextBackOff()) != nil {
+			return 0, &ContentionError{Attempts: n + 1}
+		}
 	}
-	return doc, nil
+	return 0, &ContentionError{Attempts: maxAttempts}
 }
 
-// Accept makes the change the next version and returns it.
-func (a *Acceptor) Accept(ctx context.Context, change Change) (versioner.Version, error) {
-	var err error
-	for range maxAttempts {
-		var v versioner.Version
-		v, err = a.try(ctx, change)
-		var conflict *storer.ConflictError
-		if !errors.As(err, &conflict) {
-			return v, err
-		}
+func (c *Change) check() error {
+	switch {
+	case c.Audit.ChangeID == "":
+		return &InvalidChangeError{Field: "change-id", Message: "is required"}
+	case len(c.Audit.ChangeID) > maxChangeIDBytes:
+		return &InvalidChangeError{Field: "change-id", Message: "is longer than 128 bytes"}
+	}
+	seen := make(map[versioner.Key]struct{})
+	for _, e := range c.Upserts {
+		seen[e.Key] = struct{}{}
+	}
+	for _, k := range c.Deletes {
+		seen[k] = struct{}{}
 	}
-	return 0, err
+	if len(seen) != len(c.Upserts)+len(c.Deletes) {
+		return &InvalidChangeError{Field: "edits", Message: "name an entry twice"}
+	}
+	return nil
 }
 
-func (a *Acceptor) try(ctx context.Context, change Change) (versioner.Version, error) {
-	head, rev, err := ReadHead(ctx, a.Store)
+// try makes one attempt on the newest head. It fails with a *lostRaceError when
+// another attempt may succeed.
+func (a *Acceptor) try(ctx context.Context, change *Change) (versioner.Version, error) {
+	head, rev, err := a.readHead(ctx)
 	if err != nil {
 		return 0, err
 	}
-	doc, err := ReadDocument(ctx, a.Store, head)
+	if v, err := a.findChange(ctx, &head, change.Audit.ChangeID); v != 0 || err != nil {
+		return v, err
+	}
+	doc, err := a.readDocument(ctx, head)
 	if err != nil {
 		return 0, err
 	}
-	next := doc.With(change.Upserts, change.Deletes)
-	if err := validator.Check(next); err != nil {
-		return 0, err
+	if change.Base == 0 {
+		change.Base = head.Version
 	}
-	digest, err := a.writeContent(ctx, next)
+	delta, next, err := a.prepare(ctx, change, &head, doc)
 	if err != nil {
 		return 0, err
 	}
-	change.Audit.At = time.Now().UTC()
-	delta := versioner.Delta{
-		From: doc.Version, To: next.Version, FromDigest: head.Digest, ToDigest: digest,
-		Audit: change.Audit, Upserts: change.Upserts, Deletes: change.Deletes,
-	}
-	value, err := versioner.Marshal(Head{Version: next.Version, Digest: digest, Recent: []versioner.Delta{delta}})
-	if err != nil {
-		return 0, errorx.Decorate(err, "encoding head")
+	p := &proposal{
+		changeID: change.Audit.ChangeID, expect: rev,
+		version: next.Version, digest: delta.ToDigest, doc: next,
 	}
-	if _, err := a.Store.CompareAndSwap(ctx, HeadKey, value, rev, 0); err != nil {
+	if err := a.stage(ctx, p, &head, delta); err != nil {
 		return 0, err
 	}
-	return next.Version, nil
+	return a.commit(ctx, p)
 }
 
-func (a *Acceptor) writeContent(ctx context.Context, doc *versioner.Document) (versioner.Digest, error) {
-	digest, err := doc.Digest()
-	if err != nil {
-		return digest, err
+// prepare checks the change against the document and returns the delta and the
+// document that it leads to.
+func (a *Acceptor) prepare(ctx context.Context, change *Change, head *Head, doc *versioner.Document) (versioner.Delta, *versioner.Document, error) {
+	r := &reducer{acceptor: a, change: change, head: head, doc: doc}
+	if err := r.reduce(ctx); err != nil {
+		return versioner.Delta{}, nil, err
+	}
+	next := doc.With(r.upserts, r.deletes)
+	if err := validator.Check(next); err != nil {
+		return versioner.Delta{}, nil, err
 	}
-	value, err := versioner.Marshal(doc)
+	if a.Policy != nil {
+		if err := a.Policy.Authorize(change, doc, next); err != nil {
+			return versioner.Delta{}, nil, err
+		}
+	}
+	digest, err := next.Digest()
 	if err != nil {
-		return digest, errorx.Decorate(err, "encoding document")
+		return versioner.Delta{}, nil, err
 	}
-	_, err = a.Store.CompareAndSwap(ctx, ContentKey(digest), value, 0, 0)
-	var conflict *storer.ConflictError
-	if errors.As(err, &conflict) {
-		return digest, nil
+	delta := versioner.Delta{
+		From: doc.Version, To: next.Version, FromDigest: head.Digest, ToDigest: digest,
+		Audit: change.Audit, Upserts: r.upserts, Deletes: r.deletes, Previous: r.previous,
 	}
-	return digest, err
+	return delta, next, nil
 }
+
+func (a *Acceptor) historyVersions() int { return cmp.Or(a.HistoryVersions, defaultHistoryVersions) }
--- /dev/null
+++ b/acceptor/counters.go
@@ -0,0 +1,52 @@
+package acceptor
+
+import (
+	"errors"
+	"expvar"
+)
+
+// Counters count the outcomes of Accept. The zero value works.
+type Counters struct {
+	Accepted expvar.Int
+	// Unchanged counts changes whose edits held already.
+	Unchanged expvar.Int
+	// Conflicts counts edits that would have overwritten a newer value.
+	Conflicts expvar.Int
+	// Refused counts the other refusals.
+	Refused expvar.Int
+	// Unknown counts changes whose outcome stayed open.
+	Unknown expvar.Int
+	// Retries counts attempts repeated because another change came first.
+	Retries expvar.Int
+	// LostAnswers counts swaps of the head without an answer.
+	LostAnswers expvar.Int
+}
+
+// Publish puts the counters into the map.
+func (c *Counters) Publish(m *expvar.Map) {
+	m.Set("changes-accepted", &c.Accepted)
+	m.Set("changes-unchanged", &c.Unchanged)
+	m.Set("changes-conflicting", &c.Conflicts)
+	m.Set("changes-refused", &c.Refused)
+	m.Set("changes-unknown", &c.Unknown)
+	m.Set("change-retries", &c.Retries)
+	m.Set("change-lost-answers", &c.LostAnswers)
+}
+
+func (c *Counters) count(err error) {
+	var conflict *ConflictError
+	var unknown *UnknownOutcomeError
+	var unchanged *NoChangeError
+	switch {
+	case err == nil:
+		c.Accepted.Add(1)
+	case errors.As(err, &conflict):
+		c.Conflicts.Add(1)
+	case errors.As(err, &unknown):
+		c.Unknown.Add(1)
+	case errors.As(err, &unchanged):
+		c.Unchanged.Add(1)
+	default:
+		c.Refused.Add(1)
+	}
+}
--- /dev/null
+++ b/acceptor/interleaving_test.go
@@ -0,0 +1,230 @@
+package acceptor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// plannedChange is what an editor does in one step of the interleaving test.
+type plannedChange struct {
+	pause   time.Duration
+	names   []string
+	slots   int
+	based   bool
+	repeats int
+}
+
+// editor is one concurrent editor with its own faulty way to the store.
+type editor struct {
+	id      int
+	changes []plannedChange
+	script  []step
+	late    time.Duration
+}
+
+// outcome is what an editor was told last of a change.
+type outcome struct {
+	change  acceptor.Change
+	version versioner.Version
+	err     error
+}
+
+func drawEditor(t *rapid.T, id int) editor {
+	ms := func(limit int, label string) time.Duration {
+		return time.Duration(rapid.IntRange(0, limit).Draw(t, label)) * time.Millisecond
+	}
+	e := editor{id: id, late: ms(4000, "late")}
+	for range rapid.IntRange(1, 4).Draw(t, "changes") {
+		e.changes = append(e.changes, plannedChange{
+			pause:   ms(300, "pause"),
+			names:   rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 2, rapid.ID).Draw(t, "names"),
+			slots:   rapid.IntRange(1, 4).Draw(t, "slots"),
+			based:   rapid.Bool().Draw(t, "based"),
+			repeats: rapid.IntRange(0, 2).Draw(t, "repeats"),
+		})
+	}
+	for range rapid.IntRange(0, 30).Draw(t, "faults") {
+		f := rapid.SampledFrom([]fault{0, 0, faultLostBefore, faultLostAfter, faultLate}).Draw(t, "fault")
+		s := step{delay: ms(100, "delay"), fault: f}
+		if f != 0 && rapid.Bool().Draw(t, "cut") {
+			s.cut = ms(3000, "length of the cut")
+		}
+		e.script = append(e.script, s)
+	}
+	return e
+}
+
+// run makes the editor's changes and returns what it was told.
+func (e *editor) run(ctx context.Context, store storer.Client) []outcome {
+	client := &faultyClient{Client: store, script: e.script, late: e.late}
+	defer client.wg.Wait()
+	a := &acceptor.Acceptor{Store: client, Timeout: time.Second, RecentBytes: 800}
+	var told []outcome
+	for i, p := range e.changes {
+		time.Sleep(p.pause)
+		c := change(fmt.Sprintf("editor-%d-change-%d", e.id, i))
+		for _, name := range p.names {
+			c.Upserts = append(c.Upserts, service(name, p.slots))
+		}
+		if p.based {
+			head, _, _ := acceptor.ReadHead(ctx, store)
+			c.Base = head.Version
+		}
+		told = append(told, e.accept(ctx, a, c, p.repeats))
+	}
+	return told
+}
+
+// accept repeats a change whose outcome is unknown, with the same id.
+func (e *editor) accept(ctx context.Context, a *acceptor.Acceptor, c acceptor.Change, repeats int) outcome {
+	v, err := a.Accept(ctx, c)
+	var unknown *acceptor.UnknownOutcomeError
+	for ; repeats > 0 && errors.As(err, &unknown); repeats-- {
+		again, failed := a.Accept(ctx, c)
+		if failed == nil {
+			v, err = again, nil
+		}
+	}
+	return outcome{change: c, version: v, err: err}
+}
+
+// checkTruth compares what the editors were told with what the store holds.
+func checkTruth(ctx context.Context, store *fakestorer.Store, told []outcome) error {
+	deltas, err := acceptor.ReadHistory(ctx, store, 1000)
+	if err != nil {
+		return err
+	}
+	head, _, err := acceptor.ReadHead(ctx, store)
+	if err != nil {
+		return err
+	}
+	if _, err := acceptor.ReadDocument(ctx, store, head); err != nil {
+		return err
+	}
+	if got, want := len(deltas), int(head.Version); got != want {
+		return fmt.Errorf("history: got %d versions, want %d", got, want)
+	}
+	accepted, err := replay(deltas, &head, told)
+	if err != nil {
+		return err
+	}
+	for _, o := range told {
+		id := o.change.Audit.ChangeID
+		v, ok := accepted[id]
+		var unknown *acceptor.UnknownOutcomeError
+		switch {
+		case o.err == nil && v != o.version:
+			return fmt.Errorf("change %s: told version %d, truth is %d", id, o.version, v)
+		case o.err != nil && ok && !errors.As(o.err, &unknown):
+			return fmt.Errorf("change %s: told %w, truth is version %d", id, o.err, v)
+		}
+	}
+	return nil
+}
+
+// replay applies all deltas, newest first in the slice, to the empty document
+// and returns the version that each change made.
+func replay(deltas []versioner.Delta, head *acceptor.Head, told []outcome) (map[string]versioner.Version, error) {
+	base := make(map[string]versioner.Version)
+	for _, o := range told {
+		base[o.change.Audit.ChangeID] = o.change.Base
+	}
+	accepted := make(map[string]versioner.Version)
+	doc := new(versioner.Document)
+	for i := len(deltas) - 1; i >= 0; i-- {
+		d := deltas[i]
+		id := d.Audit.ChangeID
+		if v, twice := accepted[id]; twice {
+			return nil, fmt.Errorf("change %s made versions %d and %d", id, v, d.To)
+		}
+		accepted[id] = d.To
+		for _, e := range d.Upserts {
+			before, ok := doc.Find(e.Key)
+			if ok && base[id] > 0 && before.Revision > base[id] {
+				return nil, fmt.Errorf("change %s with base %d overwrote %s of version %d", id, base[id], e.Key, before.Revision)
+			}
+		}
+		next, err := doc.Apply(d)
+		if err != nil {
+			return nil, err
+		}
+		doc = next
+	}
+	if got, _ := doc.Digest(); head.Version > 0 && got != head.Digest {
+		return nil, fmt.Errorf("replayed digest: got %s, want %s", got, head.Digest)
+	}
+	return accepted, nil
+}
+
+func TestAcceptInterleavings(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var editors []editor
+		for id := range rapid.IntRange(2, 4).Draw(rt, "editors") {
+			editors = append(editors, drawEditor(rt, id))
+		}
+		var verdict error
+		synctest.Test(t, func(t *testing.T) {
+			store := newStore()
+			mustAccept(t, &acceptor.Acceptor{Store: store}, change("first", magnolia(50)))
+			told := make([][]outcome, len(editors))
+			var wg sync.WaitGroup
+			for i := range editors {
+				wg.Go(func() { told[i] = editors[i].run(t.Context(), store) })
+			}
+			wg.Wait()
+			var all []outcome
+			for _, o := range told {
+				all = append(all, o...)
+			}
+			verdict = checkTruth(t.Context(), store, all)
+		})
+		if verdict != nil {
+			rt.Fatal(verdict)
+		}
+	})
+}
+
+// TestAcceptEveryTwoFaults loses every call of a change in turn, and then cuts
+// the store off from every later call on.
+func TestAcceptEveryTwoFaults(t *testing.T) {
+	const calls = 9
+	faults := []fault{faultLostBefore, faultLostAfter, faultLate}
+	var scripts [][]step
+	for first := range calls {
+		for second := range calls - first - 1 {
+			for _, f := range faults {
+				for _, g := range faults {
+					script := make([]step, calls)
+					script[first] = step{fault: f}
+					script[first+1+second] = step{fault: g, cut: time.Minute}
+					scripts = append(scripts, script)
+				}
+			}
+		}
+	}
+	for _, script := range scripts {
+		synctest.Test(t, func(t *testing.T) {
+			store := newStore()
+			mustAccept(t, &acceptor.Acceptor{Store: store}, change("first", magnolia(50)))
+			client := &faultyClient{Client: store, script: script, late: 20 * time.Second}
+			o := outcome{change: change("one", service("a", 1))}
+			o.version, o.err = (&acceptor.Acceptor{Store: client}).Accept(t.Context(), o.change)
+			client.wg.Wait()
+			if err := checkTruth(t.Context(), store, []outcome{o}); err != nil {
+				t.Errorf("script %v: %v", script, err)
+			}
+		})
+	}
+}
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -26,6 +26,18 @@
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// MarshalText returns the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads the digest from hexadecimal.
+func (d *Digest) UnmarshalText(b []byte) error {
+	if len(b) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest has %d characters, want %d", len(b), hex.EncodedLen(len(d)))
+	}
+	_, err := hex.Decode(d[:], b)
+	return err
+}
+
 // Kind names a family of entries.
 type Kind string
 
