Check whole documents, and say who may make which change

The validator let through open ranges, unknown settings, ambiguous routes and reservations of a hundred percent and more; anyone could change anything.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,7 +16,6 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"bambooweir.example/bambooweir/storer"
-	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -37,6 +36,10 @@
 	Base    versioner.Version
 	Upserts []versioner.Entry
 	Deletes []versioner.Key
+	// Token is the author's, and Consents are those of partners who agree. They
+	// are for Policy, and are never stored.
+	Token    string
+	Consents []string
 }
 
 // Policy decides who may make which change.
@@ -114,6 +117,10 @@
 	case len(c.Audit.ChangeID) > maxChangeIDBytes:
 		return &InvalidChangeError{Field: "change-id", Message: "is longer than 128 bytes"}
 	}
+	return c.checkEdits()
+}
+
+func (c *Change) checkEdits() error {
 	seen := make(map[versioner.Key]struct{})
 	for _, e := range c.Upserts {
 		seen[e.Key] = struct{}{}
@@ -162,18 +169,13 @@
 // document that it leads to.
 func (a *Acceptor) prepare(ctx context.Context, change *Change, head *Head, doc *versioner.Document) (versioner.Delta, *versioner.Document, error) {
 	r := &reducer{acceptor: a, change: change, head: head, doc: doc}
-	if err := r.reduce(ctx); err != nil {
+	next, err := r.draft(ctx)
+	if err != nil {
 		return versioner.Delta{}, nil, err
 	}
-	next := doc.With(r.upserts, r.deletes)
-	if err := validator.Check(next); err != nil {
+	if err := a.authorize(change, doc, next); err != nil {
 		return versioner.Delta{}, nil, err
 	}
-	if a.Policy != nil {
-		if err := a.Policy.Authorize(change, doc, next); err != nil {
-			return versioner.Delta{}, nil, err
-		}
-	}
 	digest, err := next.Digest()
 	if err != nil {
 		return versioner.Delta{}, nil, err
@@ -185,4 +187,42 @@
 	return delta, next, nil
 }
 
+func (a *Acceptor) authorize(change *Change, from, to *versioner.Document) error {
+	if a.Policy == nil {
+		return nil
+	}
+	return a.Policy.Authorize(change, from, to)
+}
+
+// Preview is what a change would do.
+type Preview struct {
+	From, To *versioner.Document
+	// Refusal is what Policy says against the change; nil when it is allowed.
+	Refusal error
+}
+
+// Preview checks a change against the newest version and accepts nothing. It
+// fails as Accept does, but for what Policy says.
+func (a *Acceptor) Preview(ctx context.Context, change Change) (*Preview, error) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(a.Timeout, defaultTimeout))
+	defer cancel()
+	if err := change.checkEdits(); err != nil {
+		return nil, err
+	}
+	head, doc, err := a.readNewest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if change.Base == 0 {
+		change.Base = head.Version
+	}
+	change.Audit.At = time.Now().UTC().Truncate(time.Millisecond)
+	r := &reducer{acceptor: a, change: &change, head: &head, doc: doc}
+	next, err := r.draft(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &Preview{From: doc, To: next, Refusal: a.authorize(&change, doc, next)}, nil
+}
+
 func (a *Acceptor) historyVersions() int { return cmp.Or(a.HistoryVersions, defaultHistoryVersions) }
--- a/acceptor/commit.go
+++ b/acceptor/commit.go
@@ -210,18 +210,23 @@
 
 // ReadNewest returns the newest accepted document, from the store.
 func (a *Acceptor) ReadNewest(ctx context.Context) (*versioner.Document, error) {
+	_, doc, err := a.readNewest(ctx)
+	return doc, err
+}
+
+func (a *Acceptor) readNewest(ctx context.Context) (Head, *versioner.Document, error) {
 	for {
 		head, _, err := a.readHead(ctx)
 		if err != nil {
-			return nil, err
+			return Head{}, nil, err
 		}
 		doc, err := a.readDocument(ctx, head)
 		var lost *lostRaceError
 		if !errors.As(err, &lost) {
-			return doc, err
+			return head, doc, err
 		}
 		if err := sleep(ctx, storeRetryWait); err != nil {
-			return nil, err
+			return Head{}, nil, err
 		}
 	}
 }
--- a/acceptor/edits.go
+++ b/acceptor/edits.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -28,6 +29,18 @@
 	previous []versioner.Entry
 }
 
+// draft returns the valid document that the change leads to.
+func (r *reducer) draft(ctx context.Context) (*versioner.Document, error) {
+	if err := r.reduce(ctx); err != nil {
+		return nil, err
+	}
+	next := r.doc.With(r.upserts, r.deletes)
+	if err := validator.Check(next); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
 // reduce drops the edits that hold already, and fails with a *ConflictError for
 // one that would overwrite what was changed after the base.
 func (r *reducer) reduce(ctx context.Context) error {
@@ -51,8 +64,8 @@
 }
 
 func (r *reducer) upsert(ctx context.Context, e versioner.Entry) error {
-	e = r.signed(e)
 	current, ok := r.doc.Find(e.Key)
+	e = r.completed(e, current)
 	if !ok {
 		gone, err := r.deleted(ctx, e.Key)
 		if err != nil {
@@ -95,15 +108,20 @@
 	return nil
 }
 
-// signed returns the entry with the author and time of an exception set.
-func (r *reducer) signed(e versioner.Entry) versioner.Entry {
-	if e.Exception == nil {
-		return e
-	}
-	x := *e.Exception
-	x.Author = r.change.Audit.Author
-	x.At = r.change.Audit.At
-	e.Exception = &x
+// completed returns the entry with the author and time of an exception set, and
+// with the token that a partner has. A token can be replaced, but not removed.
+func (r *reducer) completed(e, current versioner.Entry) versioner.Entry {
+	if e.Exception != nil {
+		x := *e.Exception
+		x.Author = r.change.Audit.Author
+		x.At = r.change.Audit.At
+		e.Exception = &x
+	}
+	if e.Partner != nil && e.Partner.TokenSHA256 == "" && current.Partner != nil {
+		p := *e.Partner
+		p.TokenSHA256 = current.Partner.TokenSHA256
+		e.Partner = &p
+	}
 	return e
 }
 
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,125 @@
+// Package planner says what a change touches before it is made.
+//
+// It compares two documents and reports, for each partner, the services, routes,
+// settings and exceptions that differ. It decides nothing; package authorizer
+// does.
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// Action is what an edit does to an entry.
+type Action string
+
+// The actions of an edit.
+const (
+	ActionCreate Action = "create"
+	ActionUpdate Action = "update"
+	ActionDelete Action = "delete"
+)
+
+// Edit is one entry that differs between two documents.
+type Edit struct {
+	Key    versioner.Key `json:"key"`
+	Action Action        `json:"action"`
+	// Before and After hold the values; nil when the entry does not exist.
+	Before *versioner.Entry `json:"before,omitempty"`
+	After  *versioner.Entry `json:"after,omitempty"`
+}
+
+// SettingChange is a setting that changes within a scope.
+type SettingChange struct {
+	Setting string `json:"setting"`
+	// Scope is where the change holds; the zero value means the whole fleet.
+	Scope versioner.Scope `json:"scope"`
+	From  int             `json:"from"`
+	To    int             `json:"to"`
+}
+
+// Departure is an exception beside the default that it departs from.
+type Departure struct {
+	Name      string              `json:"name"`
+	Exception versioner.Exception `json:"exception"`
+	// Default is the fleet-wide value of the exception's setting.
+	Default int `json:"default"`
+}
+
+// Impact is what a change touches of one partner.
+type Impact struct {
+	Partner  string          `json:"partner"`
+	Services []string        `json:"services,omitempty"`
+	Routes   []string        `json:"routes,omitempty"`
+	Settings []SettingChange `json:"settings,omitempty"`
+	// Exceptions holds the partner's exceptions that depart from a setting in
+	// Settings or that the change itself edits.
+	Exceptions []Departure `json:"exceptions,omitempty"`
+}
+
+// Plan is what a change touches.
+type Plan struct {
+	From  versioner.Version `json:"from"`
+	To    versioner.Version `json:"to"`
+	Edits []Edit            `json:"edits"`
+	// Partners lists the partners that are touched, by name.
+	Partners []Impact `json:"partners"`
+}
+
+// Compare returns the entries that differ, by key.
+func Compare(from, to *versioner.Document) []Edit {
+	var edits []Edit
+	for _, e := range from.Entries {
+		after, ok := to.Find(e.Key)
+		switch {
+		case !ok:
+			edits = append(edits, Edit{Key: e.Key, Action: ActionDelete, Before: &e})
+		case !after.EqualValue(e):
+			edits = append(edits, Edit{Key: e.Key, Action: ActionUpdate, Before: &e, After: &after})
+		}
+	}
+	for _, e := range to.Entries {
+		if _, ok := from.Find(e.Key); !ok {
+			edits = append(edits, Edit{Key: e.Key, Action: ActionCreate, After: &e})
+		}
+	}
+	slices.SortFunc(edits, func(a, b Edit) int { return a.Key.Compare(b.Key) })
+	return edits
+}
+
+// Make returns what leads from one document to the other.
+func Make(from, to *versioner.Document) *Plan {
+	p := &Plan{From: from.Version, To: to.Version, Edits: Compare(from, to), Partners: []Impact{}}
+	b := builder{from: from, to: to, impacts: make(map[string]*Impact)}
+	for _, e := range p.Edits {
+		b.edit(e)
+	}
+	b.fleetWide()
+	for _, impact := range b.impacts {
+		impact.sort()
+		p.Partners = append(p.Partners, *impact)
+	}
+	slices.SortFunc(p.Partners, func(a, b Impact) int { return cmp.Compare(a.Partner, b.Partner) })
+	return p
+}
+
+// Departures returns every exception of the document beside its default.
+func Departures(doc *versioner.Document) []Departure {
+	departures := []Departure{}
+	for _, e := range doc.Entries {
+		if e.Exception != nil {
+			departures = append(departures, departure(doc, e))
+		}
+	}
+	return departures
+}
+
+func departure(doc *versioner.Document, e versioner.Entry) Departure {
+	d := Departure{Name: e.Key.Name, Exception: *e.Exception}
+	if s, ok := versioner.FindSetting(e.Exception.Setting); ok {
+		d.Default = s.FleetWide(doc)
+	}
+	return d
+}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -5,8 +5,8 @@
 package validator
 
 import (
+	"errors"
 	"fmt"
-	"slices"
 	"strings"
 
 	"bambooweir.example/bambooweir/versioner"
@@ -34,35 +34,72 @@
 	return strings.Join(lines, "\n")
 }
 
-var classes = []string{
-	versioner.ClassLookup, versioner.ClassPosting, versioner.ClassScan, versioner.ClassInternalRead,
-}
-
 // Check returns nil or an *InvalidError with every problem found.
 func Check(doc *versioner.Document) error {
-	c := checker{doc: doc}
-	for _, e := range doc.Entries {
-		c.entry(e)
+	c := checker{doc: doc, references: true}
+	var malformed *versioner.InvalidDocumentError
+	if errors.As(doc.CheckForm(), &malformed) {
+		c.add(malformed.Key, "entry", "%s", malformed.Message)
+		return c.err()
 	}
+	c.entries()
+	c.shares()
+	c.tokens()
+	c.routes()
+	c.exceptions()
+	c.reservations()
+	return c.err()
+}
+
+// CheckEntries checks each entry by itself. References to entries that are not
+// there are let pass, so that a file of edits can be checked alone.
+func CheckEntries(entries []versioner.Entry) error {
+	c := checker{doc: &versioner.Document{Entries: entries}}
+	c.entries()
+	return c.err()
+}
+
+type checker struct {
+	doc *versioner.Document
+	// references says that every reference must be closed.
+	references bool
+	problems   []Problem
+}
+
+func (c *checker) err() error {
 	if len(c.problems) == 0 {
 		return nil
 	}
 	return &InvalidError{Problems: c.problems}
 }
 
-type checker struct {
-	doc      *versioner.Document
-	problems []Problem
-}
-
 func (c *checker) add(k versioner.Key, field, format string, args ...any) {
 	c.problems = append(c.problems, Problem{Key: k, Field: field, Message: fmt.Sprintf(format, args...)})
 }
 
+func (c *checker) entries() {
+	if n := len(c.doc.Entries); n > maxEntries {
+		c.add(versioner.Key{}, "entries", "must be at most %d, got %d", maxEntries, n)
+		return
+	}
+	for _, e := range c.doc.Entries {
+		c.entry(e)
+	}
+}
+
 func (c *checker) entry(e versioner.Entry) {
+	c.name(e.Key, "name", e.Key.Name)
 	switch {
+	case e.Fleet != nil:
+		c.oneOf(e.Key, "name", e.Key.Name, []string{versioner.FleetName})
+		c.settings(e)
+	case e.Class != nil:
+		c.oneOf(e.Key, "name", e.Key.Name, classes)
+		c.settings(e)
+	case e.Partner != nil:
+		c.partner(e.Key, e.Partner)
 	case e.Service != nil:
-		c.reference(e.Key, "partner", versioner.KindPartner, e.Service.Partner)
+		c.service(e.Key, e.Service)
 	case e.Route != nil:
 		c.route(e.Key, e.Route)
 	case e.Exception != nil:
@@ -70,32 +107,28 @@
 	}
 }
 
+// settings checks the numbers that fleet and class entries set.
+func (c *checker) settings(e versioner.Entry) {
+	for _, s := range versioner.Settings() {
+		value := s.In(e)
+		if value == nil {
+			continue
+		}
+		if message, ok := s.Check(*value); !ok {
+			c.add(e.Key, s.Field(), "%s", message)
+		}
+	}
+}
+
 func (c *checker) reference(k versioner.Key, field string, kind versioner.Kind, name string) {
 	if name == "" {
 		c.add(k, field, "is required")
 		return
 	}
+	if !c.references {
+		return
+	}
 	if _, ok := c.doc.Find(versioner.Key{Kind: kind, Name: name}); !ok {
 		c.add(k, field, "names the %s %q, which does not exist", kind, name)
 	}
 }
-
-func (c *checker) route(k versioner.Key, r *versioner.Route) {
-	c.reference(k, "partner", versioner.KindPartner, r.Partner)
-	c.reference(k, "service", versioner.KindService, r.Service)
-	if !strings.HasPrefix(r.PathPrefix, "/") {
-		c.add(k, "path-prefix", "must start with /, got %q", r.PathPrefix)
-	}
-	if !slices.Contains(classes, r.Class) {
-		c.add(k, "class", "must be one of %s, got %q", strings.Join(classes, ", "), r.Class)
-	}
-}
-
-func (c *checker) exception(k versioner.Key, e *versioner.Exception) {
-	if strings.TrimSpace(e.Reason) == "" {
-		c.add(k, "reason", "is required")
-	}
-	if e.Partner == "" && e.Service == "" && e.FailureDomain == "" {
-		c.add(k, "partner, service, failure-domain", "at least one is required")
-	}
-}
--- /dev/null
+++ b/validator/validator_test.go
@@ -0,0 +1,118 @@
+package validator_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"bambooweir.example/bambooweir/parser"
+	"bambooweir.example/bambooweir/validator"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+const base = `
+[partner.magnolia]
+share-percent = 60
+[partner.regie]
+share-percent = 40
+[service.ledger-view]
+partner = "magnolia"
+[service.catalogue]
+partner = "regie"
+[route.shares]
+partner = "magnolia"
+path-prefix = "/shares"
+service = "ledger-view"
+class = "lookup"
+`
+
+func document(t *testing.T, files ...string) *versioner.Document {
+	t.Helper()
+	doc := new(versioner.Document)
+	for _, file := range files {
+		edits, err := parser.Parse("test.toml", []byte(file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc = doc.With(edits.Upserts, edits.Deletes)
+	}
+	return doc
+}
+
+func TestCheck(t *testing.T) {
+	exception := func(scope, setting, value, reason string) string {
+		return "\n[exception.x]\n" + scope + "\nsetting = \"" + setting + "\"\nvalue = " + value + "\nreason = \"" + reason + "\"\n"
+	}
+	route := func(lines string) string {
+		return "\n[route.r]\npartner = \"regie\"\nservice = \"catalogue\"\nclass = \"lookup\"\n" + lines
+	}
+	for _, tt := range []struct {
+		name, edit string
+		// want is a part of the only problem; empty means valid.
+		want string
+	}{
+		{"valid", "", ""},
+		{"valid exception", exception(`service = "catalogue"`, "lookup.timeout-ms", "500", "slow disks"), ""},
+		{"valid route", route(`path-prefix = "/stock"` + "\n" + `hosts = ["shop.example:8080"]` + "\n" + `methods = ["GET"]`), ""},
+		{"shares", "[partner.third]\nshare-percent = 1", "add up to 101"},
+		{"share range", "[partner.magnolia]\nshare-percent = -1", "must be from 0 to 100"},
+		{"token", "[partner.magnolia]\ntoken-sha256 = \"abc\"", "64 lower-case"},
+		{"token twice", "[partner.magnolia]\ntoken-sha256 = \"" + strings.Repeat("a", 64) + "\"\n[partner.regie]\ntoken-sha256 = \"" + strings.Repeat("a", 64) + "\"", `is the token of partner "magnolia"`},
+		{"name", "[partner.Magnolia_2]", "must be kebab-case"},
+		{"long name", "[partner." + strings.Repeat("a", 64) + "]", "must be kebab-case"},
+		{"class name", "[class.lookups]", "must be one of lookup"},
+		{"fleet range", "[fleet]\neject-ms = 1", "eject-ms: must be from 100"},
+		{"class range", "[class.lookup]\nmax-retries = 11", "max-retries: must be from 0 to 10"},
+		{"reservations", "[class.lookup]\nreserved-percent = 80", "add up to 100"},
+		{"reservations by exception", exception(`service = "catalogue"`, "scan.reserved-percent", "80", "x"), `at service "catalogue" add up to 100`},
+		{"reservations by exception in a domain", exception(`failure-domain = "moelan"`, "scan.reserved-percent", "85", "x"), "add up to 105"},
+		{"service of nobody", "[service.ledger-view]\npartner = \"nobody\"", `partner "nobody", which does not exist`},
+		{"service without partner", "[service.ledger-view]", "partner: is required"},
+		{"slots", "[service.ledger-view]\npartner = \"magnolia\"\nslots = -1", "slots: must be from 0"},
+		{"service under a route removed", "delete = [\"service.ledger-view\"]", `route.shares: service: names the service "ledger-view"`},
+		{"route path", route(`path-prefix = "stock"`), "must start with /"},
+		{"route path with query", route(`path-prefix = "/a?b"`), "characters of a URL path"},
+		{"route path with dots", route(`path-prefix = "/a/../b"`), "dot segments"},
+		{"route host", route(`path-prefix = "/a"` + "\n" + `hosts = ["Shop.example"]`), "lower-case host names"},
+		{"route method", route(`path-prefix = "/a"` + "\n" + `methods = ["get"]`), "methods: must be one of"},
+		{"route twice", route(`path-prefix = "/shares/"`), "same requests as route.r"},
+		{"route beside, by host", route(`path-prefix = "/shares"` + "\n" + `hosts = ["shop.example"]`), ""},
+		{"exception without reason", exception(`service = "catalogue"`, "eject-ms", "500", " "), "reason: is required"},
+		{"exception without scope", exception("", "eject-ms", "500", "x"), "at least one is required"},
+		{"exception of an unknown setting", exception(`service = "catalogue"`, "eject", "500", "x"), "must name a setting"},
+		{"exception out of range", exception(`service = "catalogue"`, "eject-ms", "1", "x"), "value: must be from 100"},
+		{"exception for an unknown service", exception(`service = "cellar"`, "eject-ms", "500", "x"), `service "cellar", which does not exist`},
+		{"exception across partners", exception("service = \"catalogue\"\npartner = \"magnolia\"", "eject-ms", "500", "x"), `belongs to partner "regie"`},
+		{"exception twice", exception(`partner = "regie"`, "eject-ms", "500", "x") + "[exception.y]\npartner = \"regie\"\nsetting = \"eject-ms\"\nvalue = 600\nreason = \"y\"", "same scope as exception.x"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			err := validator.Check(document(t, base, tt.edit))
+			var invalid *validator.InvalidError
+			switch {
+			case tt.want == "":
+				if err != nil {
+					t.Errorf("got %v, want no problem", err)
+				}
+			case !errors.As(err, &invalid):
+				t.Errorf("got %v, want a problem with %q", err, tt.want)
+			case len(invalid.Problems) != 1 || !strings.Contains(err.Error(), tt.want):
+				t.Errorf("got %d problems: %v, want one with %q", len(invalid.Problems), err, tt.want)
+			}
+		})
+	}
+}
+
+func TestCheckMalformed(t *testing.T) {
+	key := versioner.Key{Kind: versioner.KindService, Name: "a"}
+	for name, doc := range map[string]*versioner.Document{
+		"entry without a value":  {Version: 1, Entries: []versioner.Entry{{Key: key}}},
+		"value of another kind":  {Version: 1, Entries: []versioner.Entry{{Key: key, Route: new(versioner.Route)}}},
+		"entry twice":            {Version: 1, Entries: []versioner.Entry{{Key: key, Service: new(versioner.Service)}, {Key: key, Service: new(versioner.Service)}}},
+		"revision of the future": {Version: 1, Entries: []versioner.Entry{{Key: key, Revision: 2, Service: new(versioner.Service)}}},
+	} {
+		var invalid *validator.InvalidError
+		if err := validator.Check(doc); !errors.As(err, &invalid) {
+			t.Errorf("%s: got %v, want an InvalidError", name, err)
+		}
+	}
+}
--- a/versioner/decode.go
+++ b/versioner/decode.go
@@ -21,24 +21,33 @@
 }
 
 // DecodeDocument reads a document in its canonical encoding. It fails when the
-// document breaks an invariant of Document or Entry.
+// document breaks an invariant.
 func DecodeDocument(b []byte) (*Document, error) {
 	doc := new(Document)
 	if err := cbor.Unmarshal(b, doc); err != nil {
 		return nil, errorx.Decorate(err, "decoding document")
 	}
-	for i, e := range doc.Entries {
-		if i > 0 && doc.Entries[i-1].Key.Compare(e.Key) >= 0 {
-			return nil, &InvalidDocumentError{Key: e.Key, Message: "is out of order"}
+	if err := doc.CheckForm(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// CheckForm fails with an *InvalidDocumentError when the document breaks an
+// invariant of Document or Entry.
+func (d *Document) CheckForm() error {
+	for i, e := range d.Entries {
+		if i > 0 && d.Entries[i-1].Key.Compare(e.Key) >= 0 {
+			return &InvalidDocumentError{Key: e.Key, Message: "is out of order"}
 		}
 		if kind, ok := e.valueKind(); !ok || kind != e.Key.Kind {
-			return nil, &InvalidDocumentError{Key: e.Key, Message: "does not hold exactly the value of its kind"}
+			return &InvalidDocumentError{Key: e.Key, Message: "does not hold exactly the value of its kind"}
 		}
-		if e.Revision > doc.Version {
-			return nil, &InvalidDocumentError{Key: e.Key, Message: "has a revision above the document's version"}
+		if e.Revision > d.Version {
+			return &InvalidDocumentError{Key: e.Key, Message: "has a revision above the document's version"}
 		}
 	}
-	return doc, nil
+	return nil
 }
 
 // valueKind returns the kind of the only value that the entry holds.
--- a/versioner/settings.go
+++ b/versioner/settings.go
@@ -1,6 +1,9 @@
 package versioner
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Setting describes one number that operators may set fleet-wide and depart
 // from by an exception.
@@ -80,18 +83,45 @@
 // FleetWide returns the value that the document sets for the whole fleet, or
 // the built-in default.
 func (s Setting) FleetWide(doc *Document) int {
-	var value *int
+	key := Key{Kind: KindFleet, Name: FleetName}
 	if s.class != nil {
-		if e, ok := doc.Find(Key{Kind: KindClass, Name: s.className}); ok && e.Class != nil {
-			value = s.class(e.Class)
-		}
-	} else if e, ok := doc.Find(Key{Kind: KindFleet, Name: FleetName}); ok && e.Fleet != nil {
-		value = s.fleet(e.Fleet)
+		key = Key{Kind: KindClass, Name: s.className}
 	}
-	if value == nil {
+	e, ok := doc.Find(key)
+	if !ok {
 		return s.Default
 	}
-	return *value
+	if value := s.In(e); value != nil {
+		return *value
+	}
+	return s.Default
+}
+
+// In returns what the entry sets for the setting, or nil.
+func (s Setting) In(e Entry) *int {
+	switch {
+	case s.class != nil && e.Class != nil && e.Key.Name == s.className:
+		return s.class(e.Class)
+	case s.fleet != nil && e.Fleet != nil:
+		return s.fleet(e.Fleet)
+	}
+	return nil
+}
+
+// Field returns the name within the entry that sets the setting.
+func (s Setting) Field() string {
+	if s.className == "" {
+		return s.Name
+	}
+	return s.Name[len(s.className)+1:]
+}
+
+// Check says what is wrong with a value, or nothing.
+func (s Setting) Check(value int) (string, bool) {
+	if value >= s.Min && value <= s.Max {
+		return "", true
+	}
+	return fmt.Sprintf("must be from %d to %d, got %d", s.Min, s.Max, value), false
 }
 
 // IsIdempotent says whether calls of the class may run more than once.
