Report every problem of a file with its place, and check the settings page

The loader and the parser stopped at the first wrong type, gave no place for a bad value, and nothing held docs/SETTINGS.md to the code.

Package decoder reads TOML strictly, keeps the place of each key and notes every problem, by the types of the struct that is filled. The parser checks each entry by itself with the validator's checks. The loader is a table: a setting is a field, a row, and a row of the page. Ruled out: go-toml's strict mode (one type error at a time, no place for checks that follow).

go test ./loader fails when a row of the page differs (seen with a changed default). go test ./parser -fuzz FuzzParse -fuzztime 20s passes.

--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -23,9 +23,20 @@
 	if err != nil {
 		return err
 	}
-	log, err := zap.NewProduction()
+	log, err := newLogger(cfg.LogLevel)
 	if err != nil {
 		return err
 	}
-	return daemon.New(cfg, &storer.HTTPClient{BaseURL: cfg.StoreURL}, log).Run(c.Context())
+	store := &storer.HTTPClient{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
+	return daemon.New(cfg, store, log).Run(c.Context())
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Level = parsed
+	return cfg.Build()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/loader"
@@ -59,11 +60,19 @@
 	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
-		Acceptor: &acceptor.Acceptor{Store: store},
+		Acceptor: newAcceptor(cfg, store),
 	}
 	return d
 }
 
+func newAcceptor(cfg *loader.Daemon, store storer.Client) *acceptor.Acceptor {
+	return &acceptor.Acceptor{
+		Store: store, Policy: &authorizer.Authorizer{BootstrapSHA256: cfg.BootstrapTokenSHA256},
+		Timeout: loader.Milliseconds(cfg.ChangeTimeoutMS), RecentBytes: cfg.HeadBytes,
+		HistoryVersions: cfg.HistoryVersions,
+	}
+}
+
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/loader/checks.go
@@ -0,0 +1,53 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+var (
+	identifierSyntax = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	kebabSyntax      = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+	sha256Syntax     = regexp.MustCompile(`^([0-9a-f]{64})?$`)
+)
+
+func identifier(value any) (string, bool) {
+	return "1 to 64 letters, digits, dots, dashes or underscores", identifierSyntax.MatchString(value.(string))
+}
+
+func kebab(value any) (string, bool) {
+	s := value.(string)
+	return "kebab-case of at most 63 characters", len(s) <= 63 && kebabSyntax.MatchString(s)
+}
+
+func sha256OrEmpty(value any) (string, bool) {
+	return "64 lower-case hexadecimal digits", sha256Syntax.MatchString(value.(string))
+}
+
+func address(value any) (string, bool) {
+	addr, err := netip.ParseAddrPort(value.(string))
+	return "IP:port", err == nil && addr.Port() != 0
+}
+
+func httpURL(value any) (string, bool) {
+	u, err := url.Parse(value.(string))
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == ""
+	return "a URL as http://IP:port", ok
+}
+
+func oneOf(names ...string) func(any) (string, bool) {
+	return func(value any) (string, bool) {
+		return "one of " + strings.Join(names, ", "), slices.Contains(names, value.(string))
+	}
+}
+
+func between(least, largest int) func(any) (string, bool) {
+	return func(value any) (string, bool) {
+		n := value.(int)
+		return fmt.Sprintf("from %d to %d", least, largest), n >= least && n <= largest
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -1,87 +1,65 @@
 // Package loader reads the settings of a process.
+//
+// A setting is one field of Daemon, one row of the table in settings.go and one
+// row of docs/SETTINGS.md; a test holds the three together.
 package loader
 
 import (
-	"errors"
-	"fmt"
+	"io"
 	"os"
-	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/pelletier/go-toml/v2"
+
+	"bambooweir.example/bambooweir/decoder"
 )
 
-// Daemon holds the settings of one daemon.
+// Daemon holds the settings of one daemon. Docs and defaults are in Rows.
+//
+// Invariant of what Load returns: every field satisfies its row's check.
 type Daemon struct {
-	InstanceID    string `toml:"instance-id"`
-	FailureDomain string `toml:"failure-domain"`
-	// CallerAddress is where callers reach this daemon, as IP:port.
-	CallerAddress string `toml:"caller-address"`
-	// PeerAddress is where other daemons reach this daemon, as IP:port.
-	PeerAddress string `toml:"peer-address"`
-	// OperatorAddress is where operators and the target reach this daemon, as IP:port.
-	OperatorAddress string `toml:"operator-address"`
-	// StoreURL is the platform's key-value service.
-	StoreURL string `toml:"store-url"`
+	InstanceID           string `toml:"instance-id"`
+	FailureDomain        string `toml:"failure-domain"`
+	CallerAddress        string `toml:"caller-address"`
+	PeerAddress          string `toml:"peer-address"`
+	OperatorAddress      string `toml:"operator-address"`
+	StoreURL             string `toml:"store-url"`
+	StoreTimeoutMS       int    `toml:"store-timeout-ms"`
+	LogLevel             string `toml:"log-level"`
+	BootstrapTokenSHA256 string `toml:"bootstrap-token-sha256"`
+	ChangeTimeoutMS      int    `toml:"change-timeout-ms"`
+	HeadBytes            int    `toml:"head-bytes"`
+	HistoryVersions      int    `toml:"history-versions"`
 }
 
-// InvalidError holds the problems of a settings file, one a line.
-type InvalidError struct{ Problems []string }
-
-// Error implements error.
-func (e *InvalidError) Error() string { return strings.Join(e.Problems, "\n") }
+// Milliseconds returns the duration of a setting whose name ends in -ms.
+func Milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Load reads the settings file at path. It fails with an *InvalidError when
-// the content is at fault.
+// Load reads the settings file at path. It fails with a *decoder.InvalidError
+// that holds every problem of the content.
 func Load(path string) (*Daemon, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, errorx.Decorate(err, "opening settings")
 	}
 	defer f.Close()
-	var d Daemon
-	dec := toml.NewDecoder(f)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return nil, &InvalidError{Problems: problems(path, err)}
-	}
-	if missing := d.missing(); len(missing) > 0 {
-		return nil, &InvalidError{Problems: []string{path + ":1:1: missing " + strings.Join(missing, ", ")}}
-	}
-	return &d, nil
-}
-
-func (d *Daemon) missing() []string {
-	var missing []string
-	for _, f := range []struct{ key, value string }{
-		{"instance-id", d.InstanceID},
-		{"failure-domain", d.FailureDomain},
-		{"caller-address", d.CallerAddress},
-		{"peer-address", d.PeerAddress},
-		{"operator-address", d.OperatorAddress},
-		{"store-url", d.StoreURL},
-	} {
-		if f.value == "" {
-			missing = append(missing, f.key)
-		}
+	b, err := io.ReadAll(io.LimitReader(f, decoder.MaxFileBytes+1))
+	if err != nil {
+		return nil, errorx.Decorate(err, "reading settings")
 	}
-	return missing
+	return Parse(path, b)
 }
 
-func problems(path string, err error) []string {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var ps []string
-		for _, e := range strict.Errors {
-			line, column := e.Position()
-			ps = append(ps, fmt.Sprintf("%s:%d:%d: %s: unknown key", path, line, column, strings.Join(e.Key(), ".")))
-		}
-		return ps
+// Parse reads the settings in the content of the file called name. It fails as
+// Load does.
+func Parse(name string, b []byte) (*Daemon, error) {
+	d := Defaults()
+	f := decoder.Decode(name, b, d)
+	if f.Err() == nil {
+		check(f, d)
 	}
-	var single *toml.DecodeError
-	if errors.As(err, &single) {
-		line, column := single.Position()
-		return []string{fmt.Sprintf("%s:%d:%d: %s: %v", path, line, column, strings.Join(single.Key(), "."), single)}
+	if err := f.Err(); err != nil {
+		return nil, err
 	}
-	return []string{path + ": " + err.Error()}
+	return d, nil
 }
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,108 @@
+package loader
+
+import (
+	"fmt"
+	"reflect"
+
+	"bambooweir.example/bambooweir/decoder"
+)
+
+const (
+	minuteMS = 60_000
+	hourMS   = 60 * minuteMS
+)
+
+// Row describes one setting.
+type Row struct {
+	Key string
+	// Default has the type of the field; nil means that the setting is required.
+	Default any
+	// Doc states the meaning and the unit.
+	Doc string
+
+	// check says what a value must be, and whether it is.
+	check func(value any) (want string, ok bool)
+}
+
+// Rows returns every setting of a daemon in the order of the page.
+func Rows() []Row {
+	return []Row{
+		{Key: "instance-id", Doc: "name of this daemon, unlike any other's", check: identifier},
+		{Key: "failure-domain", Doc: "failure domain of this instance", check: kebab},
+		{Key: "caller-address", Doc: "where callers reach this daemon, as IP:port", check: address},
+		{Key: "peer-address", Doc: "where other daemons reach this daemon, as IP:port", check: address},
+		{Key: "operator-address", Doc: "where operators and the target reach this daemon, as IP:port", check: address},
+		{Key: "store-url", Doc: "the platform's key-value service, as http://IP:port", check: httpURL},
+		{Key: "store-timeout-ms", Default: 2000, Doc: "longest time that a call of the platform's service may take, in milliseconds; a watch has its wait on top", check: between(1, minuteMS)},
+		{Key: "log-level", Default: "info", Doc: "least level that is logged: debug, info, warn or error", check: oneOf("debug", "info", "warn", "error")},
+		{Key: "bootstrap-token-sha256", Default: "", Doc: "SHA-256, in hexadecimal, of the token that makes changes until the first partner has a token; empty means that none is needed", check: sha256OrEmpty},
+		{Key: "change-timeout-ms", Default: 10_000, Doc: "longest time that the acceptance of a change may take, in milliseconds", check: between(100, 10*minuteMS)},
+		{Key: "head-bytes", Default: 6144, Doc: "bytes of recent changes that the head holds; the newest change always stays", check: between(1024, 262_144)},
+		{Key: "history-versions", Default: 10_000, Doc: "versions that the audit trail holds", check: between(100, 1_000_000)},
+	}
+}
+
+// Defaults returns the settings of an empty file.
+func Defaults() *Daemon {
+	d := new(Daemon)
+	for _, row := range Rows() {
+		if row.Default != nil {
+			field(d, row.Key).Set(reflect.ValueOf(row.Default))
+		}
+	}
+	return d
+}
+
+// field returns the field with the toml tag.
+func field(d *Daemon, key string) reflect.Value {
+	v := reflect.ValueOf(d).Elem()
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("toml") == key {
+			return v.Field(i)
+		}
+	}
+	panic("loader: no field for setting " + key)
+}
+
+// check notes every value that is missing, out of range or contradicts another.
+func check(f *decoder.File, d *Daemon) {
+	for _, row := range Rows() {
+		if !f.Has(row.Key) {
+			if row.Default == nil {
+				f.Add(row.Key, "is required: %s", row.Doc)
+			}
+			continue
+		}
+		value := field(d, row.Key).Interface()
+		if want, ok := row.check(value); !ok {
+			f.Add(row.Key, "must be %s, got %s", want, quote(value))
+		}
+	}
+	contradictions(f, d)
+}
+
+// contradictions notes settings that are each valid but not together.
+func contradictions(f *decoder.File, d *Daemon) {
+	addresses := []struct{ key, value string }{
+		{"caller-address", d.CallerAddress},
+		{"peer-address", d.PeerAddress},
+		{"operator-address", d.OperatorAddress},
+	}
+	for i, a := range addresses {
+		for _, b := range addresses[:i] {
+			if a.value != "" && a.value == b.value {
+				f.Add(a.key, "must differ from %s, both are %s", b.key, a.value)
+			}
+		}
+	}
+	if d.StoreTimeoutMS >= d.ChangeTimeoutMS {
+		f.Add("store-timeout-ms", "must be less than change-timeout-ms, got %d and %d", d.StoreTimeoutMS, d.ChangeTimeoutMS)
+	}
+}
+
+func quote(value any) string {
+	if s, ok := value.(string); ok {
+		return fmt.Sprintf("%.80q", s)
+	}
+	return fmt.Sprint(value)
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -1,4 +1,4 @@
-// Package parser reads the operators' configuration files.
+// Package parser reads and writes the operators' configuration files.
 //
 // A file is TOML and holds edits: entries to set, by kind and name, and keys to
 // delete. See docs/SETTINGS.md for the format.
@@ -6,16 +6,17 @@
 
 import (
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
-
+	"bambooweir.example/bambooweir/decoder"
+	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
 
 // Edits is the content of one file.
+//
+// Invariant: Upserts is sorted by key, and no key is named twice.
 type Edits struct {
 	// BaseVersion is the version that the author looked at; 0 means the newest.
 	BaseVersion versioner.Version
@@ -23,105 +24,113 @@
 	Deletes     []versioner.Key
 }
 
-// Problem is one fault of a file.
-type Problem struct {
-	File   string `json:"file"`
-	Line   int    `json:"line"`
-	Column int    `json:"column"`
-	Key    string `json:"key"`
-	Want   string `json:"want"`
+type file struct {
+	BaseVersion versioner.Version              `toml:"base-version,omitempty"`
+	Delete      []string                       `toml:"delete,omitempty"`
+	Fleet       *versioner.Fleet               `toml:"fleet,omitempty"`
+	Partner     map[string]versioner.Partner   `toml:"partner,omitempty"`
+	Class       map[string]versioner.Class     `toml:"class,omitempty"`
+	Service     map[string]versioner.Service   `toml:"service,omitempty"`
+	Route       map[string]versioner.Route     `toml:"route,omitempty"`
+	Exception   map[string]versioner.Exception `toml:"exception,omitempty"`
 }
 
-// String returns the problem as file:line:column: key: want.
-func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: %s", p.File, p.Line, p.Column, p.Key, p.Want)
+var kinds = []versioner.Kind{
+	versioner.KindFleet, versioner.KindPartner, versioner.KindClass,
+	versioner.KindService, versioner.KindRoute, versioner.KindException,
 }
 
-// InvalidError holds every problem of a file.
-type InvalidError struct{ Problems []Problem }
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Problems))
-	for i, p := range e.Problems {
-		lines[i] = p.String()
+// Parse reads the edits of the file called name, and checks each entry by
+// itself. It fails with a *decoder.InvalidError that holds every problem found.
+func Parse(name string, b []byte) (*Edits, error) {
+	var in file
+	f := decoder.Decode(name, b, &in)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	edits := &Edits{BaseVersion: in.BaseVersion, Upserts: in.entries()}
+	for _, s := range in.Delete {
+		edits.delete(f, s)
+	}
+	edits.check(f)
+	if err := f.Err(); err != nil {
+		return nil, err
 	}
-	return strings.Join(lines, "\n")
+	return edits, nil
 }
 
-type file struct {
-	BaseVersion versioner.Version              `toml:"base-version"`
-	Delete      []string                       `toml:"delete"`
-	Fleet       *versioner.Fleet               `toml:"fleet"`
-	Partner     map[string]versioner.Partner   `toml:"partner"`
-	Class       map[string]versioner.Class     `toml:"class"`
-	Service     map[string]versioner.Service   `toml:"service"`
-	Route       map[string]versioner.Route     `toml:"route"`
-	Exception   map[string]versioner.Exception `toml:"exception"`
+// delete adds the entry that s names to the deletions.
+func (e *Edits) delete(f *decoder.File, s string) {
+	kind, name, ok := strings.Cut(s, ".")
+	k := versioner.Key{Kind: versioner.Kind(kind), Name: name}
+	switch {
+	case !ok || name == "" || !slices.Contains(kinds, k.Kind):
+		f.Add("delete", "must name entries as kind.name, got %.80q", s)
+	case slices.Contains(e.Deletes, k):
+		f.Add("delete", "names %s twice", k)
+	case slices.ContainsFunc(e.Upserts, func(u versioner.Entry) bool { return u.Key == k }):
+		f.Add("delete", "names %s, which the file also sets", k)
+	default:
+		e.Deletes = append(e.Deletes, k)
+	}
 }
 
-// Parse reads the edits of the file called name. It fails with an *InvalidError.
-func Parse(name string, b []byte) (*Edits, error) {
-	var f file
-	dec := toml.NewDecoder(strings.NewReader(string(b)))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&f); err != nil {
-		return nil, &InvalidError{Problems: problems(name, err)}
-	}
-	edits := &Edits{BaseVersion: f.BaseVersion, Upserts: f.entries()}
-	for _, s := range f.Delete {
-		kind, entry, ok := strings.Cut(s, ".")
-		if !ok {
-			p := Problem{File: name, Line: 1, Column: 1, Key: "delete", Want: fmt.Sprintf("kind.name, got %q", s)}
-			return nil, &InvalidError{Problems: []Problem{p}}
+// check notes what is wrong with each entry by itself.
+func (e *Edits) check(f *decoder.File) {
+	unset := make(map[string]bool)
+	for _, u := range e.Upserts {
+		if key := u.Key.String() + ".value"; u.Exception != nil && !f.Has(key) {
+			f.Add(key, "is required")
+			unset[key] = true
+		}
+	}
+	var invalid *validator.InvalidError
+	if !errors.As(validator.CheckEntries(e.Upserts), &invalid) {
+		return
+	}
+	for _, p := range invalid.Problems {
+		if !unset[place(p)] {
+			f.Add(place(p), "%s", p.Message)
 		}
-		edits.Deletes = append(edits.Deletes, versioner.Key{Kind: versioner.Kind(kind), Name: entry})
 	}
-	return edits, nil
+}
+
+// place returns the key of the file that a problem is about.
+func place(p validator.Problem) string {
+	path := p.Key.String()
+	if p.Key.Kind == versioner.KindFleet {
+		path = string(versioner.KindFleet)
+	}
+	if p.Field == "" {
+		return path
+	}
+	return path + "." + p.Field
 }
 
 func (f *file) entries() []versioner.Entry {
 	var entries []versioner.Entry
+	add := func(kind versioner.Kind, name string, e versioner.Entry) {
+		e.Key = versioner.Key{Kind: kind, Name: name}
+		entries = append(entries, e)
+	}
 	if f.Fleet != nil {
-		key := versioner.Key{Kind: versioner.KindFleet, Name: versioner.FleetName}
-		entries = append(entries, versioner.Entry{Key: key, Fleet: f.Fleet})
+		add(versioner.KindFleet, versioner.FleetName, versioner.Entry{Fleet: f.Fleet})
 	}
 	for name, v := range f.Partner {
-		entries = append(entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindPartner, Name: name}, Partner: &v})
+		add(versioner.KindPartner, name, versioner.Entry{Partner: &v})
 	}
 	for name, v := range f.Class {
-		entries = append(entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindClass, Name: name}, Class: &v})
+		add(versioner.KindClass, name, versioner.Entry{Class: &v})
 	}
 	for name, v := range f.Service {
-		entries = append(entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindService, Name: name}, Service: &v})
+		add(versioner.KindService, name, versioner.Entry{Service: &v})
 	}
 	for name, v := range f.Route {
-		entries = append(entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindRoute, Name: name}, Route: &v})
+		add(versioner.KindRoute, name, versioner.Entry{Route: &v})
 	}
 	for name, v := range f.Exception {
-		entries = append(entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindException, Name: name}, Exception: &v})
+		add(versioner.KindException, name, versioner.Entry{Exception: &v})
 	}
 	slices.SortFunc(entries, func(a, b versioner.Entry) int { return a.Key.Compare(b.Key) })
 	return entries
 }
-
-func problems(name string, err error) []Problem {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var ps []Problem
-		for i := range strict.Errors {
-			ps = append(ps, problem(name, &strict.Errors[i], "a known key"))
-		}
-		return ps
-	}
-	var single *toml.DecodeError
-	if errors.As(err, &single) {
-		return []Problem{problem(name, single, single.Error())}
-	}
-	return []Problem{{File: name, Line: 1, Column: 1, Want: err.Error()}}
-}
-
-func problem(name string, err *toml.DecodeError, want string) Problem {
-	line, column := err.Position()
-	return Problem{File: name, Line: line, Column: column, Key: strings.Join(err.Key(), "."), Want: want}
-}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"bambooweir.example/bambooweir/parser"
+	"bambooweir.example/bambooweir/decoder"
 	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -26,15 +26,56 @@
 class = "lookup"
 `
 
-func document(t *testing.T, files ...string) *versioner.Document {
+// file is a configuration file without the checks of package parser.
+type file struct {
+	Delete    []string                       `toml:"delete"`
+	Fleet     *versioner.Fleet               `toml:"fleet"`
+	Partner   map[string]versioner.Partner   `toml:"partner"`
+	Class     map[string]versioner.Class     `toml:"class"`
+	Service   map[string]versioner.Service   `toml:"service"`
+	Route     map[string]versioner.Route     `toml:"route"`
+	Exception map[string]versioner.Exception `toml:"exception"`
+}
+
+func (f *file) edits() (upserts []versioner.Entry, deletes []versioner.Key) {
+	add := func(kind versioner.Kind, name string, e versioner.Entry) {
+		e.Key = versioner.Key{Kind: kind, Name: name}
+		upserts = append(upserts, e)
+	}
+	if f.Fleet != nil {
+		add(versioner.KindFleet, versioner.FleetName, versioner.Entry{Fleet: f.Fleet})
+	}
+	for name, v := range f.Partner {
+		add(versioner.KindPartner, name, versioner.Entry{Partner: &v})
+	}
+	for name, v := range f.Class {
+		add(versioner.KindClass, name, versioner.Entry{Class: &v})
+	}
+	for name, v := range f.Service {
+		add(versioner.KindService, name, versioner.Entry{Service: &v})
+	}
+	for name, v := range f.Route {
+		add(versioner.KindRoute, name, versioner.Entry{Route: &v})
+	}
+	for name, v := range f.Exception {
+		add(versioner.KindException, name, versioner.Entry{Exception: &v})
+	}
+	for _, s := range f.Delete {
+		kind, name, _ := strings.Cut(s, ".")
+		deletes = append(deletes, versioner.Key{Kind: versioner.Kind(kind), Name: name})
+	}
+	return upserts, deletes
+}
+
+func document(t *testing.T, contents ...string) *versioner.Document {
 	t.Helper()
 	doc := new(versioner.Document)
-	for _, file := range files {
-		edits, err := parser.Parse("test.toml", []byte(file))
-		if err != nil {
+	for _, content := range contents {
+		var f file
+		if err := decoder.Decode("test.toml", []byte(content), &f).Err(); err != nil {
 			t.Fatal(err)
 		}
-		doc = doc.With(edits.Upserts, edits.Deletes)
+		doc = doc.With(f.edits())
 	}
 	return doc
 }
--- a/versioner/entries.go
+++ b/versioner/entries.go
@@ -29,9 +29,9 @@
 // Partner is one owner of services who edits the shared configuration.
 type Partner struct {
 	// SharePercent is the partner's guaranteed share of shared capacity, 0-100.
-	SharePercent int `json:"share-percent,omitempty" toml:"share-percent"`
+	SharePercent int `json:"share-percent,omitempty" toml:"share-percent,omitempty"`
 	// TokenSHA256 is the hexadecimal SHA-256 of the operators' token.
-	TokenSHA256 string `json:"token-sha256,omitempty" toml:"token-sha256"`
+	TokenSHA256 string `json:"token-sha256,omitempty" toml:"token-sha256,omitempty"`
 }
 
 // Class sets how calls of one class are treated. A nil field means the
@@ -50,41 +50,41 @@
 
 // Service is a set of equal targets.
 type Service struct {
-	Partner string `json:"partner" toml:"partner"`
+	Partner string `json:"partner" toml:"partner,omitempty"`
 	// Slots is the number of calls that one target runs at a time.
-	Slots int `json:"slots,omitempty" toml:"slots"`
+	Slots int `json:"slots,omitempty" toml:"slots,omitempty"`
 	// Connections bounds the open connections to one target.
-	Connections int `json:"connections,omitempty" toml:"connections"`
+	Connections int `json:"connections,omitempty" toml:"connections,omitempty"`
 }
 
 // Route sends matching calls to a service.
 type Route struct {
-	Partner string `json:"partner" toml:"partner"`
+	Partner string `json:"partner" toml:"partner,omitempty"`
 	// Hosts lists the host names that match; empty matches every host.
-	Hosts []string `json:"hosts,omitempty" toml:"hosts"`
+	Hosts []string `json:"hosts,omitempty" toml:"hosts,omitempty"`
 	// PathPrefix matches whole path segments.
-	PathPrefix string `json:"path-prefix" toml:"path-prefix"`
+	PathPrefix string `json:"path-prefix" toml:"path-prefix,omitempty"`
 	// Methods lists the HTTP methods that match; empty matches every method.
-	Methods []string `json:"methods,omitempty" toml:"methods"`
-	Service string   `json:"service" toml:"service"`
-	Class   string   `json:"class" toml:"class"`
+	Methods []string `json:"methods,omitempty" toml:"methods,omitempty"`
+	Service string   `json:"service" toml:"service,omitempty"`
+	Class   string   `json:"class" toml:"class,omitempty"`
 	// TimeoutMS overrides the class's timeout, in milliseconds.
-	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms"`
+	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms,omitempty"`
 }
 
 // Exception departs from one default within a scope.
 //
 // Invariant: Reason is not empty, and at least one scope field is set.
 type Exception struct {
-	Partner       string `json:"partner,omitempty" toml:"partner"`
-	Service       string `json:"service,omitempty" toml:"service"`
-	FailureDomain string `json:"failure-domain,omitempty" toml:"failure-domain"`
+	Partner       string `json:"partner,omitempty" toml:"partner,omitempty"`
+	Service       string `json:"service,omitempty" toml:"service,omitempty"`
+	FailureDomain string `json:"failure-domain,omitempty" toml:"failure-domain,omitempty"`
 	// Setting names the default that is departed from: a field of the fleet
 	// defaults ("eject-ms") or of a class ("lookup.timeout-ms").
-	Setting string `json:"setting" toml:"setting"`
+	Setting string `json:"setting" toml:"setting,omitempty"`
 	// Value replaces the default, in the unit that Setting's name states.
 	Value  int    `json:"value" toml:"value"`
-	Reason string `json:"reason" toml:"reason"`
+	Reason string `json:"reason" toml:"reason,omitempty"`
 	// Author and At are set when the exception is accepted.
 	Author string    `json:"author,omitempty" toml:"-"`
 	At     time.Time `json:"at,omitzero" toml:"-"`
