--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -10,8 +10,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -22,6 +24,8 @@
 const (
 	maxAttempts            = 32
 	maxChangeIDBytes       = 128
+	maxAuthorBytes         = 128
+	maxReasonBytes         = 1000
 	defaultTimeout         = 10 * time.Second
 	defaultRecentBytes     = 6 << 10
 	defaultHistoryVersions = 10_000
@@ -111,11 +115,23 @@
 }
 
 func (c *Change) check() error {
-	switch {
-	case c.Audit.ChangeID == "":
+	if c.Audit.ChangeID == "" {
 		return &InvalidChangeError{Field: "change-id", Message: "is required"}
-	case len(c.Audit.ChangeID) > maxChangeIDBytes:
-		return &InvalidChangeError{Field: "change-id", Message: "is longer than 128 bytes"}
+	}
+	for _, f := range []struct {
+		name, value string
+		limit       int
+	}{
+		{"change-id", c.Audit.ChangeID, maxChangeIDBytes},
+		{"author", c.Audit.Author, maxAuthorBytes},
+		{"reason", c.Audit.Reason, maxReasonBytes},
+	} {
+		if len(f.value) > f.limit {
+			return &InvalidChangeError{Field: f.name, Message: fmt.Sprintf("is longer than %d bytes", f.limit)}
+		}
+		if !utf8.ValidString(f.value) {
+			return &InvalidChangeError{Field: f.name, Message: "is not valid UTF-8"}
+		}
 	}
 	return c.checkEdits()
 }
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -245,8 +245,14 @@
 	store := newStore()
 	a := &acceptor.Acceptor{Store: store}
 	c := change("large")
-	c.Audit.Reason = strings.Repeat("x", storer.MaxValueBytes)
 	c.Upserts = []versioner.Entry{magnolia(1)}
+	for i := range storer.MaxValueBytes / 100 {
+		c.Upserts = append(c.Upserts, versioner.Entry{
+			Key:     versioner.Key{Kind: versioner.KindService, Name: fmt.Sprintf("s%d-%s", i, strings.Repeat("x", 50))},
+			Service: &versioner.Service{Partner: "magnolia"},
+		})
+	}
+	c.Upserts = c.Upserts[:9000]
 	_, err := a.Accept(t.Context(), c)
 	var large *acceptor.TooLargeError
 	if !errors.As(err, &large) {
--- a/acceptor/errors.go
+++ b/acceptor/errors.go
@@ -10,17 +10,17 @@
 // ConflictError reports an edit of an entry that was changed after the base
 // version of the edit. The change was not accepted.
 type ConflictError struct {
-	Key  versioner.Key
-	Base versioner.Version
+	Key  versioner.Key     `json:"key"`
+	Base versioner.Version `json:"base"`
 	// Wanted is the value that the edit sets; nil for a delete.
-	Wanted *versioner.Entry
+	Wanted *versioner.Entry `json:"wanted,omitempty"`
 	// Current is the value that holds; nil when the entry was deleted.
-	Current *versioner.Entry
+	Current *versioner.Entry `json:"current,omitempty"`
 	// ChangedIn is the version that made Current. By and At say who made it and
 	// when; they are zero when the audit trail no longer holds that version.
-	ChangedIn versioner.Version
-	By        string
-	At        time.Time
+	ChangedIn versioner.Version `json:"changed-in"`
+	By        string            `json:"by,omitempty"`
+	At        time.Time         `json:"at,omitzero"`
 }
 
 // Error implements error.
--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -1,58 +1,144 @@
 package cmd
 
 import (
-	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
+	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/spf13/cobra"
 
 	"bambooweir.example/bambooweir/operator"
 )
 
 // applyCommand sends edits to a daemon for acceptance.
-type applyCommand struct{ daemonURL, reason, author string }
+type applyCommand struct {
+	changeFlags
+	output  outputFlag
+	timeout time.Duration
+	waiter  waiter
+	wait    bool
+}
 
 func (a *applyCommand) command() *cobra.Command {
-	c := &cobra.Command{Use: "apply FILE", Short: "Accept the edits of a file as the next version", Args: cobra.ExactArgs(1), RunE: a.run}
-	c.Flags().StringVar(&a.daemonURL, "daemon", "http://127.0.0.1:7200", "operator URL of any daemon")
-	c.Flags().StringVar(&a.reason, "reason", "", "why the change is made")
-	c.Flags().StringVar(&a.author, "author", "", "who makes the change")
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Accept the edits of a file as the next version",
+		Long: `Apply sends the edits of a file to a daemon, which makes them the next version of
+the shared configuration, whole or not at all. An answer that is lost is settled by
+repeating the change with the same change id; a change is never made twice.
+
+` + statusHelp,
+		Example: `  bambooweir apply routes.toml --reason "move payouts" --author ada --wait
+  bambooweir apply defaults.toml --consent "$REGIE_TOKEN" --reason "agreed on Monday"`,
+		Args: cobra.ExactArgs(1),
+		RunE: a.run,
+	}
+	a.flags(c)
+	a.output.flags(c, outputJSON)
+	c.Flags().StringVar(&a.changeID, "change-id", "", "id of the change; give the id of an earlier try to repeat it")
+	c.Flags().DurationVar(&a.timeout, "timeout", 40*time.Second, "how long a lost answer is asked for again")
+	c.Flags().BoolVar(&a.wait, "wait", false, "wait until every daemon has the version in force")
+	c.Flags().DurationVar(&a.waiter.timeout, "wait-timeout", time.Minute, "longest wait of --wait")
 	return c
 }
 
 func (a *applyCommand) run(c *cobra.Command, args []string) error {
-	b, err := os.ReadFile(args[0])
+	edits, body, err := readEdits(args[0])
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(c.Context(), http.MethodPost, a.daemonURL+"/v1/changes", bytes.NewReader(b))
-	if err != nil {
-		return err
+	if a.changeID == "" {
+		a.changeID = rand.Text()
 	}
-	req.Header.Set("Change-Id", rand.Text())
-	req.Header.Set("Change-Author", a.author)
-	req.Header.Set("Change-Reason", a.reason)
-	res, err := http.DefaultClient.Do(req)
+	answer, err := a.send(c, body)
 	if err != nil {
-		return err
+		return edits.locate(err)
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	if err != nil {
+	if err := a.print(c, answer); err != nil || !a.wait {
 		return err
 	}
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("not accepted: %s", body)
+	a.waiter.client = &a.client
+	return a.waiter.wait(c, answer.Version)
+}
+
+func (a *applyCommand) print(c *cobra.Command, answer *operator.ChangeAnswer) error {
+	if a.output.value == outputJSON {
+		return printJSON(c, answer)
 	}
-	var answer operator.ChangeAnswer
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return err
+	verb := "accepted"
+	if answer.Unchanged {
+		verb = "holds every edit already"
 	}
-	fmt.Fprintf(c.OutOrStdout(), "version %d accepted, change %s\n", answer.Version, answer.ChangeID)
+	fmt.Fprintf(c.OutOrStdout(), "version %d %s, change %s\n", answer.Version, verb, answer.ChangeID)
 	return nil
 }
+
+// send repeats the change with the same change id while its outcome is open.
+func (a *applyCommand) send(c *cobra.Command, body []byte) (*operator.ChangeAnswer, error) {
+	ctx, cancel := context.WithTimeout(c.Context(), a.timeout)
+	defer cancel()
+	wait := backoff.NewExponentialBackOff()
+	isOpen := false
+	for {
+		answer, err := a.try(ctx, body)
+		if err == nil {
+			return answer, nil
+		}
+		if isUnknown(err) {
+			isOpen = true
+		}
+		if !isOpen {
+			return nil, definite(err)
+		}
+		var refused *problemError
+		if errors.As(err, &refused) && !isUnknown(err) {
+			return nil, a.unknown(fmt.Errorf("an earlier try had no answer, a repetition was %w", err))
+		}
+		c.PrintErrf("no answer (%v), repeating change %s\n", firstLine(err), a.changeID)
+		select {
+		case <-ctx.Done():
+			return nil, a.unknown(err)
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (a *applyCommand) try(ctx context.Context, body []byte) (*operator.ChangeAnswer, error) {
+	b, err := a.do(ctx, http.MethodPost, operator.ChangesPath, a.header(), body)
+	if err != nil {
+		return nil, err
+	}
+	answer := new(operator.ChangeAnswer)
+	if err := json.Unmarshal(b, answer); err != nil {
+		return nil, &unansweredError{cause: err, sent: true}
+	}
+	return answer, nil
+}
+
+func (a *applyCommand) unknown(err error) error {
+	err = fmt.Errorf("outcome unknown: %w\nrepeat with --change-id %s to learn it", err, a.changeID)
+	return &statusError{status: statusUnknown, err: err}
+}
+
+// isUnknown says whether the change may have been accepted in spite of err.
+func isUnknown(err error) bool {
+	var unanswered *unansweredError
+	if errors.As(err, &unanswered) {
+		return unanswered.sent
+	}
+	var p *problemError
+	return errors.As(err, &p) && p.problem.Outcome == operator.OutcomeUnknown
+}
+
+func definite(err error) error {
+	var unanswered *unansweredError
+	if errors.As(err, &unanswered) {
+		return fmt.Errorf("not accepted: %w", err)
+	}
+	return withStatus(err)
+}
--- /dev/null
+++ b/cmd/client.go
@@ -0,0 +1,179 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/decoder"
+	"bambooweir.example/bambooweir/operator"
+)
+
+const (
+	tokenVariable  = "BAMBOOWEIR_TOKEN"
+	attemptTimeout = 20 * time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// client reaches the operator surface of a daemon.
+type client struct {
+	daemonURL string
+	http      http.Client
+}
+
+func (c *client) daemonFlag(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&c.daemonURL, "daemon", "http://127.0.0.1:7200", "operator URL of any daemon")
+}
+
+// problemError is a request that a daemon answered with a problem document.
+type problemError struct{ problem operator.Problem }
+
+// Error implements error.
+func (e *problemError) Error() string {
+	p := &e.problem
+	lines := []string{string(p.Outcome) + ": " + p.Title}
+	switch {
+	case len(p.File) > 0:
+		lines = append(lines, (&decoder.InvalidError{Problems: p.File}).Error())
+	case len(p.Refusals) > 0:
+		for _, r := range p.Refusals {
+			lines = append(lines, fmt.Sprintf("%s: %s (%s)", r.Key, r.Reason, r.Rule))
+		}
+	default:
+		lines = append(lines, p.Detail)
+	}
+	lines[0] = strings.Replace(lines[0], "not-accepted", "not accepted", 1)
+	return strings.Join(lines, "\n")
+}
+
+// status returns the exit status for the problem.
+func (e *problemError) status() int {
+	switch e.problem.Cause {
+	case operator.CauseMalformed, operator.CauseInvalid, operator.CauseTooLarge:
+		return statusBadInput
+	case operator.CauseConflict, operator.CauseStaleBase:
+		return statusConflict
+	case operator.CauseUnauthenticated, operator.CauseUnauthorized:
+		return statusRefused
+	case operator.CauseUnknownOutcome:
+		return statusUnknown
+	}
+	return statusFailure
+}
+
+// unansweredError is a request without an intelligible answer.
+type unansweredError struct {
+	cause error
+	// sent says that the daemon may have taken the request.
+	sent bool
+}
+
+// Error implements error.
+func (e *unansweredError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *unansweredError) Unwrap() error { return e.cause }
+
+// get decodes the answer of a resource into out.
+func (c *client) get(ctx context.Context, path string, out any) error {
+	b, err := c.do(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return withStatus(err)
+	}
+	return json.Unmarshal(b, out)
+}
+
+// do sends one request. It fails with a *problemError or an *unansweredError.
+func (c *client) do(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.daemonURL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &unansweredError{cause: err}
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	// A connection of its own is not tied to one that has gone silent.
+	req.Close = true
+	res, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		return nil, &unansweredError{cause: err, sent: !errors.As(err, &op) || op.Op != "dial"}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &unansweredError{cause: err, sent: true}
+	}
+	if res.StatusCode == http.StatusOK {
+		return b, nil
+	}
+	var p operator.Problem
+	if err := json.Unmarshal(b, &p); err != nil || p.Cause == "" {
+		sent := res.StatusCode >= http.StatusInternalServerError
+		return nil, &unansweredError{cause: fmt.Errorf("%s answers %s", c.daemonURL, res.Status), sent: sent}
+	}
+	return nil, &problemError{problem: p}
+}
+
+// withStatus gives an error of do its exit status.
+func withStatus(err error) error {
+	var p *problemError
+	if errors.As(err, &p) {
+		return &statusError{status: p.status(), err: err}
+	}
+	return err
+}
+
+// changeFlags are the flags of commands that send a file of edits.
+type changeFlags struct {
+	client
+	token, author, reason, changeID string
+	consents                        []string
+	base                            uint64
+}
+
+func (f *changeFlags) flags(cmd *cobra.Command) {
+	f.daemonFlag(cmd)
+	cmd.Flags().StringVar(&f.reason, "reason", "", "why the change is made")
+	cmd.Flags().StringVar(&f.author, "author", os.Getenv("USER"), "who makes the change")
+	cmd.Flags().StringVar(&f.token, "token", "", "the partner's token; by default that of the variable "+tokenVariable)
+	cmd.Flags().StringArrayVar(&f.consents, "consent", nil, "token of a partner who consents; may be repeated")
+	cmd.Flags().Uint64Var(&f.base, "base", 0, "version that the edits were made on; overrides the file's base-version")
+}
+
+func (f *changeFlags) header() http.Header {
+	h := make(http.Header)
+	token := f.token
+	if token == "" {
+		token = os.Getenv(tokenVariable)
+	}
+	if token != "" {
+		h.Set("Authorization", "Bearer "+token)
+	}
+	for name, value := range map[string]string{
+		operator.HeaderChangeID: f.changeID, operator.HeaderChangeAuthor: f.author, operator.HeaderChangeReason: f.reason,
+	} {
+		if value != "" {
+			h.Set(name, value)
+		}
+	}
+	if f.base != 0 {
+		h.Set(operator.HeaderChangeBase, fmt.Sprint(f.base))
+	}
+	for _, consent := range f.consents {
+		h.Add(operator.HeaderChangeConsent, consent)
+	}
+	return h
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -21,10 +21,18 @@
 		new(fakeStoreCommand).command(),
 		new(fakeTargetCommand).command(),
 		new(applyCommand).command(),
+		new(planCommand).command(),
+		new(showCommand).command(),
+		new(historyCommand).command(),
+		new(exceptionsCommand).command(),
+		new(checkCommand).command(),
 	)
-	if err := root.ExecuteContext(ctx); err != nil {
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &statusError{status: statusBadInput, err: err}
+	})
+	err := root.ExecuteContext(ctx)
+	if err != nil {
 		root.PrintErrln("bambooweir:", err)
-		return 1
 	}
-	return 0
+	return exitStatus(err)
 }
--- /dev/null
+++ b/cmd/plan.go
@@ -0,0 +1,132 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/planner"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// planCommand shows what a file of edits would touch.
+type planCommand struct {
+	changeFlags
+	output outputFlag
+}
+
+func (p *planCommand) command() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "plan FILE",
+		Short: "Show what the edits of a file would touch, per partner",
+		Long: `Plan checks the edits of a file against the newest version and shows what they
+would touch of each partner, without accepting anything. It says which approvals
+the change would lack, and ends with status 5 then.
+
+` + statusHelp,
+		Example: `  bambooweir plan routes.toml
+  bambooweir plan defaults.toml --output json`,
+		Args: cobra.ExactArgs(1),
+		RunE: p.run,
+	}
+	p.flags(c)
+	p.output.flags(c, outputJSON)
+	return c
+}
+
+func (p *planCommand) run(c *cobra.Command, args []string) error {
+	edits, body, err := readEdits(args[0])
+	if err != nil {
+		return err
+	}
+	b, err := p.do(c.Context(), http.MethodPost, operator.PlanPath, p.header(), body)
+	if err != nil {
+		return edits.locate(withStatus(err))
+	}
+	var answer operator.PlanAnswer
+	if err := json.Unmarshal(b, &answer); err != nil {
+		return err
+	}
+	if p.output.value == outputJSON {
+		err = printJSON(c, answer)
+	} else {
+		err = printPlan(c, answer.Plan)
+	}
+	if err == nil && answer.Refusal != nil {
+		return withStatus(&problemError{problem: *answer.Refusal})
+	}
+	return err
+}
+
+func printPlan(c *cobra.Command, p *planner.Plan) error {
+	if len(p.Edits) == 0 {
+		fmt.Fprintf(c.OutOrStdout(), "version %d holds every edit already\n", p.From)
+		return nil
+	}
+	fmt.Fprintf(c.OutOrStdout(), "version %d -> %d\n\n", p.From, p.To)
+	rows := [][]string{{"ACTION", "ENTRY", "FIELDS"}}
+	for _, e := range p.Edits {
+		rows = append(rows, []string{string(e.Action), e.Key.String(), joinChanges(e)})
+	}
+	if err := printTable(c, rows); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.OutOrStdout())
+	rows = [][]string{{"PARTNER", "TOUCHED", "CHANGE"}}
+	for _, i := range p.Partners {
+		rows = append(rows, impactRows(i)...)
+	}
+	return printTable(c, rows)
+}
+
+func impactRows(i planner.Impact) [][]string {
+	var rows [][]string
+	for _, name := range i.Services {
+		rows = append(rows, []string{i.Partner, "service", name})
+	}
+	for _, name := range i.Routes {
+		rows = append(rows, []string{i.Partner, "route", name})
+	}
+	for _, s := range i.Settings {
+		rows = append(rows, []string{i.Partner, "setting", fmt.Sprintf("%s%s %d -> %d", s.Setting, scopeSuffix(s.Scope), s.From, s.To)})
+	}
+	for _, x := range i.Exceptions {
+		line := fmt.Sprintf("%s: %s%s %d, default %d: %s", x.Name, x.Exception.Setting, scopeSuffix(x.Exception.Scope()), x.Exception.Value, x.Default, x.Exception.Reason)
+		rows = append(rows, []string{i.Partner, "exception", line})
+	}
+	if len(rows) == 0 {
+		rows = append(rows, []string{i.Partner, "partner", "-"})
+	}
+	return rows
+}
+
+func joinChanges(e planner.Edit) string {
+	var parts []string
+	for _, f := range e.Changes() {
+		parts = append(parts, f.String())
+	}
+	return strings.Join(parts, ", ")
+}
+
+func scopeSuffix(s versioner.Scope) string {
+	if text := scopeText(s); text != "" {
+		return " (" + text + ")"
+	}
+	return ""
+}
+
+func scopeText(s versioner.Scope) string {
+	var parts []string
+	for _, field := range []struct{ name, value string }{
+		{"partner", s.Partner}, {"service", s.Service}, {"failure-domain", s.FailureDomain},
+	} {
+		if field.value != "" {
+			parts = append(parts, field.name+"="+field.value)
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -90,6 +90,9 @@
 	return f
 }
 
+// Blank returns the file without its problems.
+func (f *File) Blank() *File { return &File{name: f.name, data: f.data, offsets: f.offsets} }
+
 // Err returns an *InvalidError with every problem found so far, by place, or nil.
 func (f *File) Err() error {
 	if len(f.problems) == 0 {
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -1,43 +1,140 @@
 package operator
 
 import (
+	"errors"
+	"expvar"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/decoder"
 	"bambooweir.example/bambooweir/parser"
+	"bambooweir.example/bambooweir/planner"
 	"bambooweir.example/bambooweir/versioner"
 )
 
-const maxChangeBytes = 1 << 20
+// Resources that take changes. The body is a file of edits.
+const (
+	ChangesPath = "/v1/changes"
+	PlanPath    = "/v1/plan"
+)
+
+// Headers of a change. The author's token is the bearer token of the request.
+const (
+	HeaderChangeID     = "Change-Id"
+	HeaderChangeAuthor = "Change-Author"
+	HeaderChangeReason = "Change-Reason"
+	// HeaderChangeBase overrides the file's base version.
+	HeaderChangeBase = "Change-Base"
+	// HeaderChangeConsent holds the token of a partner who consents. It may be
+	// sent several times.
+	HeaderChangeConsent = "Change-Consent"
+)
+
+const maxConsents = 16
 
 // ChangeAnswer answers an accepted change.
 type ChangeAnswer struct {
 	Version  versioner.Version `json:"version"`
 	ChangeID string            `json:"change-id"`
+	// Unchanged says that Version held every edit already, and none was made.
+	Unchanged bool `json:"unchanged,omitempty"`
+}
+
+// PlanAnswer says what a change would do.
+type PlanAnswer struct {
+	Plan *planner.Plan `json:"plan"`
+	// Refusal says why the change would be refused; nil when it is allowed.
+	Refusal *Problem `json:"refusal,omitempty"`
+}
+
+// PublishChanges puts the counters of changes into the map.
+func (s *Surface) PublishChanges(m *expvar.Map) {
+	s.Acceptor.Counters.Publish(m)
+	if policy, ok := s.Acceptor.Policy.(*authorizer.Authorizer); ok {
+		policy.Counters.Publish(m)
+	}
+	m.Set("changes-malformed", &s.malformed)
 }
 
 func (s *Surface) change(c echo.Context) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
+	change, err := s.readChange(c)
+	if err != nil {
+		return fail(c, err)
+	}
+	v, err := s.Acceptor.Accept(c.Request().Context(), *change)
+	answer := ChangeAnswer{Version: v, ChangeID: change.Audit.ChangeID}
+	var unchanged *acceptor.NoChangeError
+	if errors.As(err, &unchanged) {
+		answer.Version, answer.Unchanged, err = unchanged.Version, true, nil
+	}
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Surface) plan(c echo.Context) error {
+	change, err := s.readChange(c)
+	if err != nil {
+		return fail(c, err)
+	}
+	preview, err := s.Acceptor.Preview(c.Request().Context(), *change)
+	var unchanged *acceptor.NoChangeError
+	if errors.As(err, &unchanged) {
+		empty := &planner.Plan{From: unchanged.Version, To: unchanged.Version, Edits: []planner.Edit{}, Partners: []planner.Impact{}}
+		return c.JSON(http.StatusOK, PlanAnswer{Plan: empty})
+	}
 	if err != nil {
-		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, err.Error())
+		return fail(c, err)
+	}
+	answer := PlanAnswer{Plan: planner.Make(preview.From, preview.To)}
+	if preview.Refusal != nil {
+		answer.Refusal = newProblem(preview.Refusal)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Surface) readChange(c echo.Context) (*acceptor.Change, error) {
+	change, err := readChange(c)
+	if err != nil {
+		s.malformed.Add(1)
+	}
+	return change, err
+}
+
+func readChange(c echo.Context) (*acceptor.Change, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, decoder.MaxFileBytes))
+	if err != nil {
+		return nil, err
 	}
 	edits, err := parser.Parse("change", body)
 	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		return nil, err
 	}
 	h := c.Request().Header
-	change := acceptor.Change{
+	token, _ := strings.CutPrefix(h.Get(echo.HeaderAuthorization), "Bearer ")
+	change := &acceptor.Change{
 		Audit: versioner.Audit{
-			ChangeID: h.Get("Change-Id"), Author: h.Get("Change-Author"), Reason: h.Get("Change-Reason"),
+			ChangeID: h.Get(HeaderChangeID), Author: h.Get(HeaderChangeAuthor), Reason: h.Get(HeaderChangeReason),
 		},
-		Upserts: edits.Upserts, Deletes: edits.Deletes,
+		Base: edits.BaseVersion, Upserts: edits.Upserts, Deletes: edits.Deletes,
+		Token: token, Consents: h.Values(HeaderChangeConsent),
 	}
-	v, err := s.Acceptor.Accept(c.Request().Context(), change)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusUnprocessableEntity, err.Error())
+	if len(change.Consents) > maxConsents {
+		return nil, &acceptor.InvalidChangeError{Field: HeaderChangeConsent, Message: "is sent too often"}
+	}
+	if base := h.Get(HeaderChangeBase); base != "" {
+		n, err := strconv.ParseUint(base, 10, 64)
+		if err != nil {
+			return nil, &acceptor.InvalidChangeError{Field: HeaderChangeBase, Message: "must be a version"}
+		}
+		change.Base = versioner.Version(n)
 	}
-	return c.JSON(http.StatusOK, ChangeAnswer{Version: v, ChangeID: change.Audit.ChangeID})
+	return change, nil
 }
--- /dev/null
+++ b/operator/configuration.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/parser"
+	"bambooweir.example/bambooweir/planner"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// Resources that show the configuration.
+const (
+	ConfigurationPath = "/v1/configuration"
+	HistoryPath       = "/v1/history"
+	ExceptionsPath    = "/v1/exceptions"
+)
+
+// Query parameters of the resources that show the configuration.
+const (
+	// ParamFormat is "json", the default, or "toml".
+	ParamFormat = "format"
+	// ParamSource is "newest", the default, or "in-force".
+	ParamSource = "source"
+	ParamLimit  = "limit"
+)
+
+const (
+	sourceInForce = "in-force"
+	formatTOML    = "toml"
+	tomlMediaType = "application/toml"
+	defaultLimit  = 20
+	// maxLimit bounds the reads of the store that one request causes.
+	maxLimit = 500
+)
+
+// AuditAnswer lists accepted changes, newest first.
+type AuditAnswer struct {
+	Changes []versioner.Delta `json:"changes"`
+}
+
+// ExceptionsAnswer lists exceptions beside the defaults that they depart from.
+type ExceptionsAnswer struct {
+	Version    versioner.Version   `json:"version"`
+	Exceptions []planner.Departure `json:"exceptions"`
+}
+
+// document returns the newest accepted document, or the one in force on this
+// daemon when the request asks for it.
+func (s *Surface) document(c echo.Context) (*versioner.Document, error) {
+	if c.QueryParam(ParamSource) != sourceInForce {
+		return s.Acceptor.ReadNewest(c.Request().Context())
+	}
+	if snapshot := s.Applier.Current(); snapshot != nil {
+		return snapshot.Document, nil
+	}
+	return new(versioner.Document), nil
+}
+
+func (s *Surface) configuration(c echo.Context) error {
+	doc, err := s.document(c)
+	if err != nil {
+		return fail(c, err)
+	}
+	if c.QueryParam(ParamFormat) != formatTOML {
+		return c.JSON(http.StatusOK, doc)
+	}
+	b, err := parser.Format(doc)
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.Blob(http.StatusOK, tomlMediaType, b)
+}
+
+func (s *Surface) history(c echo.Context) error {
+	limit := defaultLimit
+	if q := c.QueryParam(ParamLimit); q != "" {
+		n, err := strconv.Atoi(q)
+		if err != nil || n < 1 {
+			return fail(c, &acceptor.InvalidChangeError{Field: ParamLimit, Message: "must be a whole number from 1"})
+		}
+		limit = n
+	}
+	deltas, err := acceptor.ReadHistory(c.Request().Context(), s.Acceptor.Store, min(limit, maxLimit))
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, AuditAnswer{Changes: deltas})
+}
+
+func (s *Surface) exceptions(c echo.Context) error {
+	doc, err := s.document(c)
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, ExceptionsAnswer{Version: doc.Version, Exceptions: planner.Departures(doc)})
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,6 +3,8 @@
 package operator
 
 import (
+	"expvar"
+
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/acceptor"
@@ -17,10 +19,16 @@
 	Applier    *applier.Applier
 	Table      *tracker.Table
 	Acceptor   *acceptor.Acceptor
+
+	malformed expvar.Int
 }
 
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
 	e.GET("/v1/status", s.status)
-	e.POST("/v1/changes", s.change)
+	e.POST(ChangesPath, s.change)
+	e.POST(PlanPath, s.plan)
+	e.GET(ConfigurationPath, s.configuration)
+	e.GET(HistoryPath, s.history)
+	e.GET(ExceptionsPath, s.exceptions)
 }
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -22,6 +22,8 @@
 	BaseVersion versioner.Version
 	Upserts     []versioner.Entry
 	Deletes     []versioner.Key
+
+	file *decoder.File
 }
 
 type file struct {
@@ -48,7 +50,7 @@
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
-	edits := &Edits{BaseVersion: in.BaseVersion, Upserts: in.entries()}
+	edits := &Edits{BaseVersion: in.BaseVersion, Upserts: in.entries(), file: f}
 	for _, s := range in.Delete {
 		edits.delete(f, s)
 	}
@@ -95,6 +97,16 @@
 	}
 }
 
+// Locate returns the problems of entries with their places in the file. The
+// place of an entry that the file does not hold is the file's begin.
+func (e *Edits) Locate(invalid *validator.InvalidError) error {
+	f := e.file.Blank()
+	for _, p := range invalid.Problems {
+		f.Add(place(p), "%s", p.Message)
+	}
+	return f.Err()
+}
+
 // place returns the key of the file that a problem is about.
 func place(p validator.Problem) string {
 	path := p.Key.String()
