Project measured series to the target size, role by role

Cause: docs/CAPACITY.md needs values at 4,900 daemons that no machine here runs. Ruled out: scaling one measured point; it states no uncertainty. Conclusion: exact points give a zero interval, scattered ones a growing one; a missing series is an error that names it. No figure is claimed yet.

--- /dev/null
+++ b/projector/fit.go
@@ -0,0 +1,107 @@
+package projector
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// confidence is the level of the intervals that Line.At states.
+const confidence = 0.95
+
+// Point is one measurement: Y was seen at size X.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Series is a quantity measured at several sizes.
+type Series struct {
+	// Name is unique within a file, in kebab case.
+	Name string `json:"name"`
+	// XUnit and YUnit state what the axes count.
+	XUnit string `json:"x-unit"`
+	YUnit string `json:"y-unit"`
+	// Command is the command that gave the points.
+	Command string  `json:"command"`
+	Points  []Point `json:"points"`
+}
+
+// TooFewPointsError reports a series from which no slope can be taken.
+type TooFewPointsError struct {
+	Series string
+	Points int
+}
+
+// Error implements error.
+func (e *TooFewPointsError) Error() string {
+	return fmt.Sprintf("series %s: %d points at different sizes, want at least 2", e.Series, e.Points)
+}
+
+// Line is the least-squares line through a series.
+type Line struct {
+	Intercept, Slope float64
+	// ResidualDeviation is the standard deviation of the points around the line;
+	// it is 0 when the series has only two points.
+	ResidualDeviation float64
+	// Points is the number of points that the line was fitted to.
+	Points int
+
+	meanX, sumSquaresX float64
+}
+
+// Fit returns the least-squares line, or a *TooFewPointsError.
+func (s Series) Fit() (Line, error) {
+	xs, ys := make([]float64, len(s.Points)), make([]float64, len(s.Points))
+	for i, p := range s.Points {
+		xs[i], ys[i] = p.X, p.Y
+	}
+	meanX := stat.Mean(xs, nil)
+	spread := 0.0
+	for _, x := range xs {
+		spread += (x - meanX) * (x - meanX)
+	}
+	if len(xs) < 2 || spread == 0 {
+		return Line{}, &TooFewPointsError{Series: s.Name, Points: len(xs)}
+	}
+	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
+	line := Line{Intercept: intercept, Slope: slope, Points: len(xs), meanX: meanX, sumSquaresX: spread}
+	if len(xs) > 2 {
+		line.ResidualDeviation = residual(xs, ys, line)
+	}
+	return line, nil
+}
+
+func residual(xs, ys []float64, line Line) float64 {
+	sum := 0.0
+	for i, x := range xs {
+		d := ys[i] - line.value(x)
+		sum += d * d
+	}
+	return math.Sqrt(sum / float64(len(xs)-2))
+}
+
+func (l Line) value(x float64) float64 { return l.Intercept + l.Slope*x }
+
+// Estimate is a value with the half width of its 95 % prediction interval.
+// A HalfWidth of NaN means that there were too few points to state one.
+type Estimate struct {
+	Value     float64
+	HalfWidth float64
+}
+
+// At returns the line's value at x and how far a measurement there may lie
+// from it.
+func (l Line) At(x float64) Estimate {
+	e := Estimate{Value: l.value(x), HalfWidth: math.NaN()}
+	if l.Points <= 2 {
+		return e
+	}
+	n := float64(l.Points)
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 2}.Quantile((1 + confidence) / 2)
+	d := x - l.meanX
+	e.HalfWidth = t * l.ResidualDeviation * math.Sqrt(1+1/n+d*d/l.sumSquaresX)
+	return e
+}
--- /dev/null
+++ b/projector/roles.go
@@ -0,0 +1,208 @@
+package projector
+
+// Names of the series that a projection rests on, with their axes:
+//
+//	session-idle-bytes   sessions of one daemon       -> B/s, both directions
+//	change-bytes         sessions of one daemon       -> B for each change
+//	record-bytes         sessions of one daemon       -> B for each membership record
+//	session-idle-cpu     sessions of one daemon       -> us/s
+//	change-cpu           targets in the table         -> us for each change
+//	record-cpu           targets in the table         -> us for each record
+//	memory               targets in the table         -> MB resident
+//	session-memory       sessions of one daemon       -> MB
+//	convergence-p99      tree levels below the store  -> s
+//	head-bytes           versions in the head's ring  -> B
+//	store-idle-writes    relay leases                 -> 1/s
+//	store-idle-reads     relay leases                 -> 1/s, a waiting watch as one
+//	store-change-reads   relay leases                 -> reads for each change
+//	store-change-writes  relay leases                 -> writes for each change
+//	entry-call-cpu       calls/s entered              -> us/s
+//	target-call-cpu      calls/s run at the target    -> us/s
+//	added-p99            calls/s of one daemon        -> ms
+//	full-transfer-bytes  targets in the table         -> B
+const (
+	SeriesSessionIdleBytes  = "session-idle-bytes"
+	SeriesChangeBytes       = "change-bytes"
+	SeriesRecordBytes       = "record-bytes"
+	SeriesSessionIdleCPU    = "session-idle-cpu"
+	SeriesChangeCPU         = "change-cpu"
+	SeriesRecordCPU         = "record-cpu"
+	SeriesMemory            = "memory"
+	SeriesSessionMemory     = "session-memory"
+	SeriesConvergence       = "convergence-p99"
+	SeriesHeadBytes         = "head-bytes"
+	SeriesStoreIdleWrites   = "store-idle-writes"
+	SeriesStoreIdleReads    = "store-idle-reads"
+	SeriesStoreChangeReads  = "store-change-reads"
+	SeriesStoreChangeWrites = "store-change-writes"
+	SeriesEntryCallCPU      = "entry-call-cpu"
+	SeriesTargetCallCPU     = "target-call-cpu"
+	SeriesAddedP99          = "added-p99"
+	SeriesFullTransferBytes = "full-transfer-bytes"
+)
+
+// microsecondsPerCorePoint is one percent of a core, in microseconds a second.
+const microsecondsPerCorePoint = 10_000
+
+// projection evaluates series at the size's coordinates and keeps the first
+// error.
+type projection struct {
+	size    Size
+	budgets Budgets
+	lines   map[string]Line
+	err     error
+}
+
+// Project returns the rows of every role. It fails with a *MissingSeriesError
+// or a *TooFewPointsError.
+func Project(size Size, budgets Budgets, series []Series) ([]Row, error) {
+	p := &projection{size: size, budgets: budgets, lines: make(map[string]Line)}
+	for _, s := range series {
+		line, err := s.Fit()
+		if err != nil {
+			return nil, err
+		}
+		p.lines[s.Name] = line
+	}
+	var rows []Row
+	rows = append(rows, p.controlRows("leaf", 1, "one session up the tree")...)
+	rows = append(rows, p.controlRows("relay", size.FanOut+1, "bounded fan-out")...)
+	rows = append(rows, p.topRelayRows()...)
+	rows = append(rows, p.callRows()...)
+	rows = append(rows, p.storeRows()...)
+	rows = append(rows, p.fleetRows()...)
+	return rows, p.err
+}
+
+func (p *projection) at(name string, x float64) Estimate {
+	line, ok := p.lines[name]
+	if !ok {
+		if p.err == nil {
+			p.err = &MissingSeriesError{Name: name}
+		}
+		return Estimate{}
+	}
+	return line.At(x)
+}
+
+// controlBytes is what a daemon with the sessions moves in a second.
+func (p *projection) controlBytes(sessions float64) Estimate {
+	return plus(
+		p.at(SeriesSessionIdleBytes, sessions),
+		p.at(SeriesChangeBytes, sessions).times(p.size.ChangesPerSecond()),
+		p.at(SeriesRecordBytes, sessions).times(p.size.RecordsPerSecond()),
+	)
+}
+
+// controlCPU is the share of a core, in percent, that control takes of a daemon
+// with the sessions.
+func (p *projection) controlCPU(sessions float64) Estimate {
+	targets := float64(p.size.Daemons)
+	return plus(
+		p.at(SeriesSessionIdleCPU, sessions),
+		p.at(SeriesChangeCPU, targets).times(p.size.ChangesPerSecond()),
+		p.at(SeriesRecordCPU, targets).times(p.size.RecordsPerSecond()),
+	).times(1.0 / microsecondsPerCorePoint)
+}
+
+func (p *projection) memory(sessions float64) Estimate {
+	return plus(p.at(SeriesMemory, float64(p.size.Daemons)), p.at(SeriesSessionMemory, sessions))
+}
+
+func (p *projection) controlRows(role string, sessions int, mechanism string) []Row {
+	n := float64(sessions)
+	return []Row{
+		{
+			Role: role, Quantity: "control bytes", Unit: "B/s", Estimate: p.controlBytes(n),
+			Budget:    p.budgets.ControlBytesPerSecond,
+			Formula:   "session-idle-bytes + changes/s x change-bytes + records/s x record-bytes, at the role's sessions",
+			Mechanism: mechanism + ", deltas",
+		},
+		{
+			Role: role, Quantity: "control processor time", Unit: "% of a core", Estimate: p.controlCPU(n),
+			Budget:    p.budgets.ControlCorePercent,
+			Formula:   "(session-idle-cpu + changes/s x change-cpu + records/s x record-cpu) / 10,000",
+			Mechanism: "one snapshot built for each change",
+		},
+		{
+			Role: role, Quantity: "memory", Unit: "MB", Estimate: p.memory(n),
+			Budget:    p.budgets.MemoryMegabytes,
+			Formula:   "memory + session-memory, at the role's sessions",
+			Mechanism: "bounded rings and tables",
+		},
+	}
+}
+
+func (p *projection) topRelayRows() []Row {
+	sessions := p.size.FanOut + p.size.CrossLinks
+	rows := p.controlRows("top relay", sessions, "bounded fan-out and cross links")
+	watch := p.at(SeriesHeadBytes, 1).times(p.size.ChangesPerSecond())
+	rows[0].Estimate = plus(rows[0].Estimate, watch)
+	rows[0].Formula += " + changes/s x head-bytes"
+	return rows
+}
+
+func (p *projection) callRows() []Row {
+	rate := p.size.CallsPerDaemon()
+	return []Row{
+		{
+			Role: "entry daemon", Quantity: "processor time of calls", Unit: "% of a core",
+			Estimate: p.at(SeriesEntryCallCPU, rate).times(1.0 / microsecondsPerCorePoint),
+			Formula:  "entry-call-cpu at the mean rate of one daemon", Mechanism: "links kept open",
+		},
+		{
+			Role: "target's daemon", Quantity: "processor time of calls", Unit: "% of a core",
+			Estimate: p.at(SeriesTargetCallCPU, rate).times(1.0 / microsecondsPerCorePoint),
+			Formula:  "target-call-cpu at the mean rate of one daemon", Mechanism: "bounded table of recent calls",
+		},
+		{
+			Role: "entry daemon", Quantity: "added time, 99 in 100", Unit: "ms",
+			Estimate: p.at(SeriesAddedP99, rate), Budget: p.budgets.AddedMilliseconds,
+			Formula: "added-p99 at the mean rate of one daemon", Mechanism: "one link crossed, no lock held over a write",
+		},
+	}
+}
+
+func (p *projection) storeRows() []Row {
+	leases := float64(p.size.FailureDomains * p.size.RelaySlots)
+	writes := plus(p.at(SeriesStoreIdleWrites, leases), p.at(SeriesStoreChangeWrites, leases).times(p.size.ChangesPerSecond()))
+	reads := plus(p.at(SeriesStoreIdleReads, leases), p.at(SeriesStoreChangeReads, leases).times(p.size.ChangesPerSecond()))
+	return []Row{
+		{
+			Role: "store", Quantity: "writes", Unit: "1/s", Estimate: writes, Budget: p.budgets.StoreWritesPerSecond,
+			Formula: "store-idle-writes + changes/s x store-change-writes, at all relay leases", Mechanism: "leases for each failure domain only",
+		},
+		{
+			Role: "store", Quantity: "reads and waiting watches", Unit: "1/s", Estimate: reads, Budget: p.budgets.StoreReadsPerSecond,
+			Formula: "store-idle-reads + changes/s x store-change-reads, at all relay leases", Mechanism: "watches for each failure domain only",
+		},
+	}
+}
+
+func (p *projection) fleetRows() []Row {
+	levels := float64(p.size.Depth() + 1)
+	herd := p.at(SeriesFullTransferBytes, float64(p.size.Daemons))
+	return []Row{
+		{
+			Role: "fleet", Quantity: "convergence, 99 in 100", Unit: "s", Estimate: p.at(SeriesConvergence, levels),
+			Budget:  p.budgets.ConvergenceSeconds,
+			Formula: "convergence-p99 at the tree's levels", Mechanism: "push down a tree of bounded depth",
+		},
+		{
+			Role: "relay", Quantity: "bytes when all its children return with nothing", Unit: "B",
+			Estimate: herd.times(float64(p.size.FanOut)),
+			Formula:  "fan-out x full-transfer-bytes", Mechanism: "session admission, resume by version",
+		},
+	}
+}
+
+// SeriesNames returns the names of the series that Project needs.
+func SeriesNames() []string {
+	return []string{
+		SeriesSessionIdleBytes, SeriesChangeBytes, SeriesRecordBytes,
+		SeriesSessionIdleCPU, SeriesChangeCPU, SeriesRecordCPU,
+		SeriesMemory, SeriesSessionMemory, SeriesConvergence, SeriesHeadBytes,
+		SeriesStoreIdleWrites, SeriesStoreIdleReads, SeriesStoreChangeReads, SeriesStoreChangeWrites,
+		SeriesEntryCallCPU, SeriesTargetCallCPU, SeriesAddedP99, SeriesFullTransferBytes,
+	}
+}
