--- a/applier/applier.go
+++ b/applier/applier.go
@@ -22,7 +22,11 @@
 	Digest   versioner.Digest
 	// Domain is the failure domain for which exceptions are resolved.
 	Domain string
-	routes []namedRoute
+
+	settings settings
+	policies map[policyKey]*Policy
+	shares   []Share
+	routes   *routeIndex
 }
 
 // Version returns the snapshot's version.
@@ -48,7 +52,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Snapshot{Document: doc, Digest: digest, Domain: domain, routes: sortRoutes(doc)}, nil
+	set := newSettings(doc, domain)
+	policies := newPolicies(doc, set)
+	return &Snapshot{
+		Document: doc, Digest: digest, Domain: domain, settings: set,
+		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies),
+	}, nil
 }
 
 // Applier holds the snapshot in force. The zero value holds none and works.
--- /dev/null
+++ b/applier/policy.go
@@ -0,0 +1,139 @@
+package applier
+
+import (
+	"time"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// Limits of a target whose service sets none.
+const (
+	DefaultSlots       = 12
+	DefaultConnections = 110
+)
+
+// Policy is how calls of one class to one service are treated, for the routes
+// of one partner. Every setting is resolved: fleet-wide defaults, then the
+// exceptions that hold in the daemon's failure domain.
+//
+// A policy is never changed once its snapshot is built.
+type Policy struct {
+	Service, Class, Partner string
+
+	// Slots is the number of calls that one target runs at a time, at least 1.
+	Slots int
+	// Connections bounds the open connections to one target, at least 1.
+	Connections int
+
+	Idempotent      bool
+	Timeout         time.Duration
+	ReservedPercent int
+	QueueLength     int
+	QueueWait       time.Duration
+	MaxRetries      int
+	// HedgeAfter is the wait before a second attempt; 0 means never.
+	HedgeAfter time.Duration
+
+	RetryBudgetPercent int
+	EjectAfterFailures int
+	EjectFor           time.Duration
+	MaxEjectedPercent  int
+	SlowStart          time.Duration
+	SpillOverPercent   int
+	DrainLimit         time.Duration
+	KeyRetention       time.Duration
+}
+
+// Share is the guaranteed part of each target's slots that one partner has.
+type Share struct {
+	Partner string
+	Percent int
+}
+
+type policyKey struct{ service, class, partner string }
+
+var classes = []string{
+	versioner.ClassInternalRead, versioner.ClassLookup, versioner.ClassPosting, versioner.ClassScan,
+}
+
+// Policy returns the policy of a class at a service for the routes of one
+// partner. For a partner without such a route it is that of the service's own
+// partner; it is nil when the service or class is unknown.
+func (s *Snapshot) Policy(service, class, partner string) *Policy {
+	if p, ok := s.policies[policyKey{service, class, partner}]; ok {
+		return p
+	}
+	return s.policies[policyKey{service: service, class: class}]
+}
+
+// Shares returns the partners' guaranteed shares, sorted by partner. The slice
+// must not be changed.
+func (s *Snapshot) Shares() []Share { return s.shares }
+
+func newShares(doc *versioner.Document) []Share {
+	var shares []Share
+	for _, e := range doc.Entries {
+		if e.Partner != nil {
+			shares = append(shares, Share{Partner: e.Key.Name, Percent: e.Partner.SharePercent})
+		}
+	}
+	return shares
+}
+
+// newPolicies builds the policies of every service in every class for its own
+// partner, and those of the routes that other partners have to it.
+func newPolicies(doc *versioner.Document, set settings) map[policyKey]*Policy {
+	policies := make(map[policyKey]*Policy)
+	for _, e := range doc.Entries {
+		if e.Service == nil {
+			continue
+		}
+		for _, class := range classes {
+			p := newPolicy(doc, set, e.Key.Name, class, e.Service.Partner)
+			policies[policyKey{service: p.Service, class: class}] = p
+			policies[policyKey{p.Service, class, p.Partner}] = p
+		}
+	}
+	for _, e := range doc.Entries {
+		if e.Route == nil {
+			continue
+		}
+		k := policyKey{e.Route.Service, e.Route.Class, e.Route.Partner}
+		if _, ok := policies[k]; !ok {
+			policies[k] = newPolicy(doc, set, k.service, k.class, k.partner)
+		}
+	}
+	return policies
+}
+
+func newPolicy(doc *versioner.Document, set settings, service, class, partner string) *Policy {
+	number := func(setting string) int { return set.value(setting, service, partner) }
+	duration := func(setting string) time.Duration { return time.Duration(number(setting)) * time.Millisecond }
+	p := &Policy{
+		Service: service, Class: class, Partner: partner,
+		Slots: DefaultSlots, Connections: DefaultConnections,
+		Idempotent:         doc.IsIdempotent(class),
+		Timeout:            duration(class + ".timeout-ms"),
+		ReservedPercent:    number(class + ".reserved-percent"),
+		QueueLength:        number(class + ".queue-length"),
+		QueueWait:          duration(class + ".queue-ms"),
+		MaxRetries:         number(class + ".max-retries"),
+		HedgeAfter:         duration(class + ".hedge-ms"),
+		RetryBudgetPercent: number("retry-budget-percent"),
+		EjectAfterFailures: number("eject-after-failures"),
+		EjectFor:           duration("eject-ms"),
+		MaxEjectedPercent:  number("max-ejected-percent"),
+		SlowStart:          duration("slow-start-ms"),
+		SpillOverPercent:   number("spill-over-percent"),
+		DrainLimit:         duration("drain-ms"),
+		KeyRetention:       duration("key-retention-ms"),
+	}
+	e, _ := doc.Find(versioner.Key{Kind: versioner.KindService, Name: service})
+	if e.Service != nil && e.Service.Slots > 0 {
+		p.Slots = e.Service.Slots
+	}
+	if e.Service != nil && e.Service.Connections > 0 {
+		p.Connections = e.Service.Connections
+	}
+	return p
+}
--- a/applier/value.go
+++ b/applier/value.go
@@ -10,18 +10,40 @@
 // daemon: the value of the exception with the narrowest matching scope, else
 // the fleet-wide value. Of two equally narrow exceptions the one that sorts
 // first by name holds. An unknown setting is 0.
-//
-// It searches the document; callers on the call path keep its results per
-// snapshot.
 func (s *Snapshot) Value(setting, service, partner string) int {
-	known, ok := versioner.FindSetting(setting)
+	return s.settings.value(setting, service, partner)
+}
+
+// settings holds the resolved fleet-wide values of a document, and the
+// exceptions that can hold in one failure domain.
+type settings struct {
+	fleetWide map[string]int
+	// exceptions lists the exceptions of each setting, sorted by entry name.
+	exceptions map[string][]*versioner.Exception
+}
+
+func newSettings(doc *versioner.Document, domain string) settings {
+	s := settings{fleetWide: make(map[string]int), exceptions: make(map[string][]*versioner.Exception)}
+	for _, known := range versioner.Settings() {
+		s.fleetWide[known.Name] = known.FleetWide(doc)
+	}
+	for _, e := range doc.Entries {
+		x := e.Exception
+		if x != nil && cmp.Or(x.FailureDomain, domain) == domain {
+			s.exceptions[x.Setting] = append(s.exceptions[x.Setting], x)
+		}
+	}
+	return s
+}
+
+func (s settings) value(setting, service, partner string) int {
+	value, ok := s.fleetWide[setting]
 	if !ok {
 		return 0
 	}
-	value, narrowest := known.FleetWide(s.Document), 0
-	for _, e := range s.Document.Entries {
-		x := e.Exception
-		if x == nil || x.Setting != setting || !s.inScope(x, service, partner) {
+	narrowest := 0
+	for _, x := range s.exceptions[setting] {
+		if cmp.Or(x.Service, service) != service || cmp.Or(x.Partner, partner) != partner {
 			continue
 		}
 		if width := scopeFields(x); width > narrowest {
@@ -31,12 +53,6 @@
 	return value
 }
 
-func (s *Snapshot) inScope(x *versioner.Exception, service, partner string) bool {
-	return cmp.Or(x.Service, service) == service &&
-		cmp.Or(x.Partner, partner) == partner &&
-		cmp.Or(x.FailureDomain, s.Domain) == s.Domain
-}
-
 // scopeFields counts the fields that narrow an exception.
 func scopeFields(x *versioner.Exception) int {
 	n := 0
