Admit calls at the target's daemon by class and partner

Cause: nothing bounded the calls that a target runs, so a flood by one partner or of one class took every slot.

Change: package limiter. Reserved slots per class are never taken by others and are split by the partners' shares; the general slots are guaranteed by share, and unused share is lent. A lender's own call gets the next slot that falls free. Calls that run longer than 50 ms (or postings and scans not yet known) borrow only from partners that were silent for 10 s. Queues are bounded per partner and class in length and time, earliest expiry first; a call whose expected wait exceeds its queue time or deadline is refused at once.

Ruled out: head-room for every lender, which idles a slot for each active partner also under short calls; first come first served within a partner, since postings would hold lookups back for their longer queue time.

Found by the state machine: with one slot and two partners a long call could wait for a release that never came, since the idle slot was kept for the other partner. No head-room is kept while nothing runs.

--- /dev/null
+++ b/limiter/counters.go
@@ -0,0 +1,33 @@
+package limiter
+
+import "expvar"
+
+// Counters count what a limiter decided.
+type Counters struct {
+	// Admitted counts calls that got a slot, Borrowed those that got one out of
+	// another partner's share.
+	Admitted, Borrowed expvar.Int
+	// Queued counts calls that waited for a slot.
+	Queued expvar.Int
+	// Refused counts calls that got none, Expired those of them whose deadline
+	// passed or whose caller went away.
+	Refused, Expired expvar.Int
+}
+
+// Load is what a target's daemon tells of its load, for example on answers.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Load returns the present load.
+func (l *Limiter) Load() Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := Load{Running: l.running, Slots: l.limits.slots}
+	for _, a := range l.accounts {
+		for c := range classCount {
+			load.Waiting += len(a.queues[c])
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/limiter/flood_test.go
@@ -0,0 +1,181 @@
+package limiter
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// caller sends calls at a fixed rate and counts what became of them.
+type caller struct {
+	request       Request
+	every         time.Duration
+	done, refused atomic.Int64
+	longest       atomic.Int64
+}
+
+func (c *caller) run(ctx context.Context, l *Limiter, run time.Duration) {
+	for ctx.Err() == nil {
+		go c.call(l, run)
+		time.Sleep(c.every)
+	}
+}
+
+func (c *caller) call(l *Limiter, run time.Duration) {
+	start := time.Now()
+	slot, err := l.Admit(context.Background(), c.request)
+	if err != nil {
+		c.refused.Add(1)
+		return
+	}
+	if wait := int64(time.Since(start)); wait > c.longest.Load() {
+		c.longest.Store(wait)
+	}
+	time.Sleep(run)
+	slot.Release()
+	c.done.Add(1)
+}
+
+func TestFloodTakesNoShare(t *testing.T) {
+	const run = 5 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		teach(t, l, lookup, run)
+		flood := &caller{request: Request{lookup, "magnolia"}, every: 200 * time.Microsecond} // 25 slots' worth
+		modest := &caller{request: Request{lookup, "regie"}, every: 1250 * time.Microsecond}  // 4 of its 5 slots
+		reads := &caller{request: Request{internalRead, "regie"}, every: 7 * time.Millisecond}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		for _, c := range []*caller{flood, modest, reads} {
+			go c.run(ctx, l, run)
+		}
+		<-ctx.Done()
+		time.Sleep(time.Second)
+		if modest.refused.Load() != 0 || time.Duration(modest.longest.Load()) > run {
+			t.Errorf("partner within its share: got %d refused, longest wait %v, want 0 and at most %v", modest.refused.Load(), time.Duration(modest.longest.Load()), run)
+		}
+		if reads.refused.Load() != 0 || reads.longest.Load() != 0 {
+			t.Errorf("internal reads: got %d refused, longest wait %v, want none", reads.refused.Load(), time.Duration(reads.longest.Load()))
+		}
+		// 10 general slots run 4000 calls in 2 s, of which the modest partner takes 1600.
+		if got := flood.done.Load(); got < 2300 {
+			t.Errorf("flooding partner: got %d calls run, want at least 2300 of the 2400 lent and own", got)
+		}
+		if got := l.Load(); got.Running != 0 || got.Waiting != 0 {
+			t.Errorf("load at the end: got %+v, want none", got)
+		}
+	})
+}
+
+// machine drives a limiter through random steps and checks its invariants
+// after each of them.
+type machine struct {
+	limiter *Limiter
+	held    []Slot
+	slots   chan Slot
+	refused atomic.Int64
+	// asked and granted count calls.
+	asked, granted int
+	// running and general are those of the step before.
+	running, general int
+}
+
+func (m *machine) admit(r Request, timeout time.Duration) {
+	m.asked++
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		slot, err := m.limiter.Admit(ctx, r)
+		if err != nil {
+			m.refused.Add(1)
+			return
+		}
+		m.slots <- slot
+	}()
+}
+
+func (m *machine) settle() {
+	synctest.Wait()
+	for len(m.slots) > 0 {
+		m.held = append(m.held, <-m.slots)
+		m.granted++
+	}
+}
+
+func (m *machine) release(i int) {
+	m.held[i].Release()
+	m.held = append(m.held[:i], m.held[i+1:]...)
+}
+
+func (m *machine) check(t *rapid.T) {
+	m.settle()
+	l := m.limiter
+	load, general := l.Load(), 0
+	for _, slot := range m.held {
+		if !slot.reserved {
+			general++
+		}
+	}
+	if load.Running != len(m.held) {
+		t.Fatalf("running: got %d, want the %d slots held", load.Running, len(m.held))
+	}
+	// Fewer slots than calls that run are possible after a change only, and then
+	// no call may be added.
+	if load.Running > max(m.running, l.limits.slots) || general > max(m.general, l.limits.general) {
+		t.Fatalf("got %d running, %d general, want at most %+v", load.Running, general, l.limits)
+	}
+	m.running, m.general = load.Running, general
+	if got := m.granted + load.Waiting + int(m.refused.Load()); got != m.asked {
+		t.Fatalf("got %d calls granted, waiting or refused, want %d", got, m.asked)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w, kind := l.next(time.Now()); w != nil {
+		t.Fatalf("a call of %s waits that may be admitted as %d", w.account.partner, kind)
+	}
+}
+
+func TestLimiterStateMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Only the methods of rapid.TB work inside a bubble.
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
+			m := &machine{limiter: newLimiter(t), slots: make(chan Slot, 1000)}
+			class := rapid.SampledFrom(classNames[:])
+			partner := rapid.SampledFrom([]string{"magnolia", "regie", "unknown"})
+			rt.Repeat(map[string]func(*rapid.T){
+				"admit": func(rt *rapid.T) {
+					timeout := time.Duration(rapid.IntRange(0, 600).Draw(rt, "timeout")) * time.Millisecond
+					r := Request{class.Draw(rt, "class"), partner.Draw(rt, "partner")}
+					for range rapid.IntRange(1, 8).Draw(rt, "calls") {
+						m.admit(r, timeout)
+					}
+				},
+				"release": func(rt *rapid.T) {
+					if len(m.held) == 0 {
+						rt.Skip()
+					}
+					m.release(rapid.IntRange(0, len(m.held)-1).Draw(rt, "held"))
+				},
+				"pass": func(rt *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(1, 100).Draw(rt, "ms")) * time.Millisecond)
+				},
+				"change": func(rt *rapid.T) {
+					offer(t, m.limiter.Applier, rapid.IntRange(1, 16).Draw(rt, "slots"))
+					m.limiter.Update()
+				},
+				"": m.check,
+			})
+			for m.settle(); len(m.held) > 0; m.settle() {
+				m.release(0)
+			}
+			m.check(rt)
+			if load := m.limiter.Load(); load.Waiting+load.Running != 0 {
+				rt.Fatalf("at the end: got %+v, want none running or waiting", load)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,258 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+const (
+	lookup       = versioner.ClassLookup
+	posting      = versioner.ClassPosting
+	scan         = versioner.ClassScan
+	internalRead = versioner.ClassInternalRead
+)
+
+// offer puts a configuration with two equal partners and one service in force.
+func offer(t testing.TB, a *applier.Applier, slots int) {
+	t.Helper()
+	base := new(versioner.Document)
+	if s := a.Current(); s != nil {
+		base = s.Document
+	}
+	entries := []versioner.Entry{
+		{Key: versioner.Key{Kind: versioner.KindPartner, Name: "magnolia"}, Partner: &versioner.Partner{SharePercent: 50}},
+		{Key: versioner.Key{Kind: versioner.KindPartner, Name: "regie"}, Partner: &versioner.Partner{SharePercent: 50}},
+		{Key: versioner.Key{Kind: versioner.KindService, Name: "ledger-view"}, Service: &versioner.Service{Partner: "magnolia", Slots: slots}},
+	}
+	if _, err := a.Offer(base.With(entries, nil)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newLimiter(t testing.TB) *Limiter {
+	t.Helper()
+	l := &Limiter{Applier: new(applier.Applier), Service: func() string { return "ledger-view" }}
+	offer(t, l.Applier, 12)
+	return l
+}
+
+// mustAdmit admits n calls that must not wait.
+func mustAdmit(t *testing.T, l *Limiter, n int, r Request) []Slot {
+	t.Helper()
+	var slots []Slot
+	for i := range n {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		start := time.Now()
+		slot, err := l.Admit(ctx, r)
+		cancel()
+		if err != nil || time.Since(start) > 0 {
+			t.Fatalf("call %d of %+v: got error %v after %v, want a slot at once", i+1, r, err, time.Since(start))
+		}
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
+func wantRefused(t *testing.T, l *Limiter, r Request, cause string) {
+	t.Helper()
+	slot, err := l.Admit(t.Context(), r)
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.Cause != cause {
+		slot.Release()
+		t.Errorf("%+v: got error %v, want refusal %s", r, err, cause)
+	}
+}
+
+// teach makes the mean run time of a class known.
+func teach(t *testing.T, l *Limiter, name string, run time.Duration) {
+	t.Helper()
+	slot := mustAdmit(t, l, 1, Request{name, "magnolia"})[0]
+	time.Sleep(run)
+	slot.Release()
+}
+
+func TestReservedSlotsStayFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t) // 2 reserved for internal reads, 10 general
+		mustAdmit(t, l, 10, Request{lookup, "magnolia"})
+		mustAdmit(t, l, 1, Request{internalRead, "magnolia"})
+		wantRefused(t, l, Request{internalRead, "magnolia"}, CauseNoSlot)
+		mustAdmit(t, l, 1, Request{internalRead, "regie"})
+		wantRefused(t, l, Request{internalRead, "regie"}, CauseNoSlot)
+		if got := l.Load(); got.Running != 12 || got.Waiting != 0 {
+			t.Errorf("load: got %+v, want 12 running and none waiting", got)
+		}
+	})
+}
+
+func TestLenderWaitsForOneBorrowedCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		teach(t, l, lookup, time.Millisecond)
+		borrowed := mustAdmit(t, l, 10, Request{lookup, "magnolia"})
+		waiting := admitLater(l, Request{lookup, "magnolia"}, 3)
+		own := admitLater(l, Request{lookup, "regie"}, 1)
+		synctest.Wait()
+		borrowed[0].Release()
+		synctest.Wait()
+		if len(own) != 1 || len(waiting) != 0 {
+			t.Errorf("after one release: got %d own and %d borrowed, want 1 and 0", len(own), len(waiting))
+		}
+		time.Sleep(time.Second) // lets the waiting calls expire
+	})
+}
+
+// admitLater asks for n slots in the background and returns those admitted.
+func admitLater(l *Limiter, r Request, n int) chan Slot {
+	admitted := make(chan Slot, n)
+	for range n {
+		go func() {
+			if slot, err := l.Admit(context.Background(), r); err == nil {
+				admitted <- slot
+			}
+		}()
+	}
+	return admitted
+}
+
+func TestLongCallsBorrowFromSilentPartnersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		mustAdmit(t, l, 1, Request{internalRead, "regie"})[0].Release()
+		mustAdmit(t, l, 5, Request{scan, "magnolia"})
+		got := admitLater(l, Request{scan, "magnolia"}, 1)
+		synctest.Wait()
+		if len(got) != 0 {
+			t.Errorf("scan beyond the own share of an active partner's slots: got admitted, want waiting")
+		}
+		mustAdmit(t, l, 5, Request{scan, "regie"})
+		time.Sleep(activeFor)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		mustAdmit(t, l, 1, Request{internalRead, "regie"})[0].Release()
+		time.Sleep(activeFor)
+		mustAdmit(t, l, 10, Request{scan, "magnolia"})
+	})
+}
+
+func TestQueueBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		held := mustAdmit(t, l, 10, Request{lookup, "magnolia"})
+		admitted := admitLater(l, Request{lookup, "magnolia"}, 16)
+		synctest.Wait()
+		wantRefused(t, l, Request{lookup, "magnolia"}, CauseQueueFull)
+		if got := l.Load().Waiting; got != 16 {
+			t.Errorf("waiting: got %d, want 16", got)
+		}
+		time.Sleep(51 * time.Millisecond)
+		if got := l.Load().Waiting; got != 0 || len(admitted) != 0 {
+			t.Errorf("after the queue time: got %d waiting and %d admitted, want none", got, len(admitted))
+		}
+		time.Sleep(time.Second)
+		for _, slot := range held {
+			slot.Release()
+		}
+		// The mean run is known to be longer than the queue time allows.
+		mustAdmit(t, l, 10, Request{lookup, "magnolia"})
+		wantRefused(t, l, Request{lookup, "magnolia"}, CauseExpectedWait)
+	})
+}
+
+func TestDeadlineBoundsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		held := mustAdmit(t, l, 10, Request{posting, "magnolia"})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := l.Admit(ctx, Request{posting, "regie"})
+		var refused *RefusedError
+		if !errors.As(err, &refused) || time.Since(start) != 20*time.Millisecond {
+			t.Errorf("got %v after %v, want a refusal after 20ms", err, time.Since(start))
+		}
+		if _, err := l.Admit(ctx, Request{internalRead, "regie"}); !errors.As(err, &refused) || refused.Cause != CauseDeadline {
+			t.Errorf("after the deadline: got %v, want refusal %s", err, CauseDeadline)
+		}
+		held[0].Release()
+		if got := l.Load(); got.Running != 9 || got.Waiting != 0 {
+			t.Errorf("load: got %+v, want 9 running and none waiting", got)
+		}
+	})
+}
+
+func TestChangedLimitsKeepWaitingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		held := mustAdmit(t, l, 10, Request{lookup, "magnolia"})
+		admitted := admitLater(l, Request{lookup, "magnolia"}, 4)
+		synctest.Wait()
+		offer(t, l.Applier, 16) // 3 reserved, 13 general
+		l.Update()
+		synctest.Wait()
+		if got := l.Load(); len(admitted) != 3 || got.Waiting != 1 {
+			t.Errorf("with 16 slots: got %d admitted and %d waiting, want 3 and 1", len(admitted), got.Waiting)
+		}
+		offer(t, l.Applier, 6) // 1 reserved, 5 general
+		for _, slot := range held[:8] {
+			slot.Release()
+		}
+		synctest.Wait()
+		if got := l.Load(); got.Running != 5 || got.Waiting != 1 {
+			t.Errorf("with 6 slots: got %+v, want 5 running and 1 waiting", got)
+		}
+		held[8].Release()
+		synctest.Wait()
+		if len(admitted) != 4 {
+			t.Errorf("after one more release: got %d admitted, want 4", len(admitted))
+		}
+	})
+}
+
+func TestApportion(t *testing.T) {
+	for _, tt := range []struct {
+		slots    int
+		percents []int
+		want     []int
+	}{
+		{10, []int{50, 50}, []int{5, 5}},
+		{13, []int{50, 50}, []int{7, 6}},
+		{10, []int{60, 30}, []int{6, 3}},
+		{10, []int{0, 0}, []int{5, 5}},
+		{10, []int{98, 1, 1}, []int{8, 1, 1}},
+		{2, []int{100, 100}, []int{1, 1}},
+		{1, []int{50, 50}, []int{1, 0}},
+		{0, []int{50, 50}, []int{0, 0}},
+	} {
+		var shares []applier.Share
+		for _, percent := range tt.percents {
+			shares = append(shares, applier.Share{Percent: percent})
+		}
+		got := apportion(tt.slots, shares)
+		for i := range tt.want {
+			if got[i] != tt.want[i] {
+				t.Errorf("apportion(%d, %v): got %v, want %v", tt.slots, tt.percents, got, tt.want)
+				break
+			}
+		}
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	l := newLimiter(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		slot, err := l.Admit(b.Context(), Request{lookup, "magnolia"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		slot.Release()
+	}
+}
--- /dev/null
+++ b/limiter/transport.go
@@ -0,0 +1,44 @@
+package limiter
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+const idleConnTimeout = 90 * time.Second
+
+// Transport is an http.RoundTripper that bounds the connections to one target.
+// Connections must be set; it is read for each request, and a changed bound
+// takes effect on new connections while calls in flight keep theirs.
+type Transport struct {
+	// Connections returns the bound, at least 1.
+	Connections func() int
+
+	mu      sync.Mutex
+	bound   int
+	current *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.transport().RoundTrip(r)
+}
+
+func (t *Transport) transport() *http.Transport {
+	bound := max(1, t.Connections())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != nil && t.bound == bound {
+		return t.current
+	}
+	if t.current != nil {
+		t.current.CloseIdleConnections()
+	}
+	t.bound = bound
+	t.current = &http.Transport{
+		MaxConnsPerHost: bound, MaxIdleConns: bound, MaxIdleConnsPerHost: bound,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+	}
+	return t.current
+}
