Choose targets by what calls show

Cause: targets were chosen at random, so a slow, failing, draining or lost target kept its full share of calls.

Change: package picker keeps, per target and without locks, the calls in flight, the mean latency by class, the failures and the load told on answers. A call compares two targets drawn at random, first in the own failure domain; above the spill-over load calls go to all domains in proportion to the excess. Slow start and failures lower the chance of a target to be drawn. Consecutive failures, or half of the calls failing, eject for a time that doubles, up to the largest share of a service; single calls probe, calls that are not idempotent only after twice the time. A target that can't be reached is ejected at once; three of a domain within 3 s, with no answer from the domain between, put the domain out. A draining answer removes the target until a newer record. When all else is out, any target that does not drain is the last resort. Targets() says for each target why it is in use or not, for operator status.

Tracker: a record may carry the target's epoch, and a state warming; a changed epoch restarts slow start.

Ruled out: a handicap in the score for slow start and failures (first try): at low load the handicapped target loses each comparison, gets no call, and is neither ejected nor forgiven (tests got no pick in 1000). A lost domain on unreachable targets alone: a lost rack would take the domain with it.

Slow target (100 ms against 5 ms, 5 targets, 500 calls/s, paused clock): random gives it its fifth, two choices below 5%.

--- /dev/null
+++ b/picker/failure_test.go
@@ -0,0 +1,212 @@
+package picker
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// behaviour is what calls to one target meet.
+type behaviour struct {
+	takes time.Duration
+	fails bool
+}
+
+// drive sends calls at a fixed rate for a time and returns the share in percent
+// that each target got.
+func (f *fleet) drive(t *testing.T, rate int, length time.Duration, targets map[string]behaviour) map[string]float64 {
+	t.Helper()
+	n := int(length.Seconds() * float64(rate))
+	got := make(map[string]float64)
+	for range n {
+		c := f.mustPick(t)
+		got[c.Record.InstanceID] += 100 / float64(n)
+		b := targets[c.Record.InstanceID]
+		go func() {
+			time.Sleep(b.takes)
+			if b.fails {
+				c.Done(Result{Outcome: Failed})
+				return
+			}
+			c.Done(Result{Outcome: Answered})
+		}()
+		time.Sleep(time.Second / time.Duration(rate))
+		synctest.Wait()
+	}
+	time.Sleep(time.Second)
+	return got
+}
+
+func equalTargets(n int, takes time.Duration) map[string]behaviour {
+	targets := make(map[string]behaviour)
+	for i := range n {
+		targets[fmt.Sprintf("mobile-bay-%d", i)] = behaviour{takes: takes}
+	}
+	return targets
+}
+
+func TestSlowTargetGetsLess(t *testing.T) {
+	for _, tt := range []struct {
+		choices   int
+		low, high float64
+	}{
+		{1, 17, 23}, {2, 0.03, 5}, {3, 0.03, 5},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(map[string]int{"mobile-bay": 5})
+			f.Choices = tt.choices
+			targets := equalTargets(5, 5*time.Millisecond)
+			targets["mobile-bay-0"] = behaviour{takes: 100 * time.Millisecond}
+			got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+			wantBetween(t, fmt.Sprintf("share of a slow target with %d choices", tt.choices), got, tt.low, tt.high)
+		})
+	}
+}
+
+func TestFastErrorsAttractNoLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 5})
+		f.policy.MaxEjectedPercent = 0
+		targets := equalTargets(5, 20*time.Millisecond)
+		targets["mobile-bay-0"] = behaviour{takes: 100 * time.Microsecond, fails: true}
+		got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+		wantBetween(t, "share of a target that fails at once and may not be ejected", got, 0, 4)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 5})
+		targets := equalTargets(5, 20*time.Millisecond)
+		targets["mobile-bay-0"] = behaviour{takes: 100 * time.Microsecond, fails: true}
+		got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+		wantBetween(t, "share of a target that is ready by its record and fails each call", got, 0, 0.5)
+	})
+}
+
+func TestEjectionProbesAndDoubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 3})
+		f.fail(t, "mobile-bay-0", Failed, 5)
+		if got := f.use("mobile-bay-0"); got != "ejected" {
+			t.Fatalf("after 5 failures: got %s, want ejected", got)
+		}
+		time.Sleep(5*time.Second - time.Millisecond)
+		if got := f.shares(t, 1000)["mobile-bay-0"]; got != 0 {
+			t.Errorf("share while ejected: got %.1f%%, want 0", got)
+		}
+		time.Sleep(time.Millisecond)
+		probe := f.until(t, "mobile-bay-0")
+		if got := f.shares(t, 1000)["mobile-bay-0"]; probe.Reason != ReasonProbe || got != 0 {
+			t.Errorf("beside the %v: got a share of %.1f%%, want a probe and 0", probe.Reason, got)
+		}
+		probe.Done(Result{Outcome: Failed})
+		time.Sleep(10*time.Second - time.Millisecond)
+		if got := f.shares(t, 1000)["mobile-bay-0"]; got != 0 {
+			t.Errorf("share in the doubled ejection: got %.1f%%, want 0", got)
+		}
+		time.Sleep(time.Millisecond)
+		f.until(t, "mobile-bay-0").Done(Result{Outcome: Answered})
+		if got := f.use("mobile-bay-0"); got != "in-use" {
+			t.Errorf("after a good probe: got %s, want in-use", got)
+		}
+		wantBetween(t, "share after readmission, in slow start", f.shares(t, 5000)["mobile-bay-0"], 0.5, 6)
+	})
+}
+
+func TestPostingsProbeLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 3})
+		f.fail(t, "mobile-bay-0", Failed, 5)
+		f.policy.Idempotent, f.policy.Class = false, versioner.ClassPosting
+		time.Sleep(10*time.Second - time.Millisecond)
+		if got := f.shares(t, 1000)["mobile-bay-0"]; got != 0 {
+			t.Errorf("share of postings before twice the ejection time: got %.1f%%, want 0", got)
+		}
+		time.Sleep(time.Millisecond)
+		f.until(t, "mobile-bay-0").Done(Result{Outcome: Answered})
+	})
+}
+
+func TestEjectionCapKeepsService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 6})
+		for range 2000 {
+			f.mustPick(t).Done(Result{Outcome: Failed})
+		}
+		ejected := 0
+		for _, v := range f.Targets() {
+			if v.Use != "in-use" {
+				ejected++
+			}
+		}
+		if ejected != 2 || f.Counters.Capped.Value() == 0 {
+			t.Errorf("with all failing: got %d ejected and %d capped, want 2 and some", ejected, f.Counters.Capped.Value())
+		}
+	})
+}
+
+func TestLostDomainIsOutAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"selma-row": 12, "natchez-hall": 12})
+		f.policy.MaxEjectedPercent = 0
+		for i := range 3 {
+			f.fail(t, fmt.Sprintf("selma-row-%d", i), Unreachable, 1)
+		}
+		// The answers of selma-row while picking cleared the suspicion.
+		if got := f.use("selma-row-5"); got != "in-use" {
+			t.Fatalf("with answers between failures: got %s, want in-use", got)
+		}
+		var failing []Choice
+		for i := range 3 {
+			failing = append(failing, f.until(t, fmt.Sprintf("selma-row-%d", i)))
+		}
+		for _, c := range failing {
+			c.Done(Result{Outcome: Unreachable})
+		}
+		if got := f.use("selma-row-5"); got != "domain-lost" {
+			t.Fatalf("after 3 unreachable targets: got %s, want domain-lost", got)
+		}
+		for id, share := range f.shares(t, 1000) {
+			if id[0] == 's' && share > 0 {
+				t.Errorf("share of %s in the lost domain: got %.1f%%, want 0", id, share)
+			}
+		}
+		time.Sleep(lostTime)
+		probe := f.mustPickProbe(t)
+		for range 1000 {
+			if c := f.mustPick(t); c.Reason == ReasonProbe {
+				t.Fatalf("got a second probe of %s beside the first", c.Record.InstanceID)
+			}
+		}
+		probe.Done(Result{Outcome: Answered})
+		if got := f.use("selma-row-5"); got != "in-use" {
+			t.Errorf("after a good probe: got %s, want in-use", got)
+		}
+	})
+}
+
+func (f *fleet) mustPickProbe(t *testing.T) Choice {
+	t.Helper()
+	for range 1000 {
+		c := f.mustPick(t)
+		if c.Reason == ReasonProbe {
+			return c
+		}
+		c.Done(Result{Outcome: Answered})
+	}
+	t.Fatal("got no probe in 1000 picks")
+	return Choice{}
+}
+
+func TestAllDomainsLostLeavesLastResort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"selma-row": 4, "natchez-hall": 4})
+		for range 500 {
+			f.mustPick(t).Done(Result{Outcome: Unreachable})
+		}
+		if c := f.mustPick(t); c.Reason != ReasonLastResort {
+			t.Errorf("got %v, want last-resort", c.Reason)
+		}
+	})
+}
--- /dev/null
+++ b/picker/outcome.go
@@ -0,0 +1,136 @@
+package picker
+
+// Outcome says what an attempt showed of its target.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Answered is a whole answer that is no server error.
+	Answered Outcome = iota
+	// Failed is a server error, a lost link, or a deadline that passed.
+	Failed
+	// Unreachable means that no link to the target's daemon could be opened, or
+	// that it could not reach the target.
+	Unreachable
+	// Overloaded means that the target's daemon refused for want of capacity.
+	Overloaded
+	// Draining means that the target takes no new calls.
+	Draining
+	// Abandoned says nothing of the target: the caller went away, or another
+	// attempt was faster.
+	Abandoned
+)
+
+// Result is what an attempt showed.
+type Result struct {
+	Outcome Outcome
+	// Running and Waiting are the calls at the target's daemon as told on the
+	// answer, without the answered call; they count when Told is set.
+	Running, Waiting int
+	Told             bool
+	// Draining is set when the answer said that the target drains.
+	Draining bool
+}
+
+const (
+	// failingLimit is the share of failures at which a target is ejected also
+	// when successes lie between them.
+	failingLimit = 0.5
+	// maxEjectDoublings bounds the growth of ejections.
+	maxEjectDoublings = 6
+	// forgetAfter is the number of ejection times without a further one after
+	// which ejections start from the shortest again.
+	forgetAfter = 10
+)
+
+// Done ends an attempt.
+func (c Choice) Done(r Result) {
+	t := c.target
+	if t == nil {
+		return
+	}
+	now := c.picker.now()
+	own := t.inFlight.Add(-1)
+	if r.Told {
+		t.told.others.Store(max(0, int64(r.Running+r.Waiting)-own))
+		t.told.at.Store(int64(now))
+	}
+	if r.Draining || r.Outcome == Draining {
+		t.drainSequence.Store(t.record.Load().Sequence + 1)
+	}
+	switch r.Outcome {
+	case Answered:
+		c.succeed(now)
+	case Failed:
+		c.fail(now, int64(c.policy.EjectAfterFailures))
+	case Unreachable:
+		if t.domain.fail(t, now) {
+			c.picker.Counters.DomainsLost.Add(1)
+		}
+		c.fail(now, 1)
+	case Overloaded:
+		t.told.others.Store(max(int64(c.policy.Slots), t.told.others.Load()))
+		t.told.at.Store(int64(now))
+	}
+	if c.probe {
+		t.probing.Store(false)
+		t.domain.probing.Store(false)
+	}
+}
+
+func (c Choice) succeed(now instant) {
+	t := c.target
+	t.domain.answered()
+	t.failures.Store(0)
+	t.failing.add(0, failureWeight)
+	t.latencies[classIndex(c.policy)].observe(now.sub(c.start), now)
+	until := instant(t.ejectedUntil.Load())
+	if until != 0 && c.probe {
+		t.since.Store(int64(now))
+		t.ejectedUntil.Store(0)
+		t.failing.bits.Store(0)
+		c.picker.Counters.Readmissions.Add(1)
+	}
+	if until == 0 && t.ejections.Load() > 0 && now.sub(instant(t.since.Load())) > forgetAfter*c.policy.EjectFor {
+		t.ejections.Store(0)
+	}
+}
+
+// fail books a failure and ejects the target when limit failures followed each
+// other or half of its calls fail. A fast failure does not improve the latency.
+func (c Choice) fail(now instant, limit int64) {
+	t := c.target
+	l, took := &t.latencies[classIndex(c.policy)], now.sub(c.start)
+	if float64(took) > l.mean.value() {
+		l.observe(took, now)
+	}
+	t.failing.add(1, failureWeight)
+	failures := t.failures.Add(1)
+	if failures >= limit || c.probe || t.failsOften() {
+		c.eject(now)
+	}
+}
+
+// failsOften looks at targets that have failed more than once in a row, so that
+// a first failure is not taken for all of a target's calls.
+func (t *target) failsOften() bool {
+	return t.failures.Load() > 1 && t.failing.value() >= failingLimit
+}
+
+func (c Choice) eject(now instant) {
+	t := c.target
+	s := c.picker.service(c.policy.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := instant(t.ejectedUntil.Load())
+	if until != 0 && !c.probe {
+		return
+	}
+	if until == 0 && !s.mayEject(c.policy) {
+		c.picker.Counters.Capped.Add(1)
+		return
+	}
+	doublings := min(t.ejections.Add(1)-1, maxEjectDoublings)
+	t.ejectedUntil.Store(int64(now.add(c.policy.EjectFor << doublings)))
+	c.picker.Counters.Ejections.Add(1)
+}
--- /dev/null
+++ b/picker/status.go
@@ -0,0 +1,120 @@
+package picker
+
+import (
+	"cmp"
+	"expvar"
+	"slices"
+	"time"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// Counters count choices and what became of targets.
+type Counters struct {
+	// Local, SpillOver, Remote, Probe and LastResort count choices by reason,
+	// None the calls for which there was no target.
+	Local, SpillOver, Remote, Probe, LastResort, None expvar.Int
+	// Ejections and Readmissions count targets, Capped the ejections that the
+	// largest share of ejected targets forbade.
+	Ejections, Readmissions, Capped expvar.Int
+	// DomainsLost counts failure domains found unreachable.
+	DomainsLost expvar.Int
+}
+
+func (c *Counters) count(r Reason) {
+	switch r {
+	case ReasonLocal:
+		c.Local.Add(1)
+	case ReasonSpillOver:
+		c.SpillOver.Add(1)
+	case ReasonRemote:
+		c.Remote.Add(1)
+	case ReasonProbe:
+		c.Probe.Add(1)
+	case ReasonLastResort:
+		c.LastResort.Add(1)
+	}
+}
+
+// TargetView tells operators why this daemon uses a target or does not.
+type TargetView struct {
+	InstanceID string        `json:"instance-id"`
+	Service    string        `json:"service"`
+	Domain     string        `json:"failure-domain"`
+	State      tracker.State `json:"state"`
+	// Use is "in-use", "draining", "domain-lost", "ejected", "probing", or the
+	// state of a record that is not ready.
+	Use string `json:"use"`
+	// Cause explains Use in words.
+	Cause string `json:"cause,omitempty"`
+	// OutForMS is the rest of the ejection, in milliseconds.
+	OutForMS int64 `json:"out-for-ms,omitempty"`
+	InFlight int64 `json:"in-flight"`
+	// Load estimates the calls that the target runs.
+	Load           float64 `json:"load"`
+	FailurePercent int     `json:"failure-percent"`
+	Ejections      int64   `json:"ejections,omitempty"`
+	// LatencyMS holds the mean latency by class, in milliseconds.
+	LatencyMS ClassLatencies `json:"latency-ms"`
+}
+
+// ClassLatencies holds mean latencies in milliseconds; 0 means none seen.
+type ClassLatencies struct {
+	InternalRead float64 `json:"internal-read,omitempty"`
+	Lookup       float64 `json:"lookup,omitempty"`
+	Posting      float64 `json:"posting,omitempty"`
+	Scan         float64 `json:"scan,omitempty"`
+}
+
+// Targets returns how this daemon sees every target in the table, sorted by
+// service and instance.
+func (p *Picker) Targets() []TargetView {
+	now := p.now()
+	var views []TargetView
+	for _, r := range p.Table.All() {
+		v := TargetView{InstanceID: r.InstanceID, Service: r.Service, Domain: r.Domain, State: r.State}
+		if t := p.find(r, now); t != nil {
+			t.describe(&v, now)
+		} else {
+			v.Use, v.Cause = r.State.String(), "the target announced this state"
+		}
+		views = append(views, v)
+	}
+	slices.SortFunc(views, func(a, b TargetView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.InstanceID, b.InstanceID))
+	})
+	return views
+}
+
+func (p *Picker) find(r tracker.Record, now instant) *target {
+	if r.State != tracker.StateReady {
+		return nil
+	}
+	p.view(r.Service, now)
+	s := p.service(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[r.InstanceID]
+}
+
+func (t *target) describe(v *TargetView, now instant) {
+	v.InFlight, v.Load = t.inFlight.Load(), t.load(now)
+	v.FailurePercent, v.Ejections = int(100*t.failing.value()), t.ejections.Load()
+	ms := func(c int) float64 { return t.latencies[c].mean.value() / float64(time.Millisecond) }
+	v.LatencyMS = ClassLatencies{InternalRead: ms(0), Lookup: ms(1), Posting: ms(2), Scan: ms(3)}
+	until := instant(t.ejectedUntil.Load())
+	switch {
+	case t.drains():
+		v.Use, v.Cause = "draining", "an answer said that the target drains"
+	case t.domain.lost.Load():
+		v.Use, v.Cause = "domain-lost", "several targets of the failure domain cannot be reached"
+		until = instant(t.domain.until.Load())
+	case until == 0:
+		v.Use = "in-use"
+	case now < until:
+		v.Use, v.Cause = "ejected", "calls to the target failed"
+	default:
+		v.Use, v.Cause = "probing", "the ejection has ended and no call has succeeded yet"
+	}
+	v.OutForMS = max(0, until.sub(now).Milliseconds())
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -19,6 +19,8 @@
 	StateReady State = iota + 1
 	StateDraining
 	StateGone
+	// StateWarming is a cold start: the target takes no calls yet.
+	StateWarming
 )
 
 // String returns the state's name.
@@ -30,6 +32,8 @@
 		return "draining"
 	case StateGone:
 		return "gone"
+	case StateWarming:
+		return "warming"
 	default:
 		return "unknown"
 	}
@@ -48,6 +52,9 @@
 	// PeerAddress is where the target's daemon accepts links.
 	PeerAddress string `cbor:"6,keyasint" json:"peer-address"`
 	State       State  `cbor:"7,keyasint" json:"state"`
+	// Epoch is the run of the target as it announced it; another value means
+	// that the target was started anew.
+	Epoch uint64 `cbor:"20,keyasint,omitempty" json:"epoch,omitempty"`
 }
 
 // Newer says whether r replaces other.
