Check announcements strictly and notice a target that vanished

Cause: any JSON was taken as an announcement, repeated ones made new records that every daemon was sent, and a target that died stayed ready for ever.

Change: an announcement is one JSON object of at most 4 KiB with known fields only; a refusal names the field. It carries slots, connections and an epoch; an earlier epoch is refused, an unchanged announcement makes no record, and warming and gone are states. The daemon opens a connection once a second while no call reaches the target; two failures in a row, or one after a call that could not reach it, make its record gone, a success brings the last state back. Readers on the call path take no lock.

Ruled out: asking a health endpoint, which may say that all is well; checks beside calls, which show more than a check.

daemon: runs the announcer's checks (one added goroutine).

Seen failing (mutations): epochs not ordered, a repeat after vanishing ignored, Drain ignored, one failed check enough, checks beside calls, unknown fields taken.

--- /dev/null
+++ b/announcer/announcement.go
@@ -0,0 +1,118 @@
+package announcer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const (
+	maxAnnouncementBytes = 4 << 10
+	maxNameLength        = 128
+	maxLimit             = 100_000
+)
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where the target takes calls, as IP:port.
+	Address string `json:"address"`
+	// State is "warming", "ready", "draining" or "gone".
+	State string `json:"state"`
+	// Slots and Connections lower the limits of the service's configuration for
+	// this target; 0 leaves them.
+	Slots       int `json:"slots,omitempty"`
+	Connections int `json:"connections,omitempty"`
+	// Epoch is a number that grows with each start of the target, for example
+	// its start time. An announcement of an earlier epoch is refused.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
+// InvalidError reports an announcement that was not taken.
+type InvalidError struct {
+	// Field is the JSON field at fault, or "" for the whole body.
+	Field, Message string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	if e.Field == "" {
+		return "announcement: " + e.Message
+	}
+	return fmt.Sprintf("announcement: %s: %s", e.Field, e.Message)
+}
+
+// StaleEpochError reports an announcement of an earlier run of the target.
+type StaleEpochError struct{ Got, Newest uint64 }
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("announcement of epoch %d, but epoch %d has announced itself", e.Got, e.Newest)
+}
+
+// decode reads an announcement, or fails with an *InvalidError.
+func decode(r io.Reader) (Announcement, error) {
+	var in Announcement
+	limited := io.LimitReader(r, maxAnnouncementBytes+1)
+	b, err := io.ReadAll(limited)
+	if err != nil {
+		return in, &InvalidError{Message: "body was cut short"}
+	}
+	if len(b) > maxAnnouncementBytes {
+		return in, &InvalidError{Message: fmt.Sprintf("longer than %d bytes", maxAnnouncementBytes)}
+	}
+	if err := unmarshalStrict(b, &in); err != nil {
+		return in, err
+	}
+	return in, in.validate()
+}
+
+func unmarshalStrict(b []byte, in *Announcement) error {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(in)
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrongType):
+		return &InvalidError{Field: wrongType.Field, Message: "must not be a " + wrongType.Value}
+	case err != nil:
+		return &InvalidError{Message: err.Error()}
+	case dec.More():
+		return &InvalidError{Message: "more than one JSON value"}
+	}
+	return nil
+}
+
+func (in Announcement) validate() error {
+	if in.Service == "" || len(in.Service) > maxNameLength {
+		return &InvalidError{"service", fmt.Sprintf("must have 1 to %d bytes", maxNameLength)}
+	}
+	if _, err := netip.ParseAddrPort(in.Address); err != nil {
+		return &InvalidError{"address", fmt.Sprintf("must be IP:port, got %q", in.Address)}
+	}
+	if in.state() == 0 {
+		return &InvalidError{"state", fmt.Sprintf("must be warming, ready, draining or gone, got %q", in.State)}
+	}
+	if in.Slots < 0 || in.Slots > maxLimit {
+		return &InvalidError{"slots", fmt.Sprintf("must be 0 to %d, got %d", maxLimit, in.Slots)}
+	}
+	if in.Connections < 0 || in.Connections > maxLimit {
+		return &InvalidError{"connections", fmt.Sprintf("must be 0 to %d, got %d", maxLimit, in.Connections)}
+	}
+	return nil
+}
+
+// state returns the state of the record, or 0 for an unknown one.
+func (in Announcement) state() tracker.State {
+	for _, s := range []tracker.State{tracker.StateWarming, tracker.StateReady, tracker.StateDraining, tracker.StateGone} {
+		if in.State == s.String() {
+			return s
+		}
+	}
+	return 0
+}
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -1,9 +1,19 @@
-// Package announcer takes the announcements of the target beside this daemon.
+// Package announcer takes the announcements of the target beside this daemon
+// and keeps its membership record.
+//
+// A target announces itself by PUT of an Announcement, again at each change of
+// state, and as often as it likes as a heartbeat. Whether it is still there is
+// found out by the calls to it and, while there are none, by opening a
+// connection.
 package announcer
 
 import (
+	"context"
+	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -13,13 +23,14 @@
 // Path is where a target announces itself.
 const Path = "/v1/announcement"
 
-// Announcement is what a target says of itself.
-type Announcement struct {
-	Service string `json:"service"`
-	// Address is where the target takes calls, for example "127.0.0.1:8080".
-	Address string `json:"address"`
-	// State is "ready" or "draining".
-	State string `json:"state"`
+// Counters count announcements and what became of the target.
+type Counters struct {
+	// Announced counts announcements taken, Repeated those of them that changed
+	// nothing, Refused those that were malformed or of an earlier epoch.
+	Announced, Repeated, Refused expvar.Int
+	// Checks counts connections opened to see whether the target is there,
+	// Vanished and Returned what they found.
+	Checks, Vanished, Returned expvar.Int
 }
 
 // Announcer keeps the newest announcement as the membership record of this
@@ -27,46 +38,152 @@
 type Announcer struct {
 	// Self is the record's fixed part.
 	Self tracker.Record
-	// Changed is called with each new record.
+	// Changed is called with each new record, in the order of their sequences.
 	Changed func(tracker.Record)
+	// Dial opens a connection to see whether the target is there; nil means TCP.
+	Dial     func(ctx context.Context, addr string) error
+	Counters Counters
 
-	mu      sync.Mutex
-	address string
-	record  tracker.Record
+	// reached is when a call last reached the target, in nanoseconds of Unix time.
+	reached atomic.Int64
+	wakeMu  sync.Mutex
+	wake    chan struct{}
+
+	// view is what readers see; it is replaced whole.
+	view atomic.Pointer[view]
+
+	mu       sync.Mutex
+	current  Announcement
+	record   tracker.Record
+	vanished bool
+	draining bool
+}
+
+// view is the newest announcement and what follows from it.
+type view struct {
+	announcement Announcement
+	baseURL      string
+	state        tracker.State
 }
 
 // Register adds the announcement resource to the router.
 func (a *Announcer) Register(e *echo.Echo) { e.PUT(Path, a.put) }
 
 func (a *Announcer) put(c echo.Context) error {
-	var in Announcement
-	if err := c.Bind(&in); err != nil {
-		return err
+	in, err := decode(c.Request().Body)
+	if err != nil {
+		a.Counters.Refused.Add(1)
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	state := tracker.StateReady
-	if in.State == tracker.StateDraining.String() {
-		state = tracker.StateDraining
+	if err := a.Announce(in); err != nil {
+		a.Counters.Refused.Add(1)
+		return echo.NewHTTPError(http.StatusConflict, err.Error())
 	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// Announce takes an announcement that is valid. It fails with a
+// *StaleEpochError when a later run of the target has announced itself.
+func (a *Announcer) Announce(in Announcement) error {
 	a.mu.Lock()
-	if a.record.Sequence == 0 {
-		a.record = a.Self
+	defer a.mu.Unlock()
+	if in.Epoch < a.current.Epoch {
+		return &StaleEpochError{Got: in.Epoch, Newest: a.current.Epoch}
 	}
-	a.record.Sequence++
-	a.record.Service = in.Service
-	a.record.State = state
-	a.address = in.Address
-	record := a.record
-	a.mu.Unlock()
-	a.Changed(record)
-	return c.NoContent(http.StatusNoContent)
+	a.Counters.Announced.Add(1)
+	if in == a.current && !a.vanished {
+		a.Counters.Repeated.Add(1)
+		return nil
+	}
+	a.current = in
+	a.vanished = false
+	a.publish()
+	return nil
 }
 
-// Target returns the target's base URL, or "" before the first announcement.
-func (a *Announcer) Target() string {
+// publish makes the next record if it differs from the one before. The caller
+// holds mu, so that records are handed over in order.
+func (a *Announcer) publish() {
+	a.view.Store(&view{announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state()})
+	next := a.Self
+	next.Sequence = a.record.Sequence + 1
+	next.Service = a.current.Service
+	next.Epoch = a.current.Epoch
+	next.State = a.state()
+	same := a.record
+	same.Sequence++
+	if a.record.Sequence > 0 && next == same {
+		return
+	}
+	a.record = next
+	a.Changed(next)
+}
+
+// state is the worst of what is known of the target and its daemon.
+func (a *Announcer) state() tracker.State {
+	state := a.current.state()
+	switch {
+	case a.vanished || state == tracker.StateGone:
+		return tracker.StateGone
+	case a.draining:
+		return tracker.StateDraining
+	default:
+		return state
+	}
+}
+
+// Drain announces that this daemon takes no new calls, whatever its target
+// announces from now on.
+func (a *Announcer) Drain() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.address == "" {
-		return ""
+	a.draining = true
+	if a.record.Sequence > 0 {
+		a.publish()
+	}
+}
+
+// Target returns the target's base URL, or "" before the first announcement.
+func (a *Announcer) Target() string { return a.load().baseURL }
+
+// Draining says whether the target takes no new calls, by its own announcement
+// or by Drain.
+func (a *Announcer) Draining() bool { return a.load().state == tracker.StateDraining }
+
+// Current returns the newest announcement; it is zero before the first.
+func (a *Announcer) Current() Announcement { return a.load().announcement }
+
+func (a *Announcer) load() view {
+	if v := a.view.Load(); v != nil {
+		return *v
+	}
+	return view{}
+}
+
+// Service returns the service of the target, or "" before the first announcement.
+func (a *Announcer) Service() string { return a.Current().Service }
+
+// Slots returns the slots that the target announced, 0 for none.
+func (a *Announcer) Slots() int { return a.Current().Slots }
+
+// Reached notes that the target took a call; no check is needed for a while.
+func (a *Announcer) Reached() { a.reached.Store(time.Now().UnixNano()) }
+
+// Unreachable notes that the target did not accept a connection. It is checked
+// at once, and a second refusal makes its record gone.
+func (a *Announcer) Unreachable() {
+	a.reached.Store(0)
+	select {
+	case a.wakeUp() <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Announcer) wakeUp() chan struct{} {
+	a.wakeMu.Lock()
+	defer a.wakeMu.Unlock()
+	if a.wake == nil {
+		a.wake = make(chan struct{}, 1)
 	}
-	return "http://" + a.address
+	return a.wake
 }
--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,191 @@
+package announcer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// recorder keeps the records that an Announcer made.
+type recorder struct {
+	Announcer
+	mu      sync.Mutex
+	records []tracker.Record
+	dialErr error
+}
+
+func newRecorder() *recorder {
+	r := new(recorder)
+	r.Self = tracker.Record{InstanceID: "d1", Incarnation: 5, Domain: "mobile-bay"}
+	r.Changed = func(record tracker.Record) { r.records = append(r.records, record) }
+	r.Dial = func(context.Context, string) error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.dialErr
+	}
+	return r
+}
+
+func (r *recorder) setDial(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dialErr = err
+}
+
+func (r *recorder) put(body string) (int, string) {
+	e := echo.New()
+	r.Register(e)
+	req := httptest.NewRequest(http.MethodPut, Path, strings.NewReader(body))
+	res := httptest.NewRecorder()
+	e.ServeHTTP(res, req)
+	return res.Code, res.Body.String()
+}
+
+func (r *recorder) states() string {
+	r.Announcer.mu.Lock()
+	defer r.Announcer.mu.Unlock()
+	var states []string
+	for i, record := range r.records {
+		if record.Sequence != uint64(i+1) {
+			states = append(states, "out-of-order")
+		}
+		states = append(states, record.State.String())
+	}
+	return strings.Join(states, " ")
+}
+
+func TestAnnouncementsAreStrict(t *testing.T) {
+	for _, tt := range []struct {
+		name, body string
+		status     int
+		want       string
+	}{
+		{"valid", `{"service":"ledger-view","address":"127.0.0.1:80","state":"ready","slots":12,"connections":130,"epoch":7}`, 204, ""},
+		{"unknown field", `{"service":"s","address":"127.0.0.1:80","state":"ready","slot":1}`, 400, `unknown field \"slot\"`},
+		{"wrong type", `{"service":"s","address":"127.0.0.1:80","state":"ready","slots":"12"}`, 400, "slots: must not be a string"},
+		{"unknown state", `{"service":"s","address":"127.0.0.1:80","state":"up"}`, 400, "state: must be warming, ready, draining or gone"},
+		{"no service", `{"address":"127.0.0.1:80","state":"ready"}`, 400, "service: must have 1 to 128 bytes"},
+		{"host name", `{"service":"s","address":"localhost:80","state":"ready"}`, 400, "address: must be IP:port"},
+		{"negative slots", `{"service":"s","address":"127.0.0.1:80","state":"ready","slots":-1}`, 400, "slots: must be 0 to"},
+		{"two values", `{"service":"s","address":"127.0.0.1:80","state":"ready"}{}`, 400, "more than one JSON value"},
+		{"too long", `{"service":"` + strings.Repeat("x", maxAnnouncementBytes) + `"}`, 400, "longer than 4096 bytes"},
+		{"empty", "", 400, "EOF"},
+	} {
+		r := newRecorder()
+		status, body := r.put(tt.body)
+		if status != tt.status || !strings.Contains(body, tt.want) {
+			t.Errorf("%s: got %d %s, want %d and %q", tt.name, status, body, tt.status, tt.want)
+		}
+		if got := len(r.records); got > 0 != (tt.status == 204) {
+			t.Errorf("%s: got %d records with status %d", tt.name, got, status)
+		}
+	}
+}
+
+func TestAnnouncementsMakeRecords(t *testing.T) {
+	r := newRecorder()
+	announce := func(state string, epoch uint64) error {
+		return r.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: state, Epoch: epoch})
+	}
+	for _, state := range []string{"warming", "ready", "ready", "draining"} {
+		if err := announce(state, 3); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var stale *StaleEpochError
+	if err := announce("ready", 2); !errors.As(err, &stale) {
+		t.Errorf("earlier epoch: got %v, want a StaleEpochError", err)
+	}
+	if err := announce("ready", 4); err != nil {
+		t.Fatal(err)
+	}
+	r.Drain()
+	if err := announce("ready", 5); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := r.states(), "warming ready draining ready draining draining"; got != want {
+		t.Errorf("states: got %s, want %s", got, want)
+	}
+	last := r.records[len(r.records)-1]
+	want := tracker.Record{InstanceID: "d1", Incarnation: 5, Sequence: 6, Service: "ledger-view", Domain: "mobile-bay", State: tracker.StateDraining, Epoch: 5}
+	if last != want {
+		t.Errorf("last record: got %+v, want %+v", last, want)
+	}
+}
+
+// watch runs the checks of an announced target in a bubble.
+func watch(t *testing.T, f func(t *testing.T, r *recorder)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRecorder()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		if err := r.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: "ready"}); err != nil {
+			t.Fatal(err)
+		}
+		f(t, r)
+	})
+}
+
+func TestVanishedTargetIsGoneAndReturns(t *testing.T) {
+	watch(t, func(t *testing.T, r *recorder) {
+		r.setDial(errors.New("connection refused"))
+		time.Sleep(checkInterval + time.Millisecond)
+		if got := r.states(); got != "ready" {
+			t.Errorf("after one failed check: got %s, want ready", got)
+		}
+		time.Sleep(checkInterval)
+		if got := r.states(); got != "ready gone" {
+			t.Errorf("after two failed checks: got %s, want ready gone", got)
+		}
+		r.setDial(nil)
+		time.Sleep(checkInterval)
+		if got := r.states(); got != "ready gone ready" {
+			t.Errorf("after its return: got %s, want ready gone ready", got)
+		}
+	})
+}
+
+func TestUnreachableCallIsCheckedAtOnce(t *testing.T) {
+	watch(t, func(t *testing.T, r *recorder) {
+		r.setDial(errors.New("connection refused"))
+		r.Unreachable()
+		synctest.Wait()
+		if got := r.states(); got != "ready gone" {
+			t.Errorf("got %s, want ready gone", got)
+		}
+		if err := r.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: "ready"}); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.states(); got != "ready gone ready" {
+			t.Errorf("after the same announcement: got %s, want ready gone ready", got)
+		}
+	})
+}
+
+func TestCallsSpareChecks(t *testing.T) {
+	watch(t, func(t *testing.T, r *recorder) {
+		for range 20 {
+			r.Reached()
+			time.Sleep(checkInterval / 2)
+		}
+		if got := r.Counters.Checks.Value(); got != 0 {
+			t.Errorf("checks beside calls: got %d, want 0", got)
+		}
+		time.Sleep(2 * checkInterval)
+		if got := r.Counters.Checks.Value(); got == 0 {
+			t.Error("checks without calls: got none")
+		}
+	})
+}
--- /dev/null
+++ b/announcer/check.go
@@ -0,0 +1,90 @@
+package announcer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const (
+	// checkInterval is how long the target may go without a call before a
+	// connection is opened to it.
+	checkInterval = time.Second
+	checkTimeout  = 500 * time.Millisecond
+	// maxMissed is the number of checks in a row that must fail for the target
+	// to be gone; a call that could not reach it counts as one.
+	maxMissed = 2
+)
+
+// Run watches over the target until ctx ends: a target that can't be reached
+// is announced as gone, and one that can be reached again as what it said last.
+func (a *Announcer) Run(ctx context.Context) {
+	missed := 0
+	for {
+		timer := time.NewTimer(checkInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-a.wakeUp():
+			timer.Stop()
+			missed++
+		}
+		missed = a.check(ctx, missed)
+	}
+}
+
+// check returns the number of checks in a row that failed.
+func (a *Announcer) check(ctx context.Context, missed int) int {
+	current := a.Current()
+	if current.Address == "" || current.state() == tracker.StateGone {
+		return 0
+	}
+	if time.Since(time.Unix(0, a.reached.Load())) < checkInterval {
+		a.mark(current, false)
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	a.Counters.Checks.Add(1)
+	if err := a.dial(ctx, current.Address); err == nil {
+		a.mark(current, false)
+		return 0
+	}
+	missed++
+	if missed >= maxMissed {
+		a.mark(current, true)
+	}
+	return missed
+}
+
+func (a *Announcer) dial(ctx context.Context, addr string) error {
+	if a.Dial != nil {
+		return a.Dial(ctx, addr)
+	}
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// mark books whether the target that made the announcement has vanished, unless
+// another announcement came meanwhile.
+func (a *Announcer) mark(checked Announcement, vanished bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.current != checked || a.vanished == vanished {
+		return
+	}
+	a.vanished = vanished
+	if vanished {
+		a.Counters.Vanished.Add(1)
+	} else {
+		a.Counters.Returned.Add(1)
+	}
+	a.publish()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,10 @@
 		d.spreader.Run(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		d.announcer.Run(ctx)
+		return nil
+	})
 	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
 	return g.Wait()
 }
