--- a/applier/applier.go
+++ b/applier/applier.go
@@ -38,6 +38,18 @@
 	return fmt.Sprintf("version %d offered, version %d is in force", e.Offered, e.InForce)
 }
 
+// ForkedVersionError reports an offer of the version in force with other
+// content. It means that two contents were accepted as one version.
+type ForkedVersionError struct {
+	Version          versioner.Version
+	InForce, Offered versioner.Digest
+}
+
+// Error implements error.
+func (e *ForkedVersionError) Error() string {
+	return fmt.Sprintf("version %d offered with digest %s, in force with %s", e.Version, e.Offered, e.InForce)
+}
+
 // Build checks a document and makes its snapshot for a daemon in the failure
 // domain. It fails with a *validator.InvalidError.
 func Build(doc *versioner.Document, domain string) (*Snapshot, error) {
@@ -64,8 +76,8 @@
 func (a *Applier) Current() *Snapshot { return a.current.Load() }
 
 // Offer puts a document in force if it is newer than the one in force, and
-// says whether it did. It fails with an *OlderVersionError or a
-// *validator.InvalidError, and what is in force stays.
+// says whether it did. It fails with an *OlderVersionError, a
+// *ForkedVersionError or a *validator.InvalidError, and what is in force stays.
 func (a *Applier) Offer(doc *versioner.Document) (bool, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -74,7 +86,7 @@
 			return false, &OlderVersionError{InForce: now.Version(), Offered: doc.Version}
 		}
 		if doc.Version == now.Version() {
-			return false, nil
+			return false, sameContent(now, doc)
 		}
 	}
 	snapshot, err := Build(doc, a.Domain)
@@ -84,3 +96,17 @@
 	a.current.Store(snapshot)
 	return true, nil
 }
+
+func sameContent(now *Snapshot, doc *versioner.Document) error {
+	if doc == now.Document {
+		return nil
+	}
+	digest, err := doc.Digest()
+	if err != nil {
+		return err
+	}
+	if digest != now.Digest {
+		return &ForkedVersionError{Version: now.Version(), InForce: now.Digest, Offered: digest}
+	}
+	return nil
+}
--- /dev/null
+++ b/tracker/table_test.go
@@ -0,0 +1,142 @@
+package tracker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func record(id string, incarnation, sequence uint64, state State) Record {
+	return Record{InstanceID: id, Incarnation: incarnation, Sequence: sequence, Service: "ledger-view", Domain: "mobile-bay", State: state}
+}
+
+func TestMergeOrdersByIncarnationThenSequence(t *testing.T) {
+	tests := []struct {
+		name     string
+		first    Record
+		second   Record
+		wantKept State
+	}{
+		{"higher sequence", record("a", 1, 1, StateReady), record("a", 1, 2, StateDraining), StateDraining},
+		{"lower sequence", record("a", 1, 2, StateReady), record("a", 1, 1, StateDraining), StateReady},
+		{"same", record("a", 1, 1, StateReady), record("a", 1, 1, StateGone), StateReady},
+		{"new incarnation after departure", record("a", 1, 9, StateGone), record("a", 2, 1, StateReady), StateReady},
+		{"departure of an old incarnation", record("a", 2, 1, StateReady), record("a", 1, 9, StateGone), StateReady},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var table Table
+			table.Merge([]Record{tt.first})
+			table.Merge([]Record{tt.second})
+			if got, _ := table.Find("a"); got.State != tt.wantKept {
+				t.Errorf("state: got %v, want %v", got.State, tt.wantKept)
+			}
+		})
+	}
+}
+
+func TestDigestIsIndependentOfOrderAndPurge(t *testing.T) {
+	var records []Record
+	for i := range 200 {
+		records = append(records, record(fmt.Sprint("i", i%60), uint64(i/60), uint64(i), State(1+i%3)))
+	}
+	var a, b Table
+	a.Merge(records)
+	rng := rand.New(rand.NewPCG(1, 2))
+	rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	b.Merge(records)
+	b.Merge(records)
+	b.Purge(time.Now().Add(time.Hour))
+	if got, want := b.Digest(), a.Digest(); got != want {
+		t.Errorf("digest: got %x, want %x", got, want)
+	}
+	if got, want := b.Digests(), a.Digests(); got["mobile-bay"] != want["mobile-bay"] {
+		t.Errorf("digests: got %x, want %x", got, want)
+	}
+}
+
+func TestSinceSkipsSupersededAndOwnSource(t *testing.T) {
+	var table Table
+	start := table.Now()
+	table.MergeFrom([]Record{record("a", 1, 1, StateReady), record("b", 1, 1, StateReady)}, 7)
+	table.MergeFrom([]Record{record("a", 1, 2, StateDraining)}, 8)
+	got, next, ok := table.Since(start, 7, 10)
+	if !ok || len(got) != 1 || got[0].State != StateDraining {
+		t.Fatalf("since: got %v %v, want the draining record only", got, ok)
+	}
+	if got, _, _ := table.Since(next, 7, 10); len(got) != 0 {
+		t.Errorf("since the end: got %v, want none", got)
+	}
+}
+
+func TestSinceReportsATornJournal(t *testing.T) {
+	var table Table
+	for i := range uint64(2*journalLength + 1) {
+		table.Merge([]Record{record("a", 1, i+1, StateReady)})
+	}
+	if _, _, ok := table.Since(0, 0, 10); ok {
+		t.Error("since 0: got ok, want a torn journal")
+	}
+}
+
+func TestDepartedIsForgottenInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var table Table
+		table.Merge([]Record{record("a", 1, 1, StateReady), record("b", 1, 1, StateReady)})
+		table.Merge([]Record{record("a", 1, 2, StateGone)})
+		if got := table.Departed("ledger-view"); len(got) != 1 || got[0].Record.InstanceID != "a" {
+			t.Fatalf("departed: got %v, want a", got)
+		}
+		if got := table.Service("ledger-view"); len(got) != 1 || got[0].InstanceID != "b" {
+			t.Fatalf("service: got %v, want b", got)
+		}
+		time.Sleep(departureRetention + time.Second)
+		table.Purge(time.Now().Add(-time.Hour))
+		if got := table.Departed("ledger-view"); len(got) != 0 {
+			t.Errorf("departed: got %v, want none", got)
+		}
+		if _, ok := table.Find("a"); !ok {
+			t.Error("tombstone: got none, want it kept")
+		}
+	})
+}
+
+func fullTable() (*Table, []Record) {
+	var records []Record
+	for i := range 4900 {
+		records = append(records, Record{
+			InstanceID: fmt.Sprintf("instance-%04d", i), Incarnation: 1, Sequence: 1, State: StateReady,
+			Service: fmt.Sprintf("service-%03d", i%130), Domain: fmt.Sprintf("domain-%02d", i%18), PeerAddress: "127.0.0.1:7101",
+		})
+	}
+	table := new(Table)
+	table.Merge(records)
+	return table, records
+}
+
+func BenchmarkMergeOneOf4900(b *testing.B) {
+	table, records := fullTable()
+	for i := 0; b.Loop(); i++ {
+		r := &records[i%len(records)]
+		r.Sequence++
+		table.Merge(records[i%len(records) : i%len(records)+1])
+	}
+}
+
+func BenchmarkMergeAllKnown(b *testing.B) {
+	table, records := fullTable()
+	records = slices.Clone(records)
+	for b.Loop() {
+		table.Merge(records)
+	}
+}
+
+func BenchmarkDigest4900(b *testing.B) {
+	table, _ := fullTable()
+	for b.Loop() {
+		table.Digest()
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,12 +4,7 @@
 // spreader moves the records between daemons.
 package tracker
 
-import (
-	"cmp"
-	"slices"
-	"sync"
-	"sync/atomic"
-)
+import "cmp"
 
 // State is the phase of a target's life.
 type State uint8
@@ -54,68 +49,3 @@
 func (r Record) Newer(other Record) bool {
 	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
 }
-
-type view struct {
-	byService map[string][]Record
-	all       []Record
-}
-
-// Table is the set of known targets. The zero value is empty and works.
-type Table struct {
-	mu      sync.Mutex
-	records map[string]Record
-	view    atomic.Pointer[view]
-}
-
-// Merge takes in the records that are newer than those known, and returns them.
-func (t *Table) Merge(records []Record) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.records == nil {
-		t.records = make(map[string]Record)
-	}
-	var changed []Record
-	for _, r := range records {
-		old, ok := t.records[r.InstanceID]
-		if ok && !r.Newer(old) {
-			continue
-		}
-		t.records[r.InstanceID] = r
-		changed = append(changed, r)
-	}
-	if len(changed) > 0 {
-		t.view.Store(t.newView())
-	}
-	return changed
-}
-
-// newView builds the view that readers see. The caller holds mu.
-func (t *Table) newView() *view {
-	v := &view{byService: make(map[string][]Record)}
-	for _, r := range t.records {
-		v.all = append(v.all, r)
-		if r.State == StateReady {
-			v.byService[r.Service] = append(v.byService[r.Service], r)
-		}
-	}
-	slices.SortFunc(v.all, func(a, b Record) int { return cmp.Compare(a.InstanceID, b.InstanceID) })
-	return v
-}
-
-// Service returns the ready targets of a service. The slice must not be changed.
-func (t *Table) Service(name string) []Record {
-	v := t.view.Load()
-	if v == nil {
-		return nil
-	}
-	return v.byService[name]
-}
-
-// All returns every record, sorted by instance. The slice must not be changed.
-func (t *Table) All() []Record {
-	v := t.view.Load()
-	if v == nil {
-		return nil
-	}
-	return v.all
-}
