Add a fault-injecting TCP proxy and give the stand-in target records and failure modes

Cause: scenarios need faults on links and a true account of what ran. Ruled out: a proxy with a control API of its own; the tests embed it. Change: faulter passes, refuses, cuts, silences, strands, delays, throttles and drops answers after the request went through. faketarget records runs by call id and idempotency key, sheds, fails, delays, cuts answers, crashes, lies on health, and announces itself repeatedly; announcer ignores repeats. Checked: the lose-answers test failed first with a GET, because net/http sends a GET again on a lost connection (2 served, 1 wanted); it uses POST now.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -47,18 +47,26 @@
 	if in.State == tracker.StateDraining.String() {
 		state = tracker.StateDraining
 	}
+	if record, changed := a.update(in, state); changed {
+		a.Changed(record)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// update keeps the announcement. A repeated one changes nothing.
+func (a *Announcer) update(in Announcement, state tracker.State) (tracker.Record, bool) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.address = in.Address
 	if a.record.Sequence == 0 {
 		a.record = a.Self
+	} else if a.record.Service == in.Service && a.record.State == state {
+		return a.record, false
 	}
 	a.record.Sequence++
 	a.record.Service = in.Service
 	a.record.State = state
-	a.address = in.Address
-	record := a.record
-	a.mu.Unlock()
-	a.Changed(record)
-	return c.NoContent(http.StatusNoContent)
+	return a.record, true
 }
 
 // Target returns the target's base URL, or "" before the first announcement.
--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -12,7 +13,11 @@
 	"bambooweir.example/bambooweir/faketarget"
 )
 
-const headerTimeout = 10 * time.Second
+const (
+	headerTimeout = 10 * time.Second
+	// exitCrashed is the status of a stand-in that was told to crash.
+	exitCrashed = 70
+)
 
 // fakeStoreCommand runs the stand-in of the platform's key-value service.
 type fakeStoreCommand struct{ address string }
@@ -33,6 +38,7 @@
 func (f *fakeTargetCommand) command() *cobra.Command {
 	c := &cobra.Command{Use: "fake-target", Short: "Run a stand-in of a target", Args: cobra.NoArgs, RunE: f.run}
 	c.Flags().StringVar(&f.target.Address, "address", "127.0.0.1:8080", "address to listen on, as IP:port")
+	c.Flags().StringVar(&f.target.AnnouncedAddress, "announced-address", "", "address to announce, as IP:port, if it is not the one listened on")
 	c.Flags().StringVar(&f.target.Service, "service", "", "service to announce")
 	c.Flags().StringVar(&f.target.DaemonURL, "daemon", "", "operator URL of the daemon beside the target")
 	return c
@@ -40,6 +46,7 @@
 
 func (f *fakeTargetCommand) run(c *cobra.Command, _ []string) error {
 	go f.target.Announce(c.Context())
+	f.target.Exit = func() { os.Exit(exitCrashed) }
 	return listen(c.Context(), f.target.Address, &f.target)
 }
 
--- /dev/null
+++ b/faketarget/announce.go
@@ -0,0 +1,71 @@
+package faketarget
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bambooweir.example/bambooweir/announcer"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const announceInterval = 500 * time.Millisecond
+
+// Announce tells the daemon of the target, again and again until ctx ends, so
+// that a daemon that was restarted hears of it too.
+func (t *Target) Announce(ctx context.Context) {
+	for {
+		_ = t.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+// Drain announces that the target leaves. Calls in flight go on.
+func (t *Target) Drain(ctx context.Context) error {
+	t.mu.Lock()
+	t.state = tracker.StateDraining
+	t.mu.Unlock()
+	if err := t.announce(ctx); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.drained.IsZero() {
+		t.drained = time.Now()
+	}
+	return nil
+}
+
+func (t *Target) announce(ctx context.Context) error {
+	t.mu.Lock()
+	state := t.stateLocked()
+	t.mu.Unlock()
+	b, err := json.Marshal(announcer.Announcement{
+		Service: t.Service, Address: cmp.Or(t.AnnouncedAddress, t.Address), State: state.String(),
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, t.DaemonURL+announcer.Path, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("announcement: status %d", res.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/faulter/faulter_test.go
@@ -0,0 +1,114 @@
+package faulter
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// link is a counting server behind a proxy and a client that uses the proxy.
+type link struct {
+	proxy  *Proxy
+	client *http.Client
+	served atomic.Int64
+}
+
+func newLink(t *testing.T) *link {
+	t.Helper()
+	l := &link{client: &http.Client{Timeout: 200 * time.Millisecond, Transport: new(http.Transport)}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.served.Add(1)
+		fmt.Fprint(w, r.URL.Path)
+	}))
+	proxy, err := Listen("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.proxy = proxy
+	t.Cleanup(func() {
+		proxy.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return l
+}
+
+// post calls the server. The client sends a GET again on a lost connection,
+// but never a POST.
+func (l *link) post(path string) (string, error) {
+	res, err := l.client.Post("http://"+l.proxy.Addr()+path, "text/plain", nil)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return string(b), err
+}
+
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		inject func(*Proxy)
+		// wantTimeout says that the call hangs rather than failing at once.
+		wantTimeout bool
+		wantServed  int64
+		wantLost    int64
+	}{
+		{name: "cut", inject: (*Proxy).Cut},
+		{name: "silence", inject: func(p *Proxy) { p.Set(Fault{Silence: Both}) }, wantTimeout: true},
+		{name: "silent answers", inject: func(p *Proxy) { p.Set(Fault{Silence: Downstream}) }, wantTimeout: true, wantServed: 1},
+		{name: "strand", inject: (*Proxy).Strand, wantTimeout: true},
+		{name: "lose answers", inject: func(p *Proxy) { p.Set(Fault{LoseAnswersTo: "POST /broken"}) }, wantServed: 1, wantLost: 1},
+		{name: "delay", inject: func(p *Proxy) { p.Set(Fault{Delay: time.Hour}) }, wantTimeout: true},
+		{name: "throttle", inject: func(p *Proxy) { p.Set(Fault{BytesPerSecond: 1}) }, wantTimeout: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLink(t)
+			if got, err := l.post("/before"); err != nil || got != "/before" {
+				t.Fatalf("before the fault: got %q, %v", got, err)
+			}
+			l.served.Store(0)
+			test.inject(l.proxy)
+			_, err := l.post("/broken")
+			if err == nil {
+				t.Fatal("under the fault: got an answer, want none")
+			}
+			var timeout interface{ Timeout() bool }
+			if got := errors.As(err, &timeout) && timeout.Timeout(); got != test.wantTimeout {
+				t.Errorf("under the fault: got timeout %v (%v), want %v", got, err, test.wantTimeout)
+			}
+			if got := l.served.Load(); got != test.wantServed {
+				t.Errorf("served under the fault: got %d, want %d", got, test.wantServed)
+			}
+			if got := l.proxy.Lost(); got != test.wantLost {
+				t.Errorf("lost answers: got %d, want %d", got, test.wantLost)
+			}
+			l.proxy.Set(Fault{})
+			l.client.CloseIdleConnections()
+			if got, err := l.post("/after"); err != nil || got != "/after" {
+				t.Errorf("after healing: got %q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestRefuseKeepsOpenConnections(t *testing.T) {
+	l := newLink(t)
+	if _, err := l.post("/before"); err != nil {
+		t.Fatal(err)
+	}
+	l.proxy.Set(Fault{Refuse: true})
+	if got, err := l.post("/open"); err != nil || got != "/open" {
+		t.Errorf("open connection: got %q, %v", got, err)
+	}
+	l.client.CloseIdleConnections()
+	if _, err := l.post("/new"); err == nil {
+		t.Error("new connection: got an answer, want none")
+	}
+}
