Decide promises from records, and launch real processes behind faulty links

Cause: a scenario needs an account of what ran that does not come from the code it judges, and a way to start, freeze and cut real processes. Daemons list the versions they put in force at /v1/applied, and serve /healthz, /readyz and /debug/vars. peer-listen-address lets a daemon listen elsewhere than its peers dial. Ruled out: reading runs from the targets over HTTP, since a crash loses them.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -58,6 +58,7 @@
 
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	history []Applied
 }
 
 // Current returns the snapshot in force, or nil when there is none yet.
@@ -82,5 +83,6 @@
 		return false, err
 	}
 	a.current.Store(snapshot)
+	a.record(snapshot)
 	return true, nil
 }
--- /dev/null
+++ b/checker/checker.go
@@ -0,0 +1,153 @@
+// Package checker decides from records whether the promises towards callers
+// and operators were kept.
+//
+// Records come from outside the code that they judge: versions from the
+// daemons' status, runs from the targets, told outcomes from the callers, and
+// accepted versions from the store.
+package checker
+
+import (
+	"fmt"
+	"time"
+
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/faketarget"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// Invariant names one promise.
+type Invariant string
+
+// The invariants.
+const (
+	VersionsOnlyRise  Invariant = "versions-only-rise"
+	VersionsWhole     Invariant = "versions-whole"
+	ReferencesClosed  Invariant = "references-closed"
+	RunsAtMostOnce    Invariant = "runs-at-most-once"
+	NotRunIsTrue      Invariant = "not-run-is-true"
+	AnswersWhole      Invariant = "answers-whole"
+	AnswersOwn        Invariant = "answers-own"
+	DrainedGetsNoWork Invariant = "drained-gets-no-work"
+	StopsCutNothing   Invariant = "stops-cut-nothing"
+)
+
+// DrainBound is the time after which a drained target must get no new work.
+const DrainBound = 3 * time.Second
+
+// Target holds the records of one target. A restarted target is another.
+type Target struct {
+	Name string
+	// Drained is when the target had announced that it leaves; zero if it had not.
+	Drained time.Time
+	Runs    []faketarget.Run
+}
+
+// Stop is one planned stop of a daemon.
+type Stop struct {
+	Daemon string
+	At     time.Time
+}
+
+// Records is everything that was seen of one fleet.
+type Records struct {
+	// Applied holds the versions that each daemon put in force, in their order,
+	// across restarts.
+	Applied map[string][]applier.Applied
+	// Accepted holds the digest of each accepted version that was seen.
+	Accepted map[versioner.Version]versioner.Digest
+	// Documents holds the accepted documents that were seen.
+	Documents []*versioner.Document
+	Targets   []Target
+	Told      []caller.Told
+	Stops     []Stop
+	// Unplanned says that something other than planned stops was done to the
+	// fleet, so that calls may be lost for another reason.
+	Unplanned bool
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	Invariant Invariant
+	// Subject is the daemon, target or call concerned.
+	Subject string
+	Detail  string
+}
+
+// String returns the violation on one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: %s: %s", v.Invariant, v.Subject, v.Detail)
+}
+
+// Check returns every violation that the records show.
+func Check(r *Records) []Violation {
+	c := &check{records: r, runs: countRuns(r.Targets)}
+	c.versions()
+	c.documents()
+	c.calls()
+	c.keys()
+	c.drains()
+	c.stops()
+	return c.violations
+}
+
+type check struct {
+	records    *Records
+	runs       map[string]int
+	violations []Violation
+}
+
+func (c *check) add(i Invariant, subject, format string, args ...any) {
+	c.violations = append(c.violations, Violation{Invariant: i, Subject: subject, Detail: fmt.Sprintf(format, args...)})
+}
+
+func countRuns(targets []Target) map[string]int {
+	runs := make(map[string]int)
+	for _, t := range targets {
+		for _, run := range t.Runs {
+			runs[run.CallID]++
+		}
+	}
+	return runs
+}
+
+// versions checks each daemon's history against itself and what was accepted.
+func (c *check) versions() {
+	seen := make(map[versioner.Version]string)
+	for v, d := range c.records.Accepted {
+		seen[v] = d.String()
+	}
+	for daemon, history := range c.records.Applied {
+		var last versioner.Version
+		for _, a := range history {
+			if a.Version < last {
+				c.add(VersionsOnlyRise, daemon, "version %d in force after version %d", a.Version, last)
+			}
+			last = a.Version
+			want, ok := seen[a.Version]
+			if !ok {
+				seen[a.Version] = a.Digest
+				continue
+			}
+			if a.Digest != want {
+				c.add(VersionsWhole, daemon, "version %d has digest %s, want %s", a.Version, a.Digest, want)
+			}
+		}
+	}
+}
+
+// documents checks that no accepted route points at something absent.
+func (c *check) documents() {
+	for _, doc := range c.records.Documents {
+		subject := fmt.Sprintf("version %d", doc.Version)
+		for _, e := range doc.Entries {
+			if e.Route == nil {
+				continue
+			}
+			key := versioner.Key{Kind: versioner.KindService, Name: e.Route.Service}
+			if _, ok := doc.Find(key); !ok {
+				c.add(ReferencesClosed, subject, "%s points at the absent %s", e.Key, key)
+			}
+		}
+	}
+}
--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -33,18 +33,30 @@
 }
 
 // fakeTargetCommand runs a stand-in of a target.
-type fakeTargetCommand struct{ target faketarget.Target }
+type fakeTargetCommand struct {
+	target  faketarget.Target
+	journal string
+}
 
 func (f *fakeTargetCommand) command() *cobra.Command {
 	c := &cobra.Command{Use: "fake-target", Short: "Run a stand-in of a target", Args: cobra.NoArgs, RunE: f.run}
 	c.Flags().StringVar(&f.target.Address, "address", "127.0.0.1:8080", "address to listen on, as IP:port")
 	c.Flags().StringVar(&f.target.AnnouncedAddress, "announced-address", "", "address to announce, as IP:port, if it is not the one listened on")
 	c.Flags().StringVar(&f.target.Service, "service", "", "service to announce")
+	c.Flags().StringVar(&f.journal, "journal", "", "file that takes a line for each call run")
 	c.Flags().StringVar(&f.target.DaemonURL, "daemon", "", "operator URL of the daemon beside the target")
 	return c
 }
 
 func (f *fakeTargetCommand) run(c *cobra.Command, _ []string) error {
+	if f.journal != "" {
+		journal, err := os.OpenFile(f.journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer journal.Close()
+		f.target.Journal = journal
+	}
 	go f.target.Announce(c.Context())
 	f.target.Exit = func() { os.Exit(exitCrashed) }
 	return listen(c.Context(), f.target.Address, &f.target)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -68,7 +69,9 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error { return serve(ctx, d.cfg.PeerAddress, d.peerHandler(ctx)) })
+	g.Go(func() error {
+		return serve(ctx, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(ctx))
+	})
 	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
 	g.Go(func() error {
 		d.spreader.Run(ctx)
--- a/faketarget/announce.go
+++ b/faketarget/announce.go
@@ -18,6 +18,9 @@
 // Announce tells the daemon of the target, again and again until ctx ends, so
 // that a daemon that was restarted hears of it too.
 func (t *Target) Announce(ctx context.Context) {
+	t.mu.Lock()
+	t.log(Event{Kind: EventStarted, At: time.Now()})
+	t.mu.Unlock()
 	for {
 		_ = t.announce(ctx)
 		select {
@@ -40,6 +43,7 @@
 	defer t.mu.Unlock()
 	if t.drained.IsZero() {
 		t.drained = time.Now()
+		t.log(Event{Kind: EventDrained, At: t.drained})
 	}
 	return nil
 }
--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -59,6 +59,8 @@
 	DaemonURL        string
 	// Exit ends the process on a call with CrashOnCall; nil only drops the call.
 	Exit func()
+	// Journal takes a line for each event; nil keeps none.
+	Journal io.Writer
 
 	mu       sync.Mutex
 	behavior Behavior
@@ -128,10 +130,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight++
-	t.runs = append(t.runs, Run{
+	run := Run{
 		CallID: r.Header.Get(CallIDHeader), IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Method: r.Method, Path: r.URL.Path, Begun: time.Now(),
-	})
+	}
+	t.runs = append(t.runs, run)
+	t.log(Event{Kind: EventRun, At: run.Begun, Run: &run})
 	return len(t.runs) - 1
 }
 
@@ -149,12 +153,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// answer repeats the call: service, address, path and body.
+// answer repeats the call: service, address, path, padding and body. The body
+// comes last, so that an answer cut short doesn't end with it.
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, b Behavior, body []byte) {
-	text := fmt.Appendf(nil, "%s %s %s %s", t.Service, t.Address, r.URL.Path, body)
-	for len(text) < b.AnswerBytes {
+	text := fmt.Appendf(nil, "%s %s %s ", t.Service, t.Address, r.URL.Path)
+	for len(text)+len(body) < b.AnswerBytes {
 		text = append(text, '.')
 	}
+	text = append(text, body...)
 	w.Header().Set(CallIDHeader, r.Header.Get(CallIDHeader))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if rand.IntN(100) < b.FailPercent {
--- a/faulter/faulter.go
+++ b/faulter/faulter.go
@@ -105,7 +105,7 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.listener.Close()
+	_ = p.listener.Close()
 	p.closeConns()
 }
 
--- /dev/null
+++ b/launcher/attributes_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package launcher
+
+import "syscall"
+
+func processAttributes() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/launcher/process.go
@@ -0,0 +1,144 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+)
+
+// process is one run of the program and, after a restart, the next.
+type process struct {
+	args []string
+	cmd  *exec.Cmd
+	// frozen says that the process was stopped by Freeze and not thawed.
+	frozen bool
+	// done is closed when the process has ended.
+	done chan struct{}
+}
+
+func (f *Fleet) start(name string, args ...string) error {
+	log, err := os.OpenFile(f.LogPath(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errorx.Decorate(err, "opening log")
+	}
+	defer log.Close()
+	cmd := exec.Command(f.program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = processAttributes()
+	if err := cmd.Start(); err != nil {
+		return errorx.Decorate(err, "starting %s", name)
+	}
+	p := &process{args: args, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+	return nil
+}
+
+// LogPath returns the file that holds the output of a process.
+func (f *Fleet) LogPath(name string) string { return filepath.Join(f.dir, name+".log") }
+
+func (f *Fleet) process(name string) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, &UnknownError{Kind: "process", Name: name}
+	}
+	return p, nil
+}
+
+// Restart starts an ended process again with the same addresses and settings.
+func (f *Fleet) Restart(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	<-p.done
+	return f.start(name, p.args...)
+}
+
+// Kill ends a process at once and waits until it is gone.
+func (f *Fleet) Kill(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	p.kill()
+	return nil
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze suspends a process.
+func (f *Fleet) Freeze(name string) error { return f.setFrozen(name, true) }
+
+// Thaw lets a frozen process go on.
+func (f *Fleet) Thaw(name string) error { return f.setFrozen(name, false) }
+
+func (f *Fleet) setFrozen(name string, frozen bool) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	signal := syscall.SIGCONT
+	if frozen {
+		signal = syscall.SIGSTOP
+	}
+	f.mu.Lock()
+	p.frozen = frozen
+	f.mu.Unlock()
+	return p.cmd.Process.Signal(signal)
+}
+
+// IsRunning says whether a process has neither ended nor is frozen.
+func (f *Fleet) IsRunning(name string) bool {
+	p, err := f.process(name)
+	if err != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-p.done:
+		return false
+	default:
+		return !p.frozen
+	}
+}
+
+// Stop asks a process to end gracefully and does not wait.
+func (f *Fleet) Stop(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+// ExitCode waits until a process has ended and returns its exit status, -1 for
+// a process that was killed.
+func (f *Fleet) ExitCode(ctx context.Context, name string) (int, error) {
+	p, err := f.process(name)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case <-ctx.Done():
+		return 0, errors.New(name + " is still running")
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -19,6 +19,9 @@
 	CallerAddress string `toml:"caller-address"`
 	// PeerAddress is where other daemons reach this daemon, as IP:port.
 	PeerAddress string `toml:"peer-address"`
+	// PeerListenAddress is where this daemon takes links, as IP:port, if that is
+	// not PeerAddress.
+	PeerListenAddress string `toml:"peer-listen-address"`
 	// OperatorAddress is where operators and the target reach this daemon, as IP:port.
 	OperatorAddress string `toml:"operator-address"`
 	// StoreURL is the platform's key-value service.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,6 +3,8 @@
 package operator
 
 import (
+	"expvar"
+
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/acceptor"
@@ -22,5 +24,9 @@
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
 	e.GET("/v1/status", s.status)
+	e.GET("/v1/applied", s.applied)
+	e.GET("/healthz", s.health)
+	e.GET("/readyz", s.readiness)
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	e.POST("/v1/changes", s.change)
 }
