--- a/applier/applier.go
+++ b/applier/applier.go
@@ -79,6 +79,7 @@
 
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	history []Applied
 }
 
 // Current returns the snapshot in force, or nil when there is none yet.
@@ -103,6 +104,7 @@
 		return false, err
 	}
 	a.current.Store(snapshot)
+	a.record(snapshot)
 	return true, nil
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -22,6 +22,7 @@
 	FailureDomain        string `toml:"failure-domain"`
 	CallerAddress        string `toml:"caller-address"`
 	PeerAddress          string `toml:"peer-address"`
+	PeerListenAddress    string `toml:"peer-listen-address"`
 	OperatorAddress      string `toml:"operator-address"`
 	StoreURL             string `toml:"store-url"`
 	StoreTimeoutMS       int    `toml:"store-timeout-ms"`
