Fence and reattach calls whose link was lost, and tell honest outcomes

A link that broke or went silent left its calls without an outcome, an answer could be late, doubled or crossed, and a posting was told unknown where a look at the target's daemon decides it.

The new package fencer keeps per target's daemon the calls that were accepted, begun and finished; begin and fence are decided under one mutex. Answers are acknowledged and kept until then.

Ruled out: retention by time alone, since a frozen daemon forgets before it reads the reattachment; a fenced id remembered for a time, since the network may deliver the call later than that. Calls carry a sequence per link, so that one delivered again is refused even after its answer was acknowledged.

net/http sends a request again on a broken idle connection when it has an Idempotency-Key; the request to the target is now made so that it can't.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,8 +55,13 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.executor = &executor.Executor{Target: d.announcer.Target}
-	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
+	d.executor = &executor.Executor{
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Target: d.announcer.Target,
+	}
+	d.forwarder = &forwarder.Forwarder{
+		Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain,
+		InstanceID: cfg.InstanceID, Local: d.executor.Run,
+	}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: &acceptor.Acceptor{Store: store},
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -1,67 +1,148 @@
 // Package executor runs calls at the target beside this daemon.
+//
+// It is the far end of a call link: what package forwarder sends, it reads,
+// admits, begins and answers, and it says what became of calls whose link was lost.
 package executor
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"expvar"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/messenger"
 )
 
 // MaxBodyBytes bounds the body of an answer that is not streamed.
 const MaxBodyBytes = 4 << 20
 
-// Executor runs calls at one target. Target returns the target's base URL, or
-// "" when none has announced itself.
+// Causes of answers that are no answers of the target.
+const (
+	CauseNoTarget       = "no-target"
+	CauseUnreachable    = "target-unreachable"
+	CauseTargetFailed   = "target-failed"
+	CauseCutShort       = "answer-cut-short"
+	CauseUnbounded      = "answer-length-unknown"
+	CauseTooLarge       = "answer-too-large"
+	CauseMalformed      = "malformed-request"
+	CauseMethod         = "method-not-forwarded"
+	CauseDamaged        = "body-damaged"
+	CauseDeadline       = "deadline-passed"
+	CauseCancelled      = "cancelled"
+	CauseDraining       = "draining"
+	CauseTableFull      = "call-table-full"
+	CauseLinkEnded      = "link-ended"
+	CauseAnswerNotKept  = "answer-not-kept"
+	CauseForgotten      = "call-forgotten"
+	CauseOtherProcess   = "target-daemon-restarted"
+	CauseNeverDelivered = "never-delivered"
+)
+
+// Counters count what an Executor did.
+type Counters struct {
+	Answered, NotRun, Unknown, Cancelled, Reattached, Malformed expvar.Int
+}
+
+// Executor runs calls at one target. Target must be set; InstanceID and
+// Incarnation must be set where links are served.
 type Executor struct {
+	InstanceID string
+	// Incarnation is different in every process that runs under InstanceID.
+	Incarnation uint64
+	// Target returns the target's base URL, or "" when none has announced itself.
 	Target func() string
-	HTTP   http.Client
+	// Draining says whether the target takes no new calls; nil means that it does.
+	Draining func() bool
+	// Admit waits for a slot and returns its release, or the answer that refuses
+	// the call; nil admits every call.
+	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
+	// HTTP reaches the target; nil means a transport of its own.
+	HTTP     http.RoundTripper
+	Calls    fencer.Fencer
+	Counters Counters
+
+	transportOnce sync.Once
+	transport     http.RoundTripper
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	links   map[*servedLink]struct{}
+	running map[messenger.CallID]*run
 }
 
-// Serve takes calls from a link until it ends.
-func (x *Executor) Serve(ctx context.Context, link *messenger.Link) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for {
-		m, err := link.Receive(ctx)
-		if err != nil {
-			return err
-		}
-		if call, ok := m.(*messenger.Call); ok {
-			go func() { _ = link.Send(ctx, x.Run(ctx, call)) }()
-		}
-	}
+// run is one call on its way.
+type run struct {
+	call     *messenger.Call
+	deadline time.Time
+	cancel   context.CancelFunc
+	// begin says whether the call may be written to the target now.
+	begin func() bool
 }
 
-// Run runs one call to its end.
+// Run runs a call that entered at this daemon itself, to its end.
 func (x *Executor) Run(ctx context.Context, call *messenger.Call) *messenger.Answer {
+	x.inFlight.Add(1)
+	defer x.inFlight.Add(-1)
+	deadline := time.Now().Add(time.Duration(call.RemainingMS) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return ctx.Err() == nil }}
+	return x.count(x.perform(ctx, r))
+}
+
+// perform admits the call, begins it and asks the target.
+func (x *Executor) perform(ctx context.Context, r *run) *messenger.Answer {
+	id := r.call.ID
+	if x.isDraining() {
+		answer := messenger.NotRun(id, CauseDraining)
+		answer.Draining = true
+		return answer
+	}
 	base := x.Target()
 	if base == "" {
-		return &messenger.Answer{ID: call.ID, Outcome: messenger.OutcomeNotRun, Cause: "no-target"}
+		return messenger.NotRun(id, CauseNoTarget)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.RemainingMS)*time.Millisecond)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, call.Method, base+call.Target, bytes.NewReader(call.Body))
-	if err != nil {
-		return &messenger.Answer{ID: call.ID, Outcome: messenger.OutcomeNotRun, Cause: "malformed-request"}
+	if !r.call.IsWhole() {
+		return messenger.NotRun(id, CauseDamaged)
 	}
-	for _, h := range call.Headers {
-		req.Header.Add(h.Name, h.Value)
+	if x.Admit != nil {
+		release, refusal := x.Admit(ctx, r.call)
+		if refusal != nil {
+			refusal.ID = id
+			return refusal
+		}
+		defer release()
 	}
-	res, err := x.HTTP.Do(req)
-	if err != nil {
-		return &messenger.Answer{ID: call.ID, Cause: "target-failed"}
+	req, cause := newRequest(ctx, base, r.call, r.deadline)
+	if req == nil {
+		return messenger.NotRun(id, cause)
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1))
-	if err != nil || len(body) > MaxBodyBytes {
-		return &messenger.Answer{ID: call.ID, Cause: "answer-cut-short"}
+	if !time.Now().Before(r.deadline) {
+		return messenger.NotRun(id, CauseDeadline)
 	}
-	return &messenger.Answer{
-		ID: call.ID, Outcome: messenger.OutcomeAnswered, Status: res.StatusCode,
-		Headers: messenger.FromHTTP(res.Header), Body: body,
+	if !r.begin() {
+		return messenger.NotRun(id, CauseCancelled)
+	}
+	return x.ask(req, r)
+}
+
+func (x *Executor) isDraining() bool {
+	return x.stopping.Load() || x.Draining != nil && x.Draining()
+}
+
+func (x *Executor) count(answer *messenger.Answer) *messenger.Answer {
+	switch answer.Outcome {
+	case messenger.OutcomeAnswered:
+		x.Counters.Answered.Add(1)
+	case messenger.OutcomeNotRun:
+		x.Counters.NotRun.Add(1)
+	default:
+		x.Counters.Unknown.Add(1)
 	}
+	return answer
 }
--- /dev/null
+++ b/executor/serve.go
@@ -0,0 +1,223 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bambooweir.example/bambooweir/fencer"
+	"bambooweir.example/bambooweir/messenger"
+)
+
+// servedLink is one call link that another daemon opened.
+type servedLink struct {
+	conn   messenger.Conn
+	number uint64
+	opened time.Time
+	// leastDelay is the smallest difference seen between the time of receiving and
+	// the time of sending, each counted from the opening of the link.
+	leastDelay time.Duration
+	received   bool
+}
+
+// Serve takes calls from a link until it ends. Calls that were accepted go on
+// under ctx when the link is lost.
+func (x *Executor) Serve(ctx context.Context, conn messenger.Conn) error {
+	l := &servedLink{conn: conn, number: x.Calls.Open(), opened: time.Now()}
+	defer x.Calls.Close(l.number)
+	x.add(l)
+	defer x.remove(l)
+	opening := &messenger.Opening{
+		InstanceID: x.InstanceID, Incarnation: x.Incarnation, Link: l.number, Draining: x.isDraining(),
+	}
+	if err := conn.Send(ctx, opening); err != nil {
+		return err
+	}
+	for {
+		m, err := conn.Receive(ctx)
+		var malformed *messenger.MalformedError
+		if errors.As(err, &malformed) {
+			x.Counters.Malformed.Add(1)
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		x.take(ctx, l, m)
+	}
+}
+
+func (x *Executor) add(l *servedLink) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.links == nil {
+		x.links = make(map[*servedLink]struct{})
+	}
+	x.links[l] = struct{}{}
+}
+
+func (x *Executor) remove(l *servedLink) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.links, l)
+}
+
+// take handles one message without waiting for any call.
+func (x *Executor) take(ctx context.Context, l *servedLink, m messenger.Message) {
+	switch m := m.(type) {
+	case *messenger.Call:
+		x.Calls.Acknowledge(m.Acks)
+		x.accept(ctx, l, m)
+	case *messenger.Cancel:
+		x.cancel(m.ID)
+	case *messenger.Reattach:
+		x.reattach(ctx, l, m)
+	case *messenger.Ping:
+		x.Calls.Acknowledge(m.Acks)
+		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: x.isDraining()}) }()
+	default:
+		x.Counters.Malformed.Add(1)
+	}
+}
+
+func (x *Executor) accept(ctx context.Context, l *servedLink, call *messenger.Call) {
+	late := l.delay(call.SentUS)
+	err := x.Calls.Accept(call.ID, l.number, call.Sequence)
+	var full *fencer.FullError
+	var ended *fencer.LinkEndedError
+	switch {
+	case errors.As(err, &full):
+		go x.send(ctx, l, messenger.NotRun(call.ID, CauseTableFull))
+		return
+	case errors.As(err, &ended):
+		go x.send(ctx, l, messenger.NotRun(call.ID, CauseLinkEnded))
+		return
+	case err != nil:
+		return
+	}
+	x.inFlight.Add(1)
+	deadline := time.Now().Add(time.Duration(call.RemainingMS)*time.Millisecond - late)
+	go x.serveCall(ctx, l, call, deadline)
+}
+
+// delay returns how much longer a message took than the fastest one on the
+// link: time that it spent in a queue, a cut or a frozen process.
+func (l *servedLink) delay(sentUS int64) time.Duration {
+	d := time.Since(l.opened) - time.Duration(sentUS)*time.Microsecond
+	if !l.received || d < l.leastDelay {
+		l.received = true
+		l.leastDelay = d
+	}
+	return d - l.leastDelay
+}
+
+// serveCall runs a call that was accepted from a link, and answers it.
+func (x *Executor) serveCall(ctx context.Context, l *servedLink, call *messenger.Call, deadline time.Time) {
+	defer x.inFlight.Add(-1)
+	runCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	r := &run{
+		call: call, deadline: deadline, cancel: cancel,
+		begin: func() bool { return x.Calls.Begin(call.ID) },
+	}
+	x.mu.Lock()
+	if x.running == nil {
+		x.running = make(map[messenger.CallID]*run)
+	}
+	x.running[call.ID] = r
+	x.mu.Unlock()
+	answer := x.count(x.perform(runCtx, r))
+	x.mu.Lock()
+	delete(x.running, call.ID)
+	x.mu.Unlock()
+	x.finish(call, answer)
+	x.send(ctx, l, answer)
+}
+
+// finish puts the end of a call on record before anybody is told of it.
+func (x *Executor) finish(call *messenger.Call, answer *messenger.Answer) {
+	x.Calls.Refuse(call.ID)
+	if call.Idempotent && answer.Outcome == messenger.OutcomeAnswered {
+		answer = messenger.Unknown(call.ID, CauseAnswerNotKept)
+	}
+	x.Calls.Finish(call.ID, answer)
+}
+
+func (x *Executor) send(ctx context.Context, l *servedLink, answer *messenger.Answer) {
+	if x.isDraining() {
+		marked := *answer
+		marked.Draining = true
+		answer = &marked
+	}
+	_ = l.conn.Send(ctx, answer)
+}
+
+// cancel fences a call that has not begun, and ends the run of one that has.
+// The call's answer follows as usual.
+func (x *Executor) cancel(id messenger.CallID) {
+	verdict := x.Calls.Cancel(id)
+	x.mu.Lock()
+	r := x.running[id]
+	x.mu.Unlock()
+	if r == nil {
+		return
+	}
+	x.Counters.Cancelled.Add(1)
+	if verdict == fencer.VerdictPending && r.call.IdempotencyKey != "" {
+		return
+	}
+	r.cancel()
+}
+
+// reattach says what became of a call whose link was lost.
+func (x *Executor) reattach(ctx context.Context, l *servedLink, m *messenger.Reattach) {
+	x.Counters.Reattached.Add(1)
+	if m.Incarnation != x.Incarnation {
+		go x.send(ctx, l, messenger.Unknown(m.ID, CauseOtherProcess))
+		return
+	}
+	verdict, done := x.Calls.Reattach(m.ID, m.Link)
+	switch verdict {
+	case fencer.VerdictUnknown:
+		go x.send(ctx, l, messenger.Unknown(m.ID, CauseForgotten))
+	case fencer.VerdictNeverBegins:
+		go x.send(ctx, l, messenger.NotRun(m.ID, CauseNeverDelivered))
+	default:
+		go x.answerLater(ctx, l, m.ID, done)
+	}
+}
+
+func (x *Executor) answerLater(ctx context.Context, l *servedLink, id messenger.CallID, done <-chan struct{}) {
+	select {
+	case <-done:
+	default:
+		_ = l.conn.Send(ctx, &messenger.Pending{ID: id})
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return
+	}
+	answer, ok := x.Calls.Answer(id)
+	if !ok {
+		answer = messenger.Unknown(id, CauseForgotten)
+	}
+	x.send(ctx, l, answer)
+}
+
+// Drain refuses new calls from now on and tells every entry daemon so.
+func (x *Executor) Drain(ctx context.Context) {
+	x.stopping.Store(true)
+	x.mu.Lock()
+	links := make([]*servedLink, 0, len(x.links))
+	for l := range x.links {
+		links = append(links, l)
+	}
+	x.mu.Unlock()
+	for _, l := range links {
+		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: true}) }()
+	}
+}
+
+// InFlight returns the number of calls that are accepted and not answered.
+func (x *Executor) InFlight() int { return int(x.inFlight.Load()) }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,115 +1,250 @@
 // Package forwarder takes calls from callers and brings them to a target's daemon.
+//
+// It is the near end of a call link, package executor the far one. Of every
+// call it tells the caller the target's whole answer, or a problem document
+// whose outcome is "not-run" or "unknown".
 package forwarder
 
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
-	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
 const (
-	maxBodyBytes   = 4 << 20
-	defaultTimeout = 10 * time.Second
+	maxBodyBytes = 4 << 20
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// unavailableRetryMS is the Retry-After of calls for which there is no target.
+	unavailableRetryMS = 1000
 )
 
-// Problem is an RFC 9457 problem document.
-type Problem struct {
-	Type    string `json:"type"`
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Outcome string `json:"outcome"`
-	Cause   string `json:"cause"`
-}
+// Causes of refusals at the entry daemon.
+const (
+	causeNoConfiguration = "no-configuration"
+	causeNoRoute         = "no-route"
+	causeNoTarget        = "no-target"
+	causeUnreachable     = "target-daemon-unreachable"
+	causeBodyTooLarge    = "body-too-large"
+	causeBodyCut         = "body-cut-short"
+	causeBadDeadline     = "malformed-deadline"
+	causeBadKey          = "malformed-idempotency-key"
+	causeDigest          = "content-digest-mismatch"
+	causeDraining        = "draining"
+	causeDeadline        = "deadline-passed"
+	causeCancelled       = "cancelled"
+	causeDamaged         = "answer-damaged"
+	causeLinkLost        = "link-lost"
+	causeLost            = "target-daemon-lost"
+	causeRestarted       = "target-daemon-restarted"
+)
 
-// Forwarder is the HTTP handler that callers reach.
+// Forwarder is the HTTP handler that callers reach. Applier and Table must be
+// set; the other fields work when they are not.
 type Forwarder struct {
 	Applier *applier.Applier
 	Table   *tracker.Table
 	// Domain is the failure domain of this daemon.
 	Domain string
+	// InstanceID and Local let a call for this daemon's own target cross no link.
+	InstanceID string
+	Local      func(ctx context.Context, call *messenger.Call) *messenger.Answer
+	// Pick chooses a target that is not in Choice.Exclude; nil means picker.Pick.
+	Pick func(Choice) (tracker.Record, bool)
+	// Observe is told of the end of every attempt.
+	Observe func(Attempt)
+	// Budget says whether one more attempt may be made on the route; nil means yes.
+	Budget func(route string) bool
+	// Dial opens a call link; nil means messenger.Dial.
+	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
+	// LinksPerPeer bounds the links for small calls to one daemon; 0 means 2.
+	LinksPerPeer int
+	Counters     Counters
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
 
 	mu    sync.Mutex
-	links map[string]*callLink
+	peers map[string]*peer
+	// draining holds, by instance, the newest incarnation that refuses new calls.
+	draining map[string]uint64
+}
+
+// Choice is what a target is chosen for.
+type Choice struct {
+	Route   string
+	Service string
+	Class   string
+	Partner string
+	// Exclude lists instances that the call must not go to.
+	Exclude []string
+}
+
+// Attempt is one attempt at a target, and what came of it.
+type Attempt struct {
+	Choice  Choice
+	Target  tracker.Record
+	Outcome messenger.Outcome
+	Status  int
+	Cause   string
+	Elapsed time.Duration
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	route      string
+	call       *messenger.Call
+	maxRetries int
+	deadline   time.Time
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	snapshot := f.Applier.Current()
-	if snapshot == nil {
-		writeProblem(w, http.StatusServiceUnavailable, messenger.OutcomeNotRun, "no-configuration")
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		f.refuse(w, causeDraining)
 		return
 	}
-	_, route, ok := snapshot.Match(r.Host, r.URL.Path, r.Method)
-	if !ok {
-		writeProblem(w, http.StatusNotFound, messenger.OutcomeNotRun, "no-route")
+	snapshot := f.Applier.Current()
+	if snapshot == nil {
+		f.refuse(w, causeNoConfiguration)
 		return
 	}
-	target, ok := picker.Pick(f.Table.Service(route.Service), f.Domain)
+	name, route, ok := snapshot.Match(r.Host, r.URL.Path, r.Method)
 	if !ok {
-		writeProblem(w, http.StatusServiceUnavailable, messenger.OutcomeNotRun, "no-target")
+		f.refuse(w, causeNoRoute)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, messenger.OutcomeNotRun, "body-too-large")
+	x, cause := f.newExchange(w, r, snapshot, name, route)
+	if cause != "" {
+		f.refuse(w, cause)
 		return
 	}
-	f.forward(w, r, newCall(r, route, body), target)
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	f.answer(w, r, f.dispatch(ctx, x))
 }
 
-func newCall(r *http.Request, route *versioner.Route, body []byte) *messenger.Call {
-	timeout := defaultTimeout
-	if route.TimeoutMS > 0 {
-		timeout = time.Duration(route.TimeoutMS) * time.Millisecond
+// newExchange reads the request, or returns the cause for which it is refused.
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, name string, route *versioner.Route) (x *exchange, cause string) {
+	timeout, ok := timeout(r, s, route)
+	if !ok {
+		return nil, causeBadDeadline
+	}
+	key := r.Header.Get(messenger.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return nil, causeBadKey
+	}
+	body, cause := readBody(w, r)
+	if cause != "" {
+		return nil, cause
 	}
 	call := &messenger.Call{
-		Class: route.Class, Partner: route.Partner, Service: route.Service,
-		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header), Body: body,
-		RemainingMS: timeout.Milliseconds(), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Class: route.Class, Partner: route.Partner, Service: route.Service, Host: r.Host,
+		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header),
+		Body: body, BodyDigest: messenger.Digest(body),
+		IdempotencyKey: key, Idempotent: s.Document.IsIdempotent(route.Class),
 	}
 	_, _ = rand.Read(call.ID[:])
-	return call
+	return &exchange{
+		route: name, call: call, deadline: time.Now().Add(timeout),
+		maxRetries: s.Value(route.Class+".max-retries", route.Service, route.Partner),
+	}, ""
 }
 
-func (f *Forwarder) forward(w http.ResponseWriter, r *http.Request, call *messenger.Call, target tracker.Record) {
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(call.RemainingMS)*time.Millisecond)
-	defer cancel()
-	link, err := f.link(ctx, target.PeerAddress)
-	if err != nil {
-		writeProblem(w, http.StatusServiceUnavailable, messenger.OutcomeNotRun, "target-unreachable")
-		return
+// timeout returns the time that the call may take: that of its route, or what
+// the caller has left if that is less.
+func timeout(r *http.Request, s *applier.Snapshot, route *versioner.Route) (time.Duration, bool) {
+	ms := route.TimeoutMS
+	if ms == 0 {
+		ms = s.Value(route.Class+".timeout-ms", route.Service, route.Partner)
 	}
-	answer, err := link.do(ctx, call)
-	if err != nil {
-		writeProblem(w, http.StatusBadGateway, messenger.OutcomeUnknown, "link-lost")
-		return
+	if text := r.Header.Get(messenger.HeaderDeadline); text != "" {
+		left, err := strconv.Atoi(text)
+		if err != nil || left < 0 {
+			return 0, false
+		}
+		ms = min(ms, left)
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) (body []byte, cause string) {
+	if r.ContentLength == 0 {
+		return nil, ""
+	}
+	if r.ContentLength > maxBodyBytes {
+		return nil, causeBodyTooLarge
+	}
+	var err error
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+	} else {
+		body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, causeBodyTooLarge
+	case err != nil:
+		return nil, causeBodyCut
+	case !messenger.MatchesContentDigest(r.Header, body):
+		return nil, causeDigest
 	}
-	if answer.Outcome != messenger.OutcomeAnswered {
-		writeProblem(w, http.StatusServiceUnavailable, answer.Outcome, answer.Cause)
+	return body, ""
+}
+
+// refuse tells the caller that the call was not run, for a reason found here.
+func (f *Forwarder) refuse(w http.ResponseWriter, cause string) {
+	f.Counters.NotRun.Add(1)
+	answer := messenger.NotRun(messenger.CallID{}, cause)
+	if statusOf(answer) == http.StatusServiceUnavailable {
+		answer.RetryAfterMS = unavailableRetryMS
+	}
+	writeProblem(w, answer)
+}
+
+// answer tells the caller what became of the call.
+func (f *Forwarder) answer(w http.ResponseWriter, r *http.Request, answer *messenger.Answer) {
+	switch answer.Outcome {
+	case messenger.OutcomeAnswered:
+		f.Counters.Answered.Add(1)
+	case messenger.OutcomeNotRun:
+		f.Counters.NotRun.Add(1)
+		writeProblem(w, answer)
 		return
+	default:
+		f.Counters.Unknown.Add(1)
+		writeProblem(w, answer)
+		return
+	}
+	h := w.Header()
+	for _, field := range answer.Headers {
+		h[field.Name] = append(h[field.Name], field.Value)
 	}
-	for _, h := range answer.Headers {
-		w.Header().Add(h.Name, h.Value)
+	if r.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
 
-func writeProblem(w http.ResponseWriter, status int, outcome messenger.Outcome, cause string) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(Problem{
-		Type: "about:blank", Title: http.StatusText(status), Status: status,
-		Outcome: outcome.String(), Cause: cause,
-	})
-}
+// Drain refuses new calls from now on.
+func (f *Forwarder) Drain() { f.stopping.Store(true) }
+
+// InFlight returns the number of requests that are not answered yet.
+func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
--- /dev/null
+++ b/forwarder/mesh_test.go
@@ -0,0 +1,204 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// mesh is one entry daemon and the targets' daemons that it knows, connected by pipes.
+type mesh struct {
+	ctx       context.Context
+	forwarder *Forwarder
+
+	mu      sync.Mutex
+	targets map[string]*fakeTarget
+}
+
+// fakeTarget is a target with its daemon.
+type fakeTarget struct {
+	mesh     *mesh
+	name     string
+	executor *executor.Executor
+	stop     context.CancelFunc
+
+	mu    sync.Mutex
+	down  bool
+	pipes []*pipe
+	// runs holds the bodies of the requests that ran.
+	runs []string
+	// work is what the target does with a request; nil answers it.
+	work func(*http.Request, string) (*http.Response, error)
+}
+
+const testTimeoutMS = 10_000
+
+func newMesh(ctx context.Context, t testing.TB, names ...string) *mesh {
+	t.Helper()
+	doc := &versioner.Document{}
+	timeout, retries := testTimeoutMS, 2
+	class := func(name string) versioner.Entry {
+		return versioner.Entry{Key: versioner.Key{Kind: versioner.KindClass, Name: name}, Class: &versioner.Class{TimeoutMS: &timeout, MaxRetries: &retries}}
+	}
+	route := func(name, class string) versioner.Entry {
+		return versioner.Entry{
+			Key:   versioner.Key{Kind: versioner.KindRoute, Name: name},
+			Route: &versioner.Route{Partner: "magnolia", PathPrefix: "/" + name, Service: "payout-desk", Class: class},
+		}
+	}
+	doc = doc.With([]versioner.Entry{
+		{Key: versioner.Key{Kind: versioner.KindPartner, Name: "magnolia"}, Partner: &versioner.Partner{SharePercent: 50}},
+		{Key: versioner.Key{Kind: versioner.KindService, Name: "payout-desk"}, Service: &versioner.Service{Partner: "magnolia", Slots: 12, Connections: 130}},
+		class(versioner.ClassPosting), class(versioner.ClassLookup),
+		route("postings", versioner.ClassPosting), route("lookups", versioner.ClassLookup),
+	}, nil)
+	m := &mesh{ctx: ctx, targets: make(map[string]*fakeTarget)}
+	m.forwarder = &Forwarder{Applier: new(applier.Applier), Table: new(tracker.Table), Dial: m.dial}
+	if _, err := m.forwarder.Applier.Offer(doc); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		m.targets[name] = &fakeTarget{mesh: m, name: name}
+		m.targets[name].start()
+	}
+	return m
+}
+
+// start starts a process of the target's daemon, which forgets what the last one knew.
+func (f *fakeTarget) start() {
+	ctx, stop := context.WithCancel(f.mesh.ctx)
+	f.mu.Lock()
+	f.stop = stop
+	f.down = false
+	f.executor = &executor.Executor{
+		InstanceID: f.name, Incarnation: uint64(time.Now().UnixNano()), HTTP: f,
+		Target: func() string { return "http://target" },
+	}
+	incarnation := f.executor.Incarnation
+	f.mu.Unlock()
+	context.AfterFunc(ctx, f.cut)
+	f.mesh.forwarder.Table.Merge([]tracker.Record{{
+		InstanceID: f.name, Incarnation: incarnation, Sequence: 1, Service: "payout-desk",
+		PeerAddress: f.name, State: tracker.StateReady,
+	}})
+}
+
+// kill ends the process of the target's daemon; nothing listens until start.
+func (f *fakeTarget) kill() {
+	f.mu.Lock()
+	f.down = true
+	stop := f.stop
+	f.mu.Unlock()
+	stop()
+	f.cut()
+}
+
+func (f *fakeTarget) links() []*pipe {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.pipes)
+}
+
+func (f *fakeTarget) cut() {
+	for _, p := range f.links() {
+		p.cut()
+	}
+}
+
+func (f *fakeTarget) ran() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.runs)
+}
+
+func (m *mesh) dial(_ context.Context, addr string) (messenger.Conn, error) {
+	m.mu.Lock()
+	f := m.targets[addr]
+	m.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, syscall.ECONNREFUSED
+	}
+	p := newPipe()
+	f.pipes = append(f.pipes, p)
+	x := f.executor
+	ctx, cancel := context.WithCancel(m.ctx)
+	go func() {
+		defer cancel()
+		defer p.far.Close()
+		_ = x.Serve(ctx, p.far)
+	}()
+	return p.near, nil
+}
+
+// RoundTrip implements http.RoundTripper in the target's place.
+func (f *fakeTarget) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+	}
+	f.mu.Lock()
+	f.runs = append(f.runs, string(body))
+	work := f.work
+	f.mu.Unlock()
+	if work != nil {
+		return work(r, string(body))
+	}
+	return respond("ran " + string(body)), nil
+}
+
+func respond(body string) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: int64(len(body)),
+		Body: io.NopCloser(strings.NewReader(body)),
+	}
+}
+
+// told is what a caller was told.
+type told struct {
+	status int
+	body   string
+}
+
+func (t told) is(words ...string) bool {
+	for _, w := range words {
+		if !strings.Contains(fmt.Sprintf("%d %s", t.status, t.body), w) {
+			return false
+		}
+	}
+	return true
+}
+
+// call sends a request and returns what its caller was told.
+func (m *mesh) call(ctx context.Context, path, body string, header ...string) told {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewBufferString(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	m.forwarder.ServeHTTP(w, r)
+	return told{status: w.Code, body: w.Body.String()}
+}
+
+// start sends a request and delivers what its caller is told.
+func (m *mesh) start(path, body string) <-chan told {
+	c := make(chan told, 1)
+	go func() { c <- m.call(m.ctx, path, body) }()
+	return c
+}
--- /dev/null
+++ b/forwarder/pool.go
@@ -0,0 +1,166 @@
+package forwarder
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const (
+	defaultLinksPerPeer = 2
+	// openingTimeout bounds the dialing of a link up to its Opening.
+	openingTimeout = time.Second
+	// busyLink is the number of calls in flight above which another link is opened.
+	busyLink = 4
+)
+
+// WrongPeerError reports an address at which another instance answers.
+type WrongPeerError struct{ Got, Want string }
+
+// Error implements error.
+func (e *WrongPeerError) Error() string {
+	return fmt.Sprintf("peer is instance %q, want %q", e.Got, e.Want)
+}
+
+// peer holds the links to one daemon.
+type peer struct {
+	mu    sync.Mutex
+	links []*callLink
+	// dialing is closed when the dial under way has ended, with err; nil when there is none.
+	dialing chan struct{}
+	err     error
+}
+
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+func (f *Forwarder) peer(addr string) *peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.peers[addr]
+	if !ok {
+		if f.peers == nil {
+			f.peers = make(map[string]*peer)
+		}
+		p = new(peer)
+		f.peers[addr] = p
+	}
+	return p
+}
+
+// link returns the least busy link to the target's daemon. It opens one when
+// there is none, and a further one beside it when all are busy.
+func (f *Forwarder) link(ctx context.Context, target tracker.Record) (*callLink, error) {
+	p := f.peer(target.PeerAddress)
+	for {
+		p.mu.Lock()
+		best := p.leastBusy()
+		if best != nil && (best.inFlight.Load() < busyLink || len(p.links) >= cmp.Or(f.LinksPerPeer, defaultLinksPerPeer)) {
+			p.mu.Unlock()
+			return best, nil
+		}
+		if p.dialing == nil {
+			p.dialing = make(chan struct{})
+			go f.dial(p, target)
+		}
+		dialing := p.dialing
+		p.mu.Unlock()
+		if best != nil {
+			return best, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-dialing:
+		}
+		p.mu.Lock()
+		err := p.err
+		p.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// leastBusy returns the link with the fewest calls in flight, or nil. The caller holds mu.
+func (p *peer) leastBusy() *callLink {
+	var best *callLink
+	for _, l := range p.links {
+		if best == nil || l.inFlight.Load() < best.inFlight.Load() {
+			best = l
+		}
+	}
+	return best
+}
+
+// dial opens one link and ends the dial under way.
+func (f *Forwarder) dial(p *peer, target tracker.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), openingTimeout)
+	defer cancel()
+	l, err := f.open(ctx, target)
+	p.mu.Lock()
+	if err == nil {
+		p.links = append(p.links, l)
+	}
+	p.err = err
+	close(p.dialing)
+	p.dialing = nil
+	p.mu.Unlock()
+	if err != nil {
+		return
+	}
+	f.Counters.LinksOpened.Add(1)
+	l.receive()
+	f.Counters.LinksLost.Add(1)
+	p.remove(l)
+}
+
+func (p *peer) remove(l *callLink) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.links {
+		if other == l {
+			p.links = append(p.links[:i:i], p.links[i+1:]...)
+			return
+		}
+	}
+}
+
+// open dials and reads the Opening.
+func (f *Forwarder) open(ctx context.Context, target tracker.Record) (*callLink, error) {
+	conn, err := f.dialConn(ctx, target.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	m, err := conn.Receive(ctx)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	opening, ok := m.(*messenger.Opening)
+	if !ok || opening.InstanceID != target.InstanceID {
+		conn.Close()
+		got := ""
+		if ok {
+			got = opening.InstanceID
+		}
+		return nil, &WrongPeerError{Got: got, Want: target.InstanceID}
+	}
+	if opening.Draining {
+		f.markDraining(opening.InstanceID, opening.Incarnation)
+	}
+	return newCallLink(f, conn, *opening), nil
+}
+
+func (f *Forwarder) dialConn(ctx context.Context, addr string) (messenger.Conn, error) {
+	if f.Dial != nil {
+		return f.Dial(ctx, addr)
+	}
+	return messenger.Dial(ctx, addr, messenger.CallPath)
+}
--- /dev/null
+++ b/forwarder/problem.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"bambooweir.example/bambooweir/messenger"
+)
+
+// problemType is the media type of RFC 9457.
+const problemType = "application/problem+json"
+
+// Problem is an RFC 9457 problem document.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	// Outcome is "not-run" or "unknown".
+	Outcome string `json:"outcome"`
+	// Cause is a kebab-case word.
+	Cause string `json:"cause"`
+}
+
+// statuses holds the status of causes for which it isn't the outcome's usual one.
+var statuses = map[string]int{
+	causeNoRoute:           http.StatusNotFound,
+	causeBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	causeBodyCut:           http.StatusBadRequest,
+	causeBadDeadline:       http.StatusBadRequest,
+	causeBadKey:            http.StatusBadRequest,
+	causeDigest:            http.StatusBadRequest,
+	"malformed-request":    http.StatusBadRequest,
+	"method-not-forwarded": http.StatusMethodNotAllowed,
+	"key-reused":           http.StatusUnprocessableEntity,
+	"deadline-passed":      http.StatusGatewayTimeout,
+	"answer-too-large":     http.StatusBadGateway,
+}
+
+// statusOf returns the HTTP status of a call that was not answered.
+func statusOf(answer *messenger.Answer) int {
+	if status, ok := statuses[answer.Cause]; ok {
+		return status
+	}
+	if answer.Outcome == messenger.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// writeProblem tells the caller why there is no answer.
+func writeProblem(w http.ResponseWriter, answer *messenger.Answer) {
+	status := statusOf(answer)
+	body, err := json.Marshal(Problem{
+		Type: "about:blank", Title: http.StatusText(status), Status: status,
+		Outcome: answer.Outcome.String(), Cause: answer.Cause,
+	})
+	if err != nil {
+		body = nil
+	}
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if answer.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatInt((answer.RetryAfterMS+999)/1000, 10))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -1,8 +1,17 @@
 package messenger
 
-// CallID identifies one call; it is unique across daemons and time.
+import (
+	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// CallID identifies one attempt of a call; it is unique across daemons and time.
 type CallID [16]byte
 
+// String returns the id in hexadecimal.
+func (id CallID) String() string { return hex.EncodeToString(id[:]) }
+
 // Header is one HTTP header field.
 type Header struct {
 	_     struct{} `cbor:",toarray"`
@@ -24,6 +33,18 @@
 	// RemainingMS is the time left until the call's deadline, in milliseconds.
 	RemainingMS    int64  `cbor:"9,keyasint"`
 	IdempotencyKey string `cbor:"10,keyasint,omitempty"`
+	// Host is the host that the caller asked for.
+	Host string `cbor:"11,keyasint,omitempty"`
+	// Idempotent says that the call may run more than once.
+	Idempotent bool `cbor:"12,keyasint,omitempty"`
+	// Sequence numbers the calls of one link, from 1.
+	Sequence uint64 `cbor:"13,keyasint"`
+	// SentUS is the sender's time of sending since the link was opened, in microseconds.
+	SentUS int64 `cbor:"14,keyasint"`
+	// BodyDigest is the xxHash64 of Body.
+	BodyDigest uint64 `cbor:"15,keyasint,omitempty"`
+	// Acks lists calls whose answers the entry daemon has received.
+	Acks []CallID `cbor:"16,keyasint,omitempty"`
 }
 
 // Outcome says what became of a call.
@@ -60,13 +81,44 @@
 	Body    []byte   `cbor:"5,keyasint,omitempty"`
 	// Cause is a kebab-case word that says why the call was not answered.
 	Cause string `cbor:"6,keyasint,omitempty"`
+	// RetryAfterMS advises the caller when to try again, in milliseconds; 0 gives no advice.
+	RetryAfterMS int64 `cbor:"7,keyasint,omitempty"`
+	// BodyDigest is the xxHash64 of Body.
+	BodyDigest uint64 `cbor:"8,keyasint,omitempty"`
+	// Draining says that the target's daemon takes no new calls any more.
+	Draining bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
+// It is answered by an Answer: a call that has not begun never will.
 type Cancel struct {
 	ID CallID `cbor:"1,keyasint"`
 }
 
+// Digest returns the digest that Call and Answer carry of their body.
+func Digest(body []byte) uint64 {
+	if len(body) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(body)
+}
+
+// IsWhole says whether the body is the one that the digest was taken of.
+func (a *Answer) IsWhole() bool { return Digest(a.Body) == a.BodyDigest }
+
+// IsWhole says whether the body is the one that the digest was taken of.
+func (c *Call) IsWhole() bool { return Digest(c.Body) == c.BodyDigest }
+
+// NotRun returns the answer that a call did not run and never will.
+func NotRun(id CallID, cause string) *Answer {
+	return &Answer{ID: id, Outcome: OutcomeNotRun, Cause: cause}
+}
+
+// Unknown returns the answer that a call may have run.
+func Unknown(id CallID, cause string) *Answer {
+	return &Answer{ID: id, Outcome: OutcomeUnknown, Cause: cause}
+}
+
 // Kind implements Message.
 func (*Call) Kind() Kind { return KindCall }
 
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/coder/websocket"
@@ -18,12 +19,40 @@
 // MaxMessageBytes bounds one message on a link.
 const MaxMessageBytes = 8 << 20
 
+// maxQueuedBytes bounds what waits on a link to be written.
+const maxQueuedBytes = 4 * MaxMessageBytes
+
+// Conn is what a link does; tests put failures in its place.
+type Conn interface {
+	// Send hands over one message. After an error the message was not and will
+	// not be sent. Without one it may yet be lost with the link.
+	Send(ctx context.Context, m Message) error
+	// Receive reads one message. A *MalformedError leaves the link usable.
+	Receive(ctx context.Context) (Message, error)
+	Close()
+}
+
+// QueueFullError reports a link whose peer does not read.
+type QueueFullError struct{ QueuedBytes int }
+
+// Error implements error.
+func (e *QueueFullError) Error() string { return "link's queue is full" }
+
 // Link is one WebSocket between two daemons. Send and Receive may be used at
 // the same time, Receive by one goroutine only.
+//
+// Messages leave in the order of the Send calls. The first sender writes what
+// others add meanwhile, so that nobody waits for a lock that is held over a write.
 type Link struct {
 	conn *websocket.Conn
 	// Sent and Received count payload bytes after framing is taken off.
 	Sent, Received atomic.Int64
+
+	mu          sync.Mutex
+	queue       [][]byte
+	queuedBytes int
+	writing     bool
+	err         error
 }
 
 // Dial opens a link to the daemon at addr ("127.0.0.1:7101").
@@ -51,17 +80,77 @@
 	return &Link{conn: conn}
 }
 
-// Send writes one message.
+// Send implements Conn. The context bounds nothing but the wait before the
+// message is handed over: a write that was begun goes on, since cutting it
+// would end the link for all its calls.
 func (l *Link) Send(ctx context.Context, m Message) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	b, err := Encode(m)
 	if err != nil {
 		return err
 	}
-	l.Sent.Add(int64(len(b)))
-	return l.conn.Write(ctx, websocket.MessageBinary, b)
+	first, err := l.push(b)
+	if err != nil || !first {
+		return err
+	}
+	l.drain()
+	return nil
+}
+
+// push queues a message and says whether the caller is to write the queue.
+func (l *Link) push(b []byte) (bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return false, l.err
+	}
+	if l.queuedBytes+len(b) > maxQueuedBytes {
+		return false, &QueueFullError{QueuedBytes: l.queuedBytes}
+	}
+	l.queue = append(l.queue, b)
+	l.queuedBytes += len(b)
+	first := !l.writing
+	l.writing = true
+	return first, nil
+}
+
+// drain writes until the queue is empty.
+func (l *Link) drain() {
+	var done [][]byte
+	for {
+		l.mu.Lock()
+		batch := l.queue
+		if len(batch) == 0 || l.err != nil {
+			l.writing = false
+			l.mu.Unlock()
+			return
+		}
+		l.queue = done[:0]
+		l.queuedBytes = 0
+		l.mu.Unlock()
+		for i, b := range batch {
+			if err := l.conn.Write(context.Background(), websocket.MessageBinary, b); err != nil {
+				l.fail(err)
+				break
+			}
+			l.Sent.Add(int64(len(b)))
+			batch[i] = nil
+		}
+		done = batch
+	}
+}
+
+func (l *Link) fail(err error) {
+	l.mu.Lock()
+	l.err = err
+	l.queue = nil
+	l.mu.Unlock()
+	l.Close()
 }
 
-// Receive reads one message.
+// Receive implements Conn.
 func (l *Link) Receive(ctx context.Context) (Message, error) {
 	_, b, err := l.conn.Read(ctx)
 	if err != nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -25,6 +25,12 @@
 	KindCall    Kind = 32
 	KindAnswer  Kind = 33
 	KindCancel  Kind = 34
+
+	KindOpening  Kind = 35
+	KindReattach Kind = 36
+	KindPending  Kind = 37
+	KindPing     Kind = 38
+	KindPong     Kind = 39
 )
 
 // Message is one typed message of the inner protocol.
@@ -85,6 +91,16 @@
 		return new(Answer)
 	case KindCancel:
 		return new(Cancel)
+	case KindOpening:
+		return new(Opening)
+	case KindReattach:
+		return new(Reattach)
+	case KindPending:
+		return new(Pending)
+	case KindPing:
+		return new(Ping)
+	case KindPong:
+		return new(Pong)
 	default:
 		return nil
 	}
--- /dev/null
+++ b/messenger/reattach.go
@@ -0,0 +1,54 @@
+package messenger
+
+// Opening is the first message on a call link, sent by the target's daemon.
+type Opening struct {
+	InstanceID string `cbor:"1,keyasint"`
+	// Incarnation is different in every process that runs under InstanceID.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Link numbers the call links that the process has accepted, from 1.
+	Link uint64 `cbor:"3,keyasint"`
+	// Draining says that new calls are refused.
+	Draining bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Reattach asks, over a new link, what became of a call that was sent over a
+// link which is lost. Nothing that came over the lost link begins any more. It
+// is answered by an Answer, or by a Pending and later an Answer.
+type Reattach struct {
+	ID CallID `cbor:"1,keyasint"`
+	// Link is the number of the lost link, from its Opening.
+	Link uint64 `cbor:"2,keyasint"`
+	// Incarnation is the process that accepted the lost link.
+	Incarnation uint64 `cbor:"3,keyasint"`
+}
+
+// Pending says that the call has begun and that its answer will follow on this link.
+type Pending struct {
+	ID CallID `cbor:"1,keyasint"`
+}
+
+// Ping asks for a Pong.
+type Ping struct {
+	// Acks lists calls whose answers the entry daemon has received.
+	Acks []CallID `cbor:"1,keyasint,omitempty"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Draining bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Opening) Kind() Kind { return KindOpening }
+
+// Kind implements Message.
+func (*Reattach) Kind() Kind { return KindReattach }
+
+// Kind implements Message.
+func (*Pending) Kind() Kind { return KindPending }
+
+// Kind implements Message.
+func (*Ping) Kind() Kind { return KindPing }
+
+// Kind implements Message.
+func (*Pong) Kind() Kind { return KindPong }
