Check what the target sees and what counts as a whole answer

net/http sends a request again on a broken idle connection when its header has Idempotency-Key or X-Idempotency-Key, or when the method is GET, HEAD or OPTIONS. The test with a target that closes the connection without an answer saw two runs for those once the guards were taken out one by one.

--- a/executor/target.go
+++ b/executor/target.go
@@ -47,15 +47,15 @@
 // onceReader hides the kind of its reader, so that net/http can't send the body again.
 type onceReader struct{ io.Reader }
 
-// idempotencyKey is the header's name in a spelling that net/http doesn't take
-// as leave to send a request again: it looks for the canonical one only.
-const idempotencyKey = "idempotency-key"
+// respelled holds the header names that net/http takes, in their canonical
+// spelling, as leave to send a request again.
+var respelled = map[string]string{"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"}
 
 // newRequest returns the request to the target, or the cause for which there is none.
 //
 // Invariant: net/http never sends the request twice. It does so on a broken
 // idle connection when the method is GET, HEAD, OPTIONS or TRACE, or when the
-// request has an Idempotency-Key, unless there is a body that can't be rewound.
+// request has an idempotency key, unless there is a body that can't be rewound.
 func newRequest(ctx context.Context, base string, call *messenger.Call, deadline time.Time) (req *http.Request, cause string) {
 	switch call.Method {
 	case http.MethodTrace, http.MethodConnect:
@@ -74,11 +74,11 @@
 	req.GetBody = nil
 	req.Host = call.Host
 	for _, h := range call.Headers {
-		if h.Name == "Idempotency-Key" {
-			req.Header[idempotencyKey] = append(req.Header[idempotencyKey], h.Value)
-			continue
+		name := h.Name
+		if other, ok := respelled[name]; ok {
+			name = other
 		}
-		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
+		req.Header[name] = append(req.Header[name], h.Value)
 	}
 	req.Header[messenger.HeaderDeadline] = []string{strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10)}
 	if _, ok := req.Header["User-Agent"]; !ok {
--- /dev/null
+++ b/executor/target_test.go
@@ -0,0 +1,164 @@
+package executor
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"bambooweir.example/bambooweir/messenger"
+)
+
+// listenRaw serves connections by hand and returns its base URL.
+func listenRaw(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func executorFor(base string) *Executor {
+	return &Executor{Target: func() string { return base }}
+}
+
+func posting(method, body string) *messenger.Call {
+	return &messenger.Call{
+		ID: messenger.CallID{1}, Method: method, Target: "/payouts", Host: "desk", RemainingMS: 60_000,
+		Body: []byte(body), BodyDigest: messenger.Digest([]byte(body)), IdempotencyKey: "k",
+		Headers: []messenger.Header{{Name: "Idempotency-Key", Value: "k"}, {Name: "X-Idempotency-Key", Value: "k"}},
+	}
+}
+
+// A target that takes a request and closes the connection without an answer
+// may have run it: it must not see it again.
+func TestRequestIsNeverSentTwice(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		for _, body := range []string{"", "1"} {
+			t.Run(fmt.Sprintf("%s %q", method, body), func(t *testing.T) {
+				var runs atomic.Int64
+				base := listenRaw(t, func(c net.Conn) {
+					r := bufio.NewReader(c)
+					for n := 0; ; n++ {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						if req.URL.Path == "/payouts" {
+							runs.Add(1)
+							return
+						}
+						fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+					}
+				})
+				x := executorFor(base)
+				warm := posting(http.MethodGet, "")
+				warm.Target, warm.Idempotent = "/warm", true
+				if got := x.Run(t.Context(), warm); got.Outcome != messenger.OutcomeAnswered {
+					t.Fatalf("first call: got %v %s, want an answer", got.Outcome, got.Cause)
+				}
+				got := x.Run(t.Context(), posting(method, body))
+				if got.Outcome != messenger.OutcomeUnknown {
+					t.Errorf("outcome: got %v, want unknown", got.Outcome)
+				}
+				if got := runs.Load(); got != 1 {
+					t.Errorf("runs: got %d, want 1", got)
+				}
+			})
+		}
+	}
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	const digest = "sha-256=:47DEQpj8HBSa+/TImW+5JCeuQeRkm5NMpJWZG3hSuFU=:" // of the empty body
+	tests := []struct {
+		name, answer string
+		want         messenger.Outcome
+		cause        string
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", messenger.OutcomeAnswered, ""},
+		{"whole in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", messenger.OutcomeAnswered, ""},
+		{"whole and empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Digest: " + digest + "\r\n\r\n", messenger.OutcomeAnswered, ""},
+		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", messenger.OutcomeUnknown, CauseCutShort},
+		{"cut in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", messenger.OutcomeUnknown, CauseCutShort},
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", messenger.OutcomeUnknown, CauseUnbounded},
+		{"other digest", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Digest: " + digest + "\r\n\r\nok", messenger.OutcomeUnknown, CauseDamaged},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n", messenger.OutcomeUnknown, CauseTooLarge},
+		{"no HTTP", "SSH-2.0\r\n\r\n", messenger.OutcomeUnknown, CauseTargetFailed},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", messenger.OutcomeUnknown, CauseTargetFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			base := listenRaw(t, func(c net.Conn) {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				fmt.Fprint(c, tt.answer)
+			})
+			got := executorFor(base).Run(t.Context(), posting(http.MethodPost, "1"))
+			if got.Outcome != tt.want || got.Cause != tt.cause {
+				t.Errorf("got %v %q, want %v %q", got.Outcome, got.Cause, tt.want, tt.cause)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	got := executorFor("http://"+l.Addr().String()).Run(t.Context(), posting(http.MethodPost, "1"))
+	if got.Outcome != messenger.OutcomeNotRun || got.Cause != CauseUnreachable {
+		t.Errorf("got %v %q, want not-run %q", got.Outcome, got.Cause, CauseUnreachable)
+	}
+}
+
+func TestRequestArrivesAsItWasSent(t *testing.T) {
+	head := make(chan string, 1)
+	base := listenRaw(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		var lines []string
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil || line == "\r\n" {
+				break
+			}
+			lines = append(lines, strings.TrimSpace(line))
+		}
+		head <- strings.Join(lines, "\n")
+		fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	call := posting(http.MethodPost, "1")
+	call.Headers = append(call.Headers, messenger.Header{Name: "Traceparent", Value: "00-1-2-01"})
+	if got := executorFor(base).Run(t.Context(), call); got.Status != http.StatusNoContent {
+		t.Fatalf("status: got %d, want 204", got.Status)
+	}
+	got := <-head
+	for _, want := range []string{"POST /payouts HTTP/1.1", "Host: desk", "idempotency-key: k", "Traceparent: 00-1-2-01", "Content-Length: 1", messenger.HeaderDeadline + ": "} {
+		if !strings.Contains(got, want) {
+			t.Errorf("request head %q, want %q in it", got, want)
+		}
+	}
+	for _, unwanted := range []string{"Accept-Encoding", "User-Agent", "chunked"} {
+		if strings.Contains(got, unwanted) {
+			t.Errorf("request head %q, want no %s", got, unwanted)
+		}
+	}
+}
