--- a/checker/checker.go
+++ b/checker/checker.go
@@ -32,6 +32,14 @@
 	StopsCutNothing   Invariant = "stops-cut-nothing"
 )
 
+// Invariants returns the names of all invariants.
+func Invariants() []Invariant {
+	return []Invariant{
+		VersionsOnlyRise, VersionsWhole, ReferencesClosed, RunsAtMostOnce, NotRunIsTrue,
+		AnswersWhole, AnswersOwn, DrainedGetsNoWork, StopsCutNothing,
+	}
+}
+
 // DrainBound is the time after which a drained target must get no new work.
 const DrainBound = 3 * time.Second
 
--- /dev/null
+++ b/scripter/waits.go
@@ -0,0 +1,318 @@
+package scripter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bambooweir.example/bambooweir/checker"
+	"bambooweir.example/bambooweir/faketarget"
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const fetchTimeout = 10 * time.Second
+
+// fetch returns the status and the body of an answer, or the error's text.
+func fetch(ctx context.Context, method, url, body string) string {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%d %s", res.StatusCode, b)
+}
+
+func (s *scenario) status(name string) (operator.Status, error) {
+	var status operator.Status
+	answer, err := s.statusText(name)
+	if err != nil {
+		return status, err
+	}
+	if err := json.Unmarshal([]byte(answer), &status); err != nil {
+		return status, fmt.Errorf("%s: %s", name, answer)
+	}
+	return status, nil
+}
+
+func (s *scenario) statusText(name string) (string, error) {
+	d, err := s.fleet.Daemon(name)
+	if err != nil {
+		return "", err
+	}
+	answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/v1/status", "")
+	body, ok := strings.CutPrefix(answer, "200 ")
+	if !ok {
+		return "", fmt.Errorf("%s: %s", name, answer)
+	}
+	return body, nil
+}
+
+// running returns the names, or those of all running daemons if there are none.
+func (s *scenario) running(names []string) []string {
+	if len(names) > 0 {
+		return names
+	}
+	for _, d := range s.fleet.Daemons() {
+		if s.fleet.IsRunning(d.Name) {
+			names = append(names, d.Name)
+		}
+	}
+	return names
+}
+
+// waitEach waits until the check holds on each of the daemons.
+func (s *scenario) waitEach(names []string, check func(operator.Status) error) error {
+	for _, name := range s.running(names) {
+		err := await(func() error {
+			status, err := s.status(name)
+			if err != nil {
+				return err
+			}
+			return check(status)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) waitVersion(_ *testscript.TestScript, args []string) error {
+	return s.waitEach(args[1:], func(status operator.Status) error {
+		if got, want := strconv.FormatUint(uint64(status.Version), 10), args[0]; got != want {
+			return fmt.Errorf("%s: got version %s, want %s", status.InstanceID, got, want)
+		}
+		return nil
+	})
+}
+
+// waitTarget waits until daemons know a target, by its daemon's name, in a
+// state; "gone" holds for an unknown one too.
+func (s *scenario) waitTarget(_ *testscript.TestScript, args []string) error {
+	t, err := s.fleet.Target(args[0])
+	if err != nil {
+		return err
+	}
+	return s.waitEach(args[2:], func(status operator.Status) error {
+		got := tracker.StateGone.String()
+		for _, record := range status.Targets {
+			if record.InstanceID == t.Daemon {
+				got = record.State.String()
+			}
+		}
+		if want := args[1]; got != want {
+			return fmt.Errorf("%s: got target %s %s, want %s", status.InstanceID, t.Name, got, want)
+		}
+		return nil
+	})
+}
+
+func (s *scenario) waitStatus(_ *testscript.TestScript, args []string) error {
+	want, err := regexp.Compile(args[0])
+	if err != nil {
+		return err
+	}
+	for _, name := range args[1:] {
+		err := await(func() error {
+			got, err := s.statusText(name)
+			if err == nil && !want.MatchString(got) {
+				err = fmt.Errorf("%s: got status %s, want match for %q", name, got, want)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) waitAnswer(_ *testscript.TestScript, args []string) error {
+	d, err := s.fleet.Daemon(args[0])
+	if err != nil {
+		return err
+	}
+	want, err := regexp.Compile(args[3])
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		if got := fetch(s.ctx, args[1], d.CallerURL+args[2], ""); !want.MatchString(got) {
+			return fmt.Errorf("%s %s: got %q, want match for %q", args[1], args[2], got, want)
+		}
+		return nil
+	})
+}
+
+// waitCounter waits until a counter of /debug/vars satisfies the condition.
+// The name's parts are joined by dots.
+func (s *scenario) waitCounter(_ *testscript.TestScript, args []string) error {
+	d, err := s.fleet.Daemon(args[0])
+	if err != nil {
+		return err
+	}
+	cond, err := parseCondition(args[1])
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/debug/vars", "")
+		got, err := counter(strings.TrimPrefix(answer, "200 "), strings.Split(cond.name, "."))
+		if err != nil {
+			return err
+		}
+		return cond.check(got)
+	})
+}
+
+// counter finds a number in nested objects. A name that is absent counts 0.
+func counter(body string, path []string) (int, error) {
+	value := json.RawMessage(body)
+	for _, name := range path {
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal(value, &object); err != nil {
+			return 0, fmt.Errorf("%s: %w", name, err)
+		}
+		next, ok := object[name]
+		if !ok {
+			return 0, nil
+		}
+		value = next
+	}
+	return strconv.Atoi(string(value))
+}
+
+// waitRuns waits until at least N calls have begun to run: those of a batch, or
+// all of a target.
+func (s *scenario) waitRuns(_ *testscript.TestScript, args []string) error {
+	cond, err := parseCondition("runs>=" + args[1])
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		got, err := s.countRuns(args[0])
+		if err != nil {
+			return err
+		}
+		return cond.check(got)
+	})
+}
+
+// assertRuns is waitRuns for exactly N, at once.
+func (s *scenario) assertRuns(_ *testscript.TestScript, args []string) error {
+	cond, err := parseCondition("runs=" + args[1])
+	if err != nil {
+		return err
+	}
+	got, err := s.countRuns(args[0])
+	if err != nil {
+		return err
+	}
+	return cond.check(got)
+}
+
+// countRuns counts the runs of a batch on all targets, or those of a target.
+func (s *scenario) countRuns(name string) (int, error) {
+	counts := func(faketarget.Run) bool { return true }
+	targets := []string{name}
+	if b, err := s.batch(name); err == nil {
+		targets = nil
+		for _, t := range s.fleet.Targets() {
+			targets = append(targets, t.Name)
+		}
+		counts = func(run faketarget.Run) bool { return b.has(run.CallID) }
+	}
+	got := 0
+	for _, target := range targets {
+		events, err := s.events(target)
+		if err != nil {
+			return 0, err
+		}
+		for _, e := range events {
+			if e.Run != nil && counts(*e.Run) {
+				got++
+			}
+		}
+	}
+	return got, nil
+}
+
+func (s *scenario) events(target string) ([]faketarget.Event, error) {
+	f, err := os.Open(s.fleet.JournalPath(target))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return faketarget.ReadJournal(f)
+}
+
+func (s *scenario) waitOutcomes(ts *testscript.TestScript, args []string) error {
+	return await(func() error { return s.assertOutcomes(ts, args) })
+}
+
+func (s *scenario) assertOutcomes(_ *testscript.TestScript, args []string) error {
+	b, err := s.batch(args[0])
+	if err != nil {
+		return err
+	}
+	counts := b.outcomes()
+	for _, arg := range args[1:] {
+		cond, err := parseCondition(arg)
+		if err != nil {
+			return err
+		}
+		if err := cond.check(counts[cond.name]); err != nil {
+			return fmt.Errorf("%w; all: %v", err, counts)
+		}
+	}
+	return nil
+}
+
+// checkInvariants decides over everything recorded. With arguments it wants
+// exactly these invariants to be broken: the scenario shows that they are seen.
+func (s *scenario) checkInvariants(ts *testscript.TestScript, args []string) error {
+	for _, d := range s.fleet.Daemons() {
+		if s.fleet.IsRunning(d.Name) {
+			s.recorder.PollDaemon(s.ctx, d.Name, d.OperatorURL)
+		}
+	}
+	for _, t := range s.fleet.Targets() {
+		if err := s.recorder.AddJournal(t.Name, s.fleet.JournalPath(t.Name)); err != nil {
+			return err
+		}
+	}
+	got := []string{}
+	for _, v := range s.recorder.Check() {
+		ts.Logf("%s", v)
+		got = append(got, string(v.Invariant))
+	}
+	slices.Sort(got)
+	got = slices.Compact(got)
+	slices.Sort(args)
+	if !slices.Equal(got, args) {
+		return fmt.Errorf("got broken invariants %v, want %v", got, args)
+	}
+	ts.Logf("told: %v, invariants checked: %v", s.recorder.Counts(), checker.Invariants())
+	return nil
+}
