--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -56,8 +57,13 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.executor = &executor.Executor{Target: d.announcer.Target}
-	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
+	d.executor = &executor.Executor{
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Target: d.announcer.Target,
+	}
+	d.forwarder = &forwarder.Forwarder{
+		Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain,
+		InstanceID: cfg.InstanceID, Local: d.executor.Run,
+	}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store),
@@ -77,12 +83,18 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error { return serve(ctx, d.cfg.PeerAddress, d.peerHandler(ctx)) })
+	g.Go(func() error {
+		return serve(ctx, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(ctx))
+	})
 	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
 	g.Go(func() error {
 		d.spreader.Run(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		d.announcer.Run(ctx)
+		return nil
+	})
 	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
 	return g.Wait()
 }
--- a/loader/checks.go
+++ b/loader/checks.go
@@ -51,3 +51,10 @@
 		return fmt.Sprintf("from %d to %d", least, largest), n >= least && n <= largest
 	}
 }
+
+func addressOrEmpty(value any) (string, bool) {
+	if value.(string) == "" {
+		return "", true
+	}
+	return address(value)
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -31,6 +31,7 @@
 		{Key: "failure-domain", Doc: "failure domain of this instance", check: kebab},
 		{Key: "caller-address", Doc: "where callers reach this daemon, as IP:port", check: address},
 		{Key: "peer-address", Doc: "where other daemons reach this daemon, as IP:port", check: address},
+		{Key: "peer-listen-address", Default: "", Doc: "where this daemon takes links, as IP:port, if that is not peer-address; empty means that it is", check: addressOrEmpty},
 		{Key: "operator-address", Doc: "where operators and the target reach this daemon, as IP:port", check: address},
 		{Key: "store-url", Doc: "the platform's key-value service, as http://IP:port", check: httpURL},
 		{Key: "store-timeout-ms", Default: 2000, Doc: "longest time that a call of the platform's service may take, in milliseconds; a watch has its wait on top", check: between(1, minuteMS)},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -31,4 +31,8 @@
 	e.GET(ConfigurationPath, s.configuration)
 	e.GET(HistoryPath, s.history)
 	e.GET(ExceptionsPath, s.exceptions)
+	e.GET("/v1/applied", s.applied)
+	e.GET("/healthz", s.health)
+	e.GET("/readyz", s.readiness)
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
