Keep a document's digest on its way between daemons

An exception's time was a time.Time. The canonical encoding wrote it with its fraction of a second, the inner protocol without, so that daemons fed by a link had another digest in force than those fed by the store.

The time is now a number of milliseconds, the same by every codec. Ruled out: setting a time mode on the inner protocol's codec alone, which leaves the next codec to find the same.

TestApplySettlesLostAnswers and its neighbors lose the answers between the command and the daemon; seen to fail with a new change id per try, with a lost answer taken as a refusal, and with a refusal believed after a lost answer. scripter sets NAME_url for each daemon.

--- a/acceptor/edits.go
+++ b/acceptor/edits.go
@@ -114,7 +114,7 @@
 	if e.Exception != nil {
 		x := *e.Exception
 		x.Author = r.change.Audit.Author
-		x.At = r.change.Audit.At
+		x.At = versioner.TimestampOf(r.change.Audit.At)
 		e.Exception = &x
 	}
 	if e.Partner != nil && e.Partner.TokenSHA256 == "" && current.Partner != nil {
--- a/cmd/exceptions.go
+++ b/cmd/exceptions.go
@@ -43,7 +43,7 @@
 		e := d.Exception
 		rows = append(rows, []string{
 			d.Name, scopeText(e.Scope()), e.Setting, fmt.Sprint(e.Value), fmt.Sprint(d.Default),
-			e.Reason, dash(e.Author), age(time.Since(e.At)),
+			e.Reason, dash(e.Author), age(time.Since(e.At.Time())),
 		})
 	}
 	return printTable(c, rows)
--- /dev/null
+++ b/cmd/operators_test.go
@@ -0,0 +1,202 @@
+package cmd
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// daemonURL serves the operator surface over a store of its own, behind wrap.
+func daemonURL(t *testing.T, store storer.Client, wrap func(http.Handler) http.Handler) string {
+	t.Helper()
+	surface := &operator.Surface{
+		Applier: new(applier.Applier), Table: new(tracker.Table),
+		Acceptor: &acceptor.Acceptor{Store: store, Policy: new(authorizer.Authorizer)},
+	}
+	e := echo.New()
+	surface.Register(e)
+	server := httptest.NewServer(wrap(e))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func direct(h http.Handler) http.Handler { return h }
+
+func writeFile(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "edits.toml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// runCommand returns what a command wrote, with its error, and its exit status.
+func runCommand(t *testing.T, c *cobra.Command, args ...string) (string, int) {
+	t.Helper()
+	var out bytes.Buffer
+	c.SetOut(&out)
+	c.SetErr(&out)
+	c.SilenceErrors, c.SilenceUsage = true, true
+	c.SetArgs(args)
+	err := c.ExecuteContext(t.Context())
+	if err != nil {
+		out.WriteString(err.Error())
+	}
+	return out.String(), exitStatus(err)
+}
+
+// loseAnswers breaks the connection of the first n changes after they were made.
+func loseAnswers(n int32) func(http.Handler) http.Handler {
+	var seen atomic.Int32
+	return func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodPost || seen.Add(1) > n {
+				h.ServeHTTP(w, r)
+				return
+			}
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		})
+	}
+}
+
+func TestApplySettlesLostAnswers(t *testing.T) {
+	store := new(fakestorer.Store)
+	url := daemonURL(t, store, loseAnswers(2))
+	file := writeFile(t, "[partner.magnolia]\n")
+	out, status := runCommand(t, new(applyCommand).command(), file, "--daemon", url)
+	if status != statusOK || !strings.Contains(out, "version 1 accepted") {
+		t.Errorf("got status %d and %q, want version 1 accepted", status, out)
+	}
+	deltas, err := acceptor.ReadHistory(t.Context(), store, 10)
+	if err != nil || len(deltas) != 1 {
+		t.Errorf("history: got %d versions and %v, want 1", len(deltas), err)
+	}
+}
+
+func TestApplyOutcomeUnknown(t *testing.T) {
+	url := daemonURL(t, new(fakestorer.Store), loseAnswers(1000))
+	file := writeFile(t, "[partner.magnolia]\n")
+	out, status := runCommand(t, new(applyCommand).command(), file, "--daemon", url, "--timeout", "1s", "--change-id", "one")
+	if status != statusUnknown || !strings.Contains(out, "repeat with --change-id one") {
+		t.Errorf("got status %d and %q, want an unknown outcome", status, out)
+	}
+}
+
+// A refusal says nothing of an earlier try that may still be running.
+func TestApplyRefusedAfterLostAnswer(t *testing.T) {
+	var seen atomic.Int32
+	lateTry := func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && seen.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			h.ServeHTTP(w, r)
+		})
+	}
+	url := daemonURL(t, new(fakestorer.Store), lateTry)
+	file := writeFile(t, "[service.ledger-view]\npartner = \"nobody\"\n")
+	out, status := runCommand(t, new(applyCommand).command(), file, "--daemon", url)
+	if status != statusUnknown || !strings.Contains(out, "an earlier try had no answer") {
+		t.Errorf("got status %d and %q, want an unknown outcome", status, out)
+	}
+}
+
+func TestExitStatuses(t *testing.T) {
+	token := authorizer.HashToken("magnolia-token")
+	first := "[partner.magnolia]\ntoken-sha256 = \"" + token + "\"\n[service.ledger-view]\npartner = \"magnolia\"\n"
+	url := daemonURL(t, new(fakestorer.Store), direct)
+	t.Setenv(tokenVariable, "magnolia-token")
+	for _, tt := range []struct {
+		name, content string
+		args          []string
+		want          int
+		wantOut       string
+	}{
+		{"accepted", first, nil, statusOK, "version 1 accepted"},
+		{"unchanged", first, nil, statusOK, "version 1 holds every edit already"},
+		{"changed", "[service.ledger-view]\npartner = \"magnolia\"\nslots = 1\n", []string{"--output", "json"}, statusOK, `"version": 2`},
+		{"malformed", "[fleeet]\n", nil, statusBadInput, `edits.toml:1:2: fleeet: unknown key, did you mean "fleet"?`},
+		{"invalid", "[service.x]\npartner = \"nobody\"\n", nil, statusBadInput, `edits.toml:2:1: service.x.partner: names the partner "nobody"`},
+		{"conflict", "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n", []string{"--base", "1"}, statusConflict, "changed in version 2, after base version 1"},
+		{"base of the future", "[partner.regie]\n", []string{"--base", "9"}, statusBadInput, "base-version is 9, the newest version is 2"},
+		{"refused", "[partner.regie]\n", []string{"--token", "other"}, statusRefused, "A partner's token is needed"},
+		{"unreachable", "[partner.regie]\n", []string{"--daemon", "http://127.0.0.1:1"}, statusFailure, "not accepted: "},
+		{"unknown flag", "", []string{"--output", "xml"}, statusBadInput, "--output must be one of table, json"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			args := append([]string{writeFile(t, tt.content), "--daemon", url}, tt.args...)
+			out, status := runCommand(t, new(applyCommand).command(), args...)
+			if status != tt.want || !strings.Contains(out, tt.wantOut) {
+				t.Errorf("got status %d and %q, want status %d and %q", status, out, tt.want, tt.wantOut)
+			}
+		})
+	}
+}
+
+func TestWaitCountsDaemons(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		in           convergence
+		reached, all int
+	}{
+		{"counts", convergence{Version: 3, DaemonsByVersion: []versionCount{{Version: 2, Daemons: 4}, {Version: 3, Daemons: 5}, {Version: 4, Daemons: 1}}}, 6, 10},
+		{"no counts, reached", convergence{Version: 3}, 1, 1},
+		{"no counts, behind", convergence{Version: 2}, 0, 1},
+	} {
+		if reached, all := tt.in.reached(3); reached != tt.reached || all != tt.all {
+			t.Errorf("%s: got %d of %d, want %d of %d", tt.name, reached, all, tt.reached, tt.all)
+		}
+	}
+}
+
+func TestCheckReportsEveryFile(t *testing.T) {
+	good := writeFile(t, "[partner.magnolia]\n")
+	open := writeFile(t, "[service.x]\npartner = \"magnolia\"\n")
+	missing := filepath.Join(t.TempDir(), "missing.toml")
+	for _, tt := range []struct {
+		name string
+		args []string
+		want int
+		out  []string
+	}{
+		{"good", []string{good}, statusOK, []string{"edits.toml: ok"}},
+		{"edits alone", []string{open}, statusOK, []string{"edits.toml: ok"}},
+		{"edits as the whole", []string{"--whole", open}, statusBadInput, []string{`edits.toml:2:1: service.x.partner: names the partner "magnolia"`}},
+		{"several", []string{missing, good, writeFile(t, "a = 1\nb = 2\n")}, statusBadInput, []string{"no such file", "edits.toml: ok", ":1:1: a: unknown key", ":2:1: b: unknown key", "3 problems"}},
+	} {
+		out, status := runCommand(t, new(checkCommand).command(), tt.args...)
+		if status != tt.want {
+			t.Errorf("%s: got status %d, want %d", tt.name, status, tt.want)
+		}
+		for _, want := range tt.out {
+			if !strings.Contains(out, want) {
+				t.Errorf("%s: got %q, want a part %q", tt.name, out, want)
+			}
+		}
+	}
+}
+
+func TestExitStatusOfOtherErrors(t *testing.T) {
+	if got, want := exitStatus(errors.New("x")), statusFailure; got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+}
--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -23,7 +23,7 @@
 	return nil
 }
 
-func (s *scenario) daemon(_ *testscript.TestScript, args []string) error {
+func (s *scenario) daemon(ts *testscript.TestScript, args []string) error {
 	if err := s.fleet.StartDaemon(args[0], args[1], args[2:]...); err != nil {
 		return err
 	}
@@ -31,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	ts.Setenv(args[0]+"_url", d.OperatorURL)
 	go s.recorder.WatchDaemon(s.ctx, d.Name, d.OperatorURL)
 	return nil
 }
--- a/versioner/decode.go
+++ b/versioner/decode.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
@@ -85,7 +84,7 @@
 	e.Revision = 0
 	if e.Exception != nil {
 		x := *e.Exception
-		x.Author, x.At = "", time.Time{}
+		x.Author, x.At = "", 0
 		e.Exception = &x
 	}
 	return e
--- /dev/null
+++ b/versioner/decode_test.go
@@ -0,0 +1,107 @@
+package versioner_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// sample returns a document with an entry of each kind and every field set.
+func sample() *versioner.Document {
+	n, yes := 7, true
+	key := func(kind versioner.Kind, name string) versioner.Key { return versioner.Key{Kind: kind, Name: name} }
+	return new(versioner.Document).With([]versioner.Entry{
+		{Key: key(versioner.KindFleet, versioner.FleetName), Fleet: &versioner.Fleet{EjectMS: &n}},
+		{Key: key(versioner.KindPartner, "magnolia"), Partner: &versioner.Partner{SharePercent: 50, TokenSHA256: "ab"}},
+		{Key: key(versioner.KindClass, versioner.ClassLookup), Class: &versioner.Class{Idempotent: &yes, TimeoutMS: &n}},
+		{Key: key(versioner.KindService, "ledger-view"), Service: &versioner.Service{Partner: "magnolia", Slots: 12}},
+		{Key: key(versioner.KindRoute, "shares"), Route: &versioner.Route{Partner: "magnolia", Hosts: []string{"a"}, PathPrefix: "/", Methods: []string{"GET"}, Service: "ledger-view", Class: "lookup", TimeoutMS: 5}},
+		{Key: key(versioner.KindException, "slow"), Exception: &versioner.Exception{
+			Service: "ledger-view", Setting: "eject-ms", Value: 500, Reason: "r", Author: "ada",
+			At: versioner.TimestampOf(time.Date(2026, 3, 1, 12, 0, 0, 123_456_789, time.FixedZone("x", 3600))),
+		}},
+	}, nil)
+}
+
+// A document keeps its digest when it is stored, and when it is sent between
+// daemons in the encoding of the inner protocol.
+func TestDocumentRoundTrip(t *testing.T) {
+	doc := sample()
+	want, err := doc.Digest()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		name   string
+		encode func(any) ([]byte, error)
+	}{
+		{"canonical", versioner.Marshal},
+		{"inner protocol", cbor.Marshal},
+	} {
+		b, err := tt.encode(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := versioner.DecodeDocument(b)
+		if err != nil {
+			t.Fatalf("%s: %v", tt.name, err)
+		}
+		if got, _ := again.Digest(); got != want {
+			t.Errorf("%s: digest: got %s, want %s", tt.name, got, want)
+		}
+	}
+}
+
+func TestDeltaLeadsToDigest(t *testing.T) {
+	doc := sample()
+	next := doc.With(nil, []versioner.Key{{Kind: versioner.KindException, Name: "slow"}})
+	digest, _ := next.Digest()
+	delta := versioner.Delta{From: 1, To: 2, ToDigest: digest, Deletes: []versioner.Key{{Kind: versioner.KindException, Name: "slow"}}}
+	if _, err := doc.Apply(delta); err != nil {
+		t.Errorf("applying: %v", err)
+	}
+	delta.ToDigest[0]++
+	var mismatch *versioner.DigestMismatchError
+	if _, err := doc.Apply(delta); !errors.As(err, &mismatch) {
+		t.Errorf("wrong digest: got %v, want a DigestMismatchError", err)
+	}
+	var gap *versioner.VersionGapError
+	if _, err := next.Apply(delta); !errors.As(err, &gap) {
+		t.Errorf("wrong version: got %v, want a VersionGapError", err)
+	}
+}
+
+func FuzzDecodeDocument(f *testing.F) {
+	b, err := versioner.Marshal(sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte{})
+	f.Add([]byte{0xa0})
+	f.Add([]byte("\x9f\x9f\x9f\x9f"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		doc, err := versioner.DecodeDocument(b)
+		if err != nil {
+			return
+		}
+		want, err := doc.Digest()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := versioner.Marshal(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if doc, err = versioner.DecodeDocument(again); err != nil {
+			t.Fatalf("decoding what was encoded: %v", err)
+		}
+		if got, _ := doc.Digest(); got != want {
+			t.Errorf("digest after a round trip: got %s, want %s", got, want)
+		}
+	})
+}
--- a/versioner/entries.go
+++ b/versioner/entries.go
@@ -1,7 +1,5 @@
 package versioner
 
-import "time"
-
 // Call classes. Their entries set the limits; the names are fixed.
 const (
 	ClassLookup       = "lookup"
@@ -87,5 +85,5 @@
 	Reason string `json:"reason" toml:"reason,omitempty"`
 	// Author and At are set when the exception is accepted.
 	Author string    `json:"author,omitempty" toml:"-"`
-	At     time.Time `json:"at,omitzero" toml:"-"`
+	At     Timestamp `json:"at,omitzero" toml:"-"`
 }
