--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -33,7 +33,8 @@
 
 // Change is a set of edits with the account of who makes it and why.
 type Change struct {
-	// Audit.ChangeID is required. Audit.At is set when the change is accepted.
+	// Audit.ChangeID is required. Audit.At and Audit.Edits are set when the
+	// change is accepted.
 	Audit versioner.Audit
 	// Base is the version that the author looked at; 0 means the newest at the
 	// time of the call.
@@ -81,7 +82,7 @@
 //
 // After an *UnknownOutcomeError the change may have been accepted. After any
 // other error this call did not make it and never will. The errors of a
-// refusal are *ConflictError, *StaleBaseError, *ContentionError,
+// refusal are *ConflictError, *StaleBaseError, *ReusedIDError, *ContentionError,
 // *TooLargeError, *InvalidChangeError, *NoChangeError, *validator.InvalidError
 // and those of Policy.
 func (a *Acceptor) Accept(ctx context.Context, change Change) (versioner.Version, error) {
@@ -96,7 +97,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(a.Timeout, defaultTimeout))
 	defer cancel()
-	change.Audit.At = time.Now().UTC().Truncate(time.Millisecond)
+	if err := change.sign(); err != nil {
+		return 0, err
+	}
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = 5 * time.Millisecond
 	wait.MaxInterval = 500 * time.Millisecond
@@ -150,6 +153,20 @@
 	return nil
 }
 
+// sign sets what the acceptor adds to the audit.
+func (c *Change) sign() error {
+	edits, err := versioner.DigestOf(editsToSign{Upserts: c.Upserts, Deletes: c.Deletes})
+	c.Audit.At = time.Now().UTC().Truncate(time.Millisecond)
+	c.Audit.Edits = edits
+	return err
+}
+
+// editsToSign is what Audit.Edits identifies.
+type editsToSign struct {
+	Upserts []versioner.Entry `json:"upserts"`
+	Deletes []versioner.Key   `json:"deletes"`
+}
+
 // try makes one attempt on the newest head. It fails with a *lostRaceError when
 // another attempt may succeed.
 func (a *Acceptor) try(ctx context.Context, change *Change) (versioner.Version, error) {
@@ -157,7 +174,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if v, err := a.findChange(ctx, &head, change.Audit.ChangeID); v != 0 || err != nil {
+	if v, err := a.findChange(ctx, &head, change); v != 0 || err != nil {
 		return v, err
 	}
 	doc, err := a.readDocument(ctx, head)
@@ -172,7 +189,7 @@
 		return 0, err
 	}
 	p := &proposal{
-		changeID: change.Audit.ChangeID, expect: rev,
+		change: change, expect: rev,
 		version: next.Version, digest: delta.ToDigest, doc: next,
 	}
 	if err := a.stage(ctx, p, &head, delta); err != nil {
@@ -232,7 +249,9 @@
 	if change.Base == 0 {
 		change.Base = head.Version
 	}
-	change.Audit.At = time.Now().UTC().Truncate(time.Millisecond)
+	if err := change.sign(); err != nil {
+		return nil, err
+	}
 	r := &reducer{acceptor: a, change: &change, head: &head, doc: doc}
 	next, err := r.draft(ctx)
 	if err != nil {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -207,6 +207,12 @@
 	if got, want := mustAccept(t, a, change("first", magnolia(1))), versioner.Version(1); got != want {
 		t.Errorf("version of a repeated old change: got %d, want %d", got, want)
 	}
+	var reused *acceptor.ReusedIDError
+	for _, id := range []string{"first", "next-19"} {
+		if _, err := a.Accept(t.Context(), change(id, magnolia(99))); !errors.As(err, &reused) {
+			t.Errorf("other edits under the id %s: got %v, want a ReusedIDError", id, err)
+		}
+	}
 	deltas, err := acceptor.ReadHistory(t.Context(), store, 100)
 	if err != nil {
 		t.Fatal(err)
--- a/acceptor/commit.go
+++ b/acceptor/commit.go
@@ -15,7 +15,7 @@
 
 // proposal is one attempt to make a version.
 type proposal struct {
-	changeID string
+	change *Change
 	// expect is the revision of the head that the proposal follows.
 	expect storer.Revision
 	// value is the encoded new head.
@@ -88,8 +88,12 @@
 			a.Counters.LostAnswers.Add(1)
 		}
 		settled, v, failed := a.settle(ctx, p)
+		var reused *ReusedIDError
+		if errors.As(failed, &reused) {
+			return 0, failed
+		}
 		if failed != nil {
-			return 0, &UnknownOutcomeError{ChangeID: p.changeID, Cause: failed}
+			return 0, &UnknownOutcomeError{ChangeID: p.change.Audit.ChangeID, Cause: failed}
 		}
 		if settled && v == 0 {
 			return 0, &lostRaceError{}
@@ -98,7 +102,7 @@
 			return v, nil
 		}
 		if failed := sleep(ctx, settleWait); failed != nil {
-			return 0, &UnknownOutcomeError{ChangeID: p.changeID, Cause: err}
+			return 0, &UnknownOutcomeError{ChangeID: p.change.Audit.ChangeID, Cause: err}
 		}
 	}
 }
@@ -113,7 +117,7 @@
 	if rev <= p.expect {
 		return false, 0, nil
 	}
-	v, err := a.findChange(ctx, &head, p.changeID)
+	v, err := a.findChange(ctx, &head, p.change)
 	if err == nil && v == 0 {
 		a.discardLoser(ctx, p, &head)
 	}
--- a/acceptor/errors.go
+++ b/acceptor/errors.go
@@ -62,6 +62,19 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
+// ReusedIDError reports a change id under which other edits were accepted. The
+// change was not accepted.
+type ReusedIDError struct {
+	ChangeID string
+	// Version is what the other edits made.
+	Version versioner.Version
+}
+
+// Error implements error.
+func (e *ReusedIDError) Error() string {
+	return fmt.Sprintf("change id %s was used for other edits, accepted as version %d", e.ChangeID, e.Version)
+}
+
 // ContentionError reports a change that lost against other editors in every
 // attempt. It was not accepted.
 type ContentionError struct{ Attempts int }
--- a/acceptor/history.go
+++ b/acceptor/history.go
@@ -67,33 +67,52 @@
 	return d, nil
 }
 
-// findChange returns the version that the change id made, or 0. The head must
-// have been read before: what is evicted from a head is in the history before
-// that head is written.
-func (a *Acceptor) findChange(ctx context.Context, head *Head, changeID string) (versioner.Version, error) {
+// accepted is the value of a change key.
+type accepted struct {
+	Version versioner.Version `json:"version"`
+	// Edits is Audit.Edits of the change.
+	Edits versioner.Digest `json:"edits,omitzero"`
+}
+
+// findChange returns the version that the change made, or 0. It fails with a
+// *ReusedIDError when other edits were accepted under the change's id. The head
+// must have been read before: what is evicted from a head is in the history
+// before that head is written.
+func (a *Acceptor) findChange(ctx context.Context, head *Head, change *Change) (versioner.Version, error) {
+	made, err := a.lookUp(ctx, head, change.Audit.ChangeID)
+	if err != nil || made.Version == 0 {
+		return 0, err
+	}
+	if made.Edits != (versioner.Digest{}) && made.Edits != change.Audit.Edits {
+		return 0, &ReusedIDError{ChangeID: change.Audit.ChangeID, Version: made.Version}
+	}
+	return made.Version, nil
+}
+
+func (a *Acceptor) lookUp(ctx context.Context, head *Head, changeID string) (accepted, error) {
 	if d, ok := head.find(changeID); ok {
-		return d.To, nil
+		return accepted{Version: d.To, Edits: d.Audit.Edits}, nil
 	}
 	item, err := a.get(ctx, ChangeKey(changeID))
 	var missing *storer.NotFoundError
 	if errors.As(err, &missing) {
-		return 0, nil
+		return accepted{}, nil
 	}
 	if err != nil {
-		return 0, err
+		return accepted{}, err
 	}
-	var v versioner.Version
-	if err := cbor.Unmarshal(item.Value, &v); err != nil {
-		return 0, errorx.Decorate(err, "decoding change %s", changeID)
+	var made accepted
+	if err := cbor.Unmarshal(item.Value, &made); err != nil {
+		return accepted{}, errorx.Decorate(err, "decoding change %s", changeID)
 	}
-	return v, nil
+	return made, nil
 }
 
 // archive writes accepted deltas into the history. Any editor may write them,
 // since their keys and values are the same for all.
 func (a *Acceptor) archive(ctx context.Context, deltas []versioner.Delta) error {
 	for _, d := range deltas {
-		if _, err := a.putImmutable(ctx, ChangeKey(d.Audit.ChangeID), d.To); err != nil {
+		if _, err := a.putImmutable(ctx, ChangeKey(d.Audit.ChangeID), accepted{Version: d.To, Edits: d.Audit.Edits}); err != nil {
 			return err
 		}
 		if _, err := a.putImmutable(ctx, HistoryKey(d.To), d); err != nil {
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -59,7 +59,7 @@
 // status returns the exit status for the problem.
 func (e *problemError) status() int {
 	switch e.problem.Cause {
-	case operator.CauseMalformed, operator.CauseInvalid, operator.CauseTooLarge:
+	case operator.CauseMalformed, operator.CauseInvalid, operator.CauseTooLarge, operator.CauseReusedID:
 		return statusBadInput
 	case operator.CauseConflict, operator.CauseStaleBase:
 		return statusConflict
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -153,3 +153,19 @@
 		}
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{complete, "", "log-level = info", "store-url = [[]]", "[instance-id]\na = 1"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := loader.Parse("d.toml", b)
+		var invalid *decoder.InvalidError
+		if err != nil && (!errors.As(err, &invalid) || len(invalid.Problems) == 0) {
+			t.Fatalf("got %v, want problems", err)
+		}
+		if err == nil && (d.InstanceID == "" || d.StoreTimeoutMS <= 0) {
+			t.Fatalf("got %+v, want checked settings", d)
+		}
+	})
+}
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -39,6 +39,7 @@
 	CauseUnauthorized    Cause = "unauthorized"
 	CauseConflict        Cause = "conflict"
 	CauseStaleBase       Cause = "stale-base"
+	CauseReusedID        Cause = "reused-change-id"
 	CauseContention      Cause = "contention"
 	CauseStore           Cause = "store-unavailable"
 	CauseUnknownOutcome  Cause = "outcome-unknown"
@@ -86,6 +87,7 @@
 func (p *Problem) classify(err error) {
 	var file *decoder.InvalidError
 	var change *acceptor.InvalidChangeError
+	var reused *acceptor.ReusedIDError
 	var body *http.MaxBytesError
 	var large *acceptor.TooLargeError
 	var document *validator.InvalidError
@@ -95,6 +97,8 @@
 		p.File = file.Problems
 	case errors.As(err, &change):
 		p.set(http.StatusBadRequest, CauseMalformed, "The change is malformed")
+	case errors.As(err, &reused):
+		p.set(http.StatusUnprocessableEntity, CauseReusedID, "The change id was used for other edits")
 	case errors.As(err, &body), errors.As(err, &large):
 		p.set(http.StatusRequestEntityTooLarge, CauseTooLarge, "The change is too large")
 	case errors.As(err, &document):
--- a/storer/http.go
+++ b/storer/http.go
@@ -25,6 +25,8 @@
 const (
 	defaultTimeout = 2 * time.Second
 	maxAnswerBytes = 64 << 20
+	// notFoundBody is the body that answers for a key or lease that is not there.
+	notFoundBody = "null"
 )
 
 // HTTPClient reaches the service over HTTP. The zero value with BaseURL set works.
@@ -141,7 +143,8 @@
 
 func decode(method, path string, status int, b []byte, out any) error {
 	switch {
-	case status == http.StatusNotFound:
+	// Another server's 404 says nothing about the key.
+	case status == http.StatusNotFound && string(bytes.TrimSpace(b)) == notFoundBody:
 		return &NotFoundError{Key: path}
 	case status == http.StatusPreconditionFailed:
 		var conflict ConflictAnswer
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -86,6 +86,9 @@
 	Author   string    `json:"author"`
 	Reason   string    `json:"reason"`
 	At       time.Time `json:"at"`
+	// Edits identifies the edits as their author sent them. It is the zero value
+	// when it is not known.
+	Edits Digest `json:"edits,omitzero"`
 }
 
 // Delta leads from one version to the next.
@@ -149,16 +152,19 @@
 // Marshal encodes v in the canonical form that digests are computed over.
 func Marshal(v any) ([]byte, error) { return canonical.Marshal(v) }
 
-// Digest returns the digest of the document's canonical encoding.
-func (d *Document) Digest() (Digest, error) {
-	b, err := canonical.Marshal(d)
+// DigestOf returns the digest of the value's canonical encoding.
+func DigestOf(v any) (Digest, error) {
+	b, err := canonical.Marshal(v)
 	if err != nil {
-		return Digest{}, errorx.Decorate(err, "encoding document")
+		return Digest{}, errorx.Decorate(err, "encoding for a digest")
 	}
 	sum := sha256.Sum256(b)
 	return Digest(sum[:16]), nil
 }
 
+// Digest returns the digest of the document's canonical encoding.
+func (d *Document) Digest() (Digest, error) { return DigestOf(d) }
+
 // Find returns the entry with the key, if the document has one.
 func (d *Document) Find(k Key) (Entry, bool) {
 	i, ok := slices.BinarySearchFunc(d.Entries, k, compareEntry)
