--- /dev/null
+++ b/operator/changes_test.go
@@ -0,0 +1,147 @@
+package operator_test
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/decoder"
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const first = `
+[partner.magnolia]
+token-sha256 = "MAGNOLIA"
+[partner.regie]
+token-sha256 = "REGIE"
+[service.ledger-view]
+partner = "magnolia"
+`
+
+func newSurface(store storer.Client) (*operator.Surface, http.Handler) {
+	s := &operator.Surface{
+		Applier: new(applier.Applier), Table: new(tracker.Table),
+		Acceptor: &acceptor.Acceptor{Store: store, Policy: new(authorizer.Authorizer)},
+	}
+	e := echo.New()
+	s.Register(e)
+	return s, e
+}
+
+// send makes a request with headers, given as name and value in turn.
+func send(h http.Handler, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func firstVersion(t *testing.T, h http.Handler) {
+	t.Helper()
+	body := strings.NewReplacer("MAGNOLIA", authorizer.HashToken("magnolia"), "REGIE", authorizer.HashToken("regie")).Replace(first)
+	if w := send(h, http.MethodPost, operator.ChangesPath, body, operator.HeaderChangeID, "first"); w.Code != http.StatusOK {
+		t.Fatalf("first version: got %d %s", w.Code, w.Body)
+	}
+}
+
+func TestChangeProblems(t *testing.T) {
+	const slots = "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n"
+	auth := []string{"Authorization", "Bearer magnolia", operator.HeaderChangeID, "x"}
+	for _, tt := range []struct {
+		name, body string
+		headers    []string
+		status     int
+		cause      operator.Cause
+		counter    string
+	}{
+		{"no change id", slots, auth[:2], http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
+		{"malformed file", "a = ", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
+		{"malformed base", slots, append(auth, operator.HeaderChangeBase, "-1"), http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
+		{"file too large", strings.Repeat("#", decoder.MaxFileBytes+1), auth, http.StatusRequestEntityTooLarge, operator.CauseTooLarge, "changes-malformed"},
+		{"invalid", "[service.x]\npartner = \"nobody\"\n", auth, http.StatusUnprocessableEntity, operator.CauseInvalid, "changes-refused"},
+		{"no token", slots, auth[2:], http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
+		{"unknown token", slots, append([]string{"Authorization", "Bearer x"}, auth[2:]...), http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
+		{"another's entry", slots, append([]string{"Authorization", "Bearer regie"}, auth[2:]...), http.StatusForbidden, operator.CauseUnauthorized, "changes-unauthorized"},
+		{"deleted nothing", "delete = [\"route.x\"]", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
+		{"reused id", slots, append(auth[:2:2], operator.HeaderChangeID, "first"), http.StatusUnprocessableEntity, operator.CauseReusedID, "changes-refused"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, h := newSurface(new(fakestorer.Store))
+			firstVersion(t, h)
+			w := send(h, http.MethodPost, operator.ChangesPath, tt.body, tt.headers...)
+			var p operator.Problem
+			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != tt.status || p.Status != tt.status || p.Cause != tt.cause || p.Outcome != operator.OutcomeNotAccepted {
+				t.Errorf("got %d %+v, want %d %s", w.Code, p, tt.status, tt.cause)
+			}
+			if got, want := w.Header().Get("Content-Type"), "application/problem+json"; got != want {
+				t.Errorf("content type: got %s, want %s", got, want)
+			}
+			metrics := new(expvar.Map)
+			s.PublishChanges(metrics)
+			if got := metrics.Get(tt.counter).String(); got != "1" {
+				t.Errorf("counter %s: got %s, want 1", tt.counter, got)
+			}
+		})
+	}
+}
+
+func TestChangeConflictShowsBoth(t *testing.T) {
+	_, h := newSurface(new(fakestorer.Store))
+	firstVersion(t, h)
+	edit := func(slots, id string) *httptest.ResponseRecorder {
+		body := "base-version = 1\n[service.ledger-view]\npartner = \"magnolia\"\nslots = " + slots
+		return send(h, http.MethodPost, operator.ChangesPath, body, "Authorization", "Bearer magnolia", operator.HeaderChangeID, id)
+	}
+	if w := edit("2", "one"); w.Code != http.StatusOK {
+		t.Fatalf("first edit: got %d %s", w.Code, w.Body)
+	}
+	w := edit("3", "two")
+	var p operator.Problem
+	if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil || p.Conflict == nil {
+		t.Fatalf("got %d %s, want a conflict", w.Code, w.Body)
+	}
+	if got, want := p.Conflict.Current.Service.Slots, 2; got != want {
+		t.Errorf("current slots: got %d, want %d", got, want)
+	}
+	if got, want := p.Conflict.Wanted.Service.Slots, 3; got != want {
+		t.Errorf("wanted slots: got %d, want %d", got, want)
+	}
+}
+
+func TestReadsAreBounded(t *testing.T) {
+	_, h := newSurface(new(fakestorer.Store))
+	firstVersion(t, h)
+	for path, want := range map[string]int{
+		operator.HistoryPath:                              http.StatusOK,
+		operator.HistoryPath + "?limit=100000000":         http.StatusOK,
+		operator.HistoryPath + "?limit=x":                 http.StatusBadRequest,
+		operator.HistoryPath + "?limit=0":                 http.StatusBadRequest,
+		operator.ExceptionsPath:                           http.StatusOK,
+		operator.ConfigurationPath:                        http.StatusOK,
+		operator.ConfigurationPath + "?source=in-force":   http.StatusOK,
+		operator.ConfigurationPath + "?format=toml":       http.StatusOK,
+		operator.ConfigurationPath + "?format=whatsoever": http.StatusBadRequest,
+		operator.ConfigurationPath + "?source=whatsoever": http.StatusBadRequest,
+	} {
+		if got := send(h, http.MethodGet, path, "").Code; got != want {
+			t.Errorf("%s: got %d, want %d", path, got, want)
+		}
+	}
+}
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -29,7 +30,9 @@
 )
 
 const (
+	sourceNewest  = "newest"
 	sourceInForce = "in-force"
+	formatJSON    = "json"
 	formatTOML    = "toml"
 	tomlMediaType = "application/toml"
 	defaultLimit  = 20
@@ -51,7 +54,11 @@
 // document returns the newest accepted document, or the one in force on this
 // daemon when the request asks for it.
 func (s *Surface) document(c echo.Context) (*versioner.Document, error) {
-	if c.QueryParam(ParamSource) != sourceInForce {
+	source, err := choose(c, ParamSource, sourceNewest, sourceInForce)
+	if err != nil {
+		return nil, err
+	}
+	if source == sourceNewest {
 		return s.Acceptor.ReadNewest(c.Request().Context())
 	}
 	if snapshot := s.Applier.Current(); snapshot != nil {
@@ -60,12 +67,29 @@
 	return new(versioner.Document), nil
 }
 
+// choose returns a query parameter that must be one of two values; the first is
+// the default.
+func choose(c echo.Context, param, standard, other string) (string, error) {
+	switch got := c.QueryParam(param); got {
+	case "", standard:
+		return standard, nil
+	case other:
+		return other, nil
+	default:
+		return "", &acceptor.InvalidChangeError{Field: param, Message: fmt.Sprintf("must be %s or %s, got %.40q", standard, other, got)}
+	}
+}
+
 func (s *Surface) configuration(c echo.Context) error {
+	format, err := choose(c, ParamFormat, formatJSON, formatTOML)
+	if err != nil {
+		return fail(c, err)
+	}
 	doc, err := s.document(c)
 	if err != nil {
 		return fail(c, err)
 	}
-	if c.QueryParam(ParamFormat) != formatTOML {
+	if format == formatJSON {
 		return c.JSON(http.StatusOK, doc)
 	}
 	b, err := parser.Format(doc)
