Let those approve an exception whose calls or services it touches

An exception for a partner also holds for that partner's routes to another's services, so its owner has to approve; and an exception for a partner at another's service is valid when the partner has a route to it, which was refused. ReadDocument checks the digest of what it read (seen to fail without: TestReadDocumentRefusesOtherContent returned the other document). A daemon warns when no bootstrap token is set.

--- a/acceptor/head.go
+++ b/acceptor/head.go
@@ -96,7 +96,8 @@
 	return nil
 }
 
-// ReadDocument returns the document that the head names.
+// ReadDocument returns the document that the head names. It fails with a
+// *versioner.DigestMismatchError when the stored content is another one.
 func ReadDocument(ctx context.Context, store storer.Client, head Head) (*versioner.Document, error) {
 	if head.Version == 0 {
 		return &versioner.Document{}, nil
@@ -109,6 +110,13 @@
 	if err != nil {
 		return nil, errorx.Decorate(err, "version %d", head.Version)
 	}
+	got, err := doc.Digest()
+	if err != nil {
+		return nil, err
+	}
+	if got != head.Digest || doc.Version != head.Version {
+		return nil, &versioner.DigestMismatchError{At: doc.Version, Got: got, Want: head.Digest}
+	}
 	return doc, nil
 }
 
--- a/acceptor/head_test.go
+++ b/acceptor/head_test.go
@@ -50,6 +50,31 @@
 	}
 }
 
+func TestReadDocumentRefusesOtherContent(t *testing.T) {
+	store := newStore()
+	a := &acceptor.Acceptor{Store: store}
+	mustAccept(t, a, change("one", magnolia(1)))
+	head, _, err := acceptor.ReadHead(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	item, err := store.Get(t.Context(), acceptor.ContentKey(head.Digest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := versioner.Marshal(new(versioner.Document).With([]versioner.Entry{magnolia(2)}, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.CompareAndSwap(t.Context(), item.Key, other, item.Revision, 0); err != nil {
+		t.Fatal(err)
+	}
+	var mismatch *versioner.DigestMismatchError
+	if _, err := acceptor.ReadDocument(t.Context(), store, head); !errors.As(err, &mismatch) {
+		t.Errorf("got %v, want a DigestMismatchError", err)
+	}
+}
+
 func FuzzDecodeHead(f *testing.F) {
 	f.Add(storedHead(f))
 	f.Add([]byte{})
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -90,6 +90,8 @@
 		{"own share raised", "[partner.magnolia]\nshare-percent = 60\n" + token("magnolia"), []string{"shared-default "}, "regie"},
 		{"new partner", "[partner.fourth]", []string{"shared-default "}, "regie"},
 		{"partner without a token", "[service.cellar]\npartner = \"guest\"\nslots = 1", []string{"own-entry "}, "regie"},
+		{"own exception that touches another's service", "[exception.x]\npartner = \"magnolia\"\nsetting = \"eject-ms\"\nvalue = 500\nreason = \"x\"\n" + route("catalogue", "/catalogue", ""),
+			[]string{"own-entry regie", "foreign-service regie"}, "regie"},
 		{"fleet default", "[fleet]\neject-ms = 600", []string{"shared-default "}, "regie"},
 		{"class default", "[class.posting]\nidempotent = true", []string{"shared-default "}, "regie"},
 		{"exception for all", "[exception.x]\nfailure-domain = \"moelan\"\nsetting = \"eject-ms\"\nvalue = 500\nreason = \"x\"", []string{"shared-default "}, "regie"},
--- a/authorizer/requirements.go
+++ b/authorizer/requirements.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"bambooweir.example/bambooweir/planner"
@@ -66,36 +67,37 @@
 
 // owners needs the approval of those to whom the entry belongs before and after.
 func (r *requirements) owners(e planner.Edit) {
-	last := "-"
-	for _, owner := range []string{owner(r.from, e.Before), owner(r.to, e.After)} {
-		if owner == last || owner == noOwner {
+	var owners []string
+	isShared := false
+	for _, side := range []struct {
+		doc   *versioner.Document
+		entry *versioner.Entry
+	}{{r.from, e.Before}, {r.to, e.After}} {
+		if side.entry == nil {
 			continue
 		}
-		last = owner
-		if owner == "" {
-			r.need(e.Key, RuleShared, "", "an exception for every partner is changed with a second partner's consent")
-			continue
-		}
-		r.need(e.Key, RuleOwn, owner, "the entry belongs to partner %s", owner)
+		of := ownersOf(side.doc, side.entry)
+		isShared = isShared || len(of) == 0
+		owners = append(owners, of...)
+	}
+	if isShared {
+		r.need(e.Key, RuleShared, "", "an exception for every partner is changed with a second partner's consent")
+	}
+	slices.Sort(owners)
+	for _, owner := range slices.Compact(owners) {
+		r.need(e.Key, RuleOwn, owner, "the entry touches partner %s", owner)
 	}
 }
 
-// noOwner stands for an entry that does not exist. It is no valid name.
-const noOwner = "-"
-
-// owner returns the partner to whom an entry belongs, or "" for a shared one.
-func owner(doc *versioner.Document, e *versioner.Entry) string {
+// ownersOf returns the partners to whom an entry belongs; none for a shared one.
+func ownersOf(doc *versioner.Document, e *versioner.Entry) []string {
 	switch {
-	case e == nil:
-		return noOwner
 	case e.Service != nil:
-		return e.Service.Partner
+		return []string{e.Service.Partner}
 	case e.Route != nil:
-		return e.Route.Partner
-	case e.Exception != nil:
-		return planner.ExceptionOwner(doc, e.Exception)
+		return []string{e.Route.Partner}
 	}
-	return ""
+	return planner.ExceptionOwners(doc, e.Exception)
 }
 
 func (r *requirements) foreignService(e planner.Edit) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -96,6 +96,9 @@
 		return nil
 	})
 	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
+	if d.cfg.BootstrapTokenSHA256 == "" {
+		d.log.Warn("anyone may make changes until a partner has a token", zap.String("setting", "bootstrap-token-sha256"))
+	}
 	return g.Wait()
 }
 
--- a/planner/impact.go
+++ b/planner/impact.go
@@ -87,8 +87,8 @@
 
 // covered returns the partners whom an exception touches.
 func (b *builder) covered(doc *versioner.Document, x *versioner.Exception) []string {
-	if owner := ExceptionOwner(doc, x); owner != "" {
-		return []string{owner}
+	if owners := ExceptionOwners(doc, x); len(owners) > 0 {
+		return owners
 	}
 	return Partners(doc)
 }
@@ -140,13 +140,32 @@
 	return names
 }
 
-// ExceptionOwner returns the only partner that an exception touches, or "" when
-// it touches all.
-func ExceptionOwner(doc *versioner.Document, x *versioner.Exception) string {
+// ExceptionOwners returns the partners whose calls or services an exception
+// touches, sorted, or none when it touches all: the partner of its scope, the
+// owner of its service, and, without a service, the owners of the services that
+// the partner's routes lead to.
+func ExceptionOwners(doc *versioner.Document, x *versioner.Exception) []string {
+	var owners []string
 	if x.Partner != "" {
-		return x.Partner
+		owners = append(owners, x.Partner)
 	}
-	e, ok := doc.Find(versioner.Key{Kind: versioner.KindService, Name: x.Service})
+	if x.Service != "" {
+		owners = append(owners, serviceOwner(doc, x.Service))
+	}
+	if x.Partner != "" && x.Service == "" {
+		for _, e := range doc.Entries {
+			if e.Route != nil && e.Route.Partner == x.Partner {
+				owners = append(owners, serviceOwner(doc, e.Route.Service))
+			}
+		}
+	}
+	slices.Sort(owners)
+	owners = slices.Compact(owners)
+	return slices.DeleteFunc(owners, func(s string) bool { return s == "" })
+}
+
+func serviceOwner(doc *versioner.Document, name string) string {
+	e, ok := doc.Find(versioner.Key{Kind: versioner.KindService, Name: name})
 	if !ok || e.Service == nil {
 		return ""
 	}
--- a/validator/relations.go
+++ b/validator/relations.go
@@ -91,12 +91,19 @@
 		}
 		seen[d] = e.Key
 		owner, ok := c.doc.Find(versioner.Key{Kind: versioner.KindService, Name: x.Service})
-		if ok && x.Partner != "" && owner.Service.Partner != x.Partner {
-			c.add(e.Key, "service", "belongs to partner %q, the scope is partner %q", owner.Service.Partner, x.Partner)
+		if ok && x.Partner != "" && owner.Service.Partner != x.Partner && !c.calls(x.Partner, x.Service) {
+			c.add(e.Key, "service", "belongs to partner %q, and partner %q has no route to it", owner.Service.Partner, x.Partner)
 		}
 	}
 }
 
+// calls says whether a partner has a route to a service.
+func (c *checker) calls(partner, service string) bool {
+	return slices.ContainsFunc(c.doc.Entries, func(e versioner.Entry) bool {
+		return e.Route != nil && e.Route.Partner == partner && e.Route.Service == service
+	})
+}
+
 const reservedField = "reserved-percent"
 
 // reservations checks that every target keeps slots that no class reserves,
