--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -15,6 +15,9 @@
 	"bambooweir.example/bambooweir/operator"
 )
 
+// connectWindow is how long apply tries to reach a daemon that may be starting.
+const connectWindow = 3 * time.Second
+
 // applyCommand sends edits to a daemon for acceptance.
 type applyCommand struct {
 	changeFlags
@@ -83,25 +86,32 @@
 	ctx, cancel := context.WithTimeout(c.Context(), a.timeout)
 	defer cancel()
 	wait := backoff.NewExponentialBackOff()
-	isOpen := false
+	wait.InitialInterval = 100 * time.Millisecond
+	begin, isOpen := time.Now(), false
 	for {
+		stop := progress(c, "waiting for the daemon to accept change "+a.changeID)
 		answer, err := a.try(ctx, body)
+		stop()
 		if err == nil {
 			return answer, nil
 		}
 		if isUnknown(err) {
 			isOpen = true
 		}
-		if !isOpen {
+		var refused *problemError
+		isRefused := errors.As(err, &refused) && !isUnknown(err)
+		if !isOpen && (isRefused || time.Since(begin) > connectWindow) {
 			return nil, definite(err)
 		}
-		var refused *problemError
-		if errors.As(err, &refused) && !isUnknown(err) {
+		if isRefused {
 			return nil, a.unknown(fmt.Errorf("an earlier try had no answer, a repetition was %w", err))
 		}
 		c.PrintErrf("no answer (%v), repeating change %s\n", firstLine(err), a.changeID)
 		select {
 		case <-ctx.Done():
+			if !isOpen {
+				return nil, definite(err)
+			}
 			return nil, a.unknown(err)
 		case <-time.After(wait.NextBackOff()):
 		}
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -93,6 +93,12 @@
 	return json.Unmarshal(b, out)
 }
 
+// fetch is get with a word of progress when the answer takes long.
+func (c *client) fetch(cmd *cobra.Command, path string, out any) error {
+	defer progress(cmd, "waiting for "+c.daemonURL)()
+	return c.get(cmd.Context(), path, out)
+}
+
 // do sends one request. It fails with a *problemError or an *unansweredError.
 func (c *client) do(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -21,7 +21,7 @@
 func (d *daemonCommand) run(c *cobra.Command, _ []string) error {
 	cfg, err := loader.Load(d.settings)
 	if err != nil {
-		return &statusError{status: statusBadInput, err: err}
+		return badInput(err)
 	}
 	log, err := newLogger(cfg.LogLevel)
 	if err != nil {
--- a/cmd/edits.go
+++ b/cmd/edits.go
@@ -18,11 +18,11 @@
 func readEdits(path string) (*editsFile, []byte, error) {
 	b, err := readFile(path)
 	if err != nil {
-		return nil, nil, &statusError{status: statusBadInput, err: err}
+		return nil, nil, badInput(err)
 	}
 	edits, err := parser.Parse(path, b)
 	if err != nil {
-		return nil, nil, &statusError{status: statusBadInput, err: err}
+		return nil, nil, badInput(err)
 	}
 	return &editsFile{edits: edits}, b, nil
 }
--- a/cmd/exceptions.go
+++ b/cmd/exceptions.go
@@ -31,7 +31,7 @@
 
 func (x *exceptionsCommand) run(c *cobra.Command, _ []string) error {
 	var answer operator.ExceptionsAnswer
-	if err := x.get(c.Context(), operator.ExceptionsPath, &answer); err != nil {
+	if err := x.fetch(c, operator.ExceptionsPath, &answer); err != nil {
 		return err
 	}
 	if x.output.value == outputJSON {
--- a/cmd/exit.go
+++ b/cmd/exit.go
@@ -27,6 +27,9 @@
 // Unwrap returns the cause.
 func (e *statusError) Unwrap() error { return e.err }
 
+// badInput gives an error the exit status of bad input.
+func badInput(err error) error { return &statusError{status: statusBadInput, err: err} }
+
 // exitStatus returns the process's exit status for an error.
 func exitStatus(err error) int {
 	var status *statusError
--- a/cmd/plan.go
+++ b/cmd/plan.go
@@ -43,7 +43,9 @@
 	if err != nil {
 		return err
 	}
+	stop := progress(c, "waiting for "+p.daemonURL)
 	b, err := p.do(c.Context(), http.MethodPost, operator.PlanPath, p.header(), body)
+	stop()
 	if err != nil {
 		return edits.locate(withStatus(err))
 	}
--- a/cmd/show.go
+++ b/cmd/show.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	var doc versioner.Document
-	if err := s.get(c.Context(), operator.ConfigurationPath+"?"+q.Encode(), &doc); err != nil {
+	if err := s.fetch(c, operator.ConfigurationPath+"?"+q.Encode(), &doc); err != nil {
 		return err
 	}
 	if s.output.value == outputJSON {
