--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -16,6 +17,7 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/loader"
@@ -55,20 +57,35 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.executor = &executor.Executor{Target: d.announcer.Target}
-	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
+	d.executor = &executor.Executor{
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Target: d.announcer.Target,
+	}
+	d.forwarder = &forwarder.Forwarder{
+		Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain,
+		InstanceID: cfg.InstanceID, Local: d.executor.Run,
+	}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
-		Acceptor: &acceptor.Acceptor{Store: store},
+		Acceptor: newAcceptor(cfg, store),
 	}
 	return d
 }
 
+func newAcceptor(cfg *loader.Daemon, store storer.Client) *acceptor.Acceptor {
+	return &acceptor.Acceptor{
+		Store: store, Policy: &authorizer.Authorizer{BootstrapSHA256: cfg.BootstrapTokenSHA256},
+		Timeout: loader.Milliseconds(cfg.ChangeTimeoutMS), RecentBytes: cfg.HeadBytes,
+		HistoryVersions: cfg.HistoryVersions,
+	}
+}
+
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error { return serve(ctx, d.cfg.PeerAddress, d.peerHandler(ctx)) })
+	g.Go(func() error {
+		return serve(ctx, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(ctx))
+	})
 	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
 	g.Go(func() error {
 		d.spreader.Run(ctx)
