Hand out each port of a scenario once, and wait until a process is suspended

Change: ports count up on a loopback address of this process's own, and Freeze returns when the kernel shows the process as stopped.

--- a/launcher/attributes_other.go
+++ b/launcher/attributes_other.go
@@ -5,3 +5,5 @@
 import "syscall"
 
 func processAttributes() *syscall.SysProcAttr { return nil }
+
+func awaitSuspended(int) {}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -77,25 +77,18 @@
 
 // StartStore starts the store stand-in.
 func (f *Fleet) StartStore() error {
-	addr, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	f.storeAddr = addr
-	return f.start(StoreName, "fake-store", "--address", addr)
+	f.storeAddr = newAddress()
+	return f.start(StoreName, "fake-store", "--address", f.storeAddr)
 }
 
 // StartDaemon starts a daemon. Each setting is a line of its settings file.
 func (f *Fleet) StartDaemon(name, domain string, settings ...string) error {
-	addrs, err := freeAddresses(3)
-	if err != nil {
-		return err
-	}
+	listen, callers, operators := newAddress(), newAddress(), newAddress()
 	store, err := f.addLink(name+":store", f.storeAddr)
 	if err != nil {
 		return err
 	}
-	peers, err := f.addLink(name+":peers", addrs[0])
+	peers, err := f.addLink(name+":peers", listen)
 	if err != nil {
 		return err
 	}
@@ -103,9 +96,9 @@
 		fmt.Sprintf("instance-id = %q", name),
 		fmt.Sprintf("failure-domain = %q", domain),
 		fmt.Sprintf("peer-address = %q", peers),
-		fmt.Sprintf("peer-listen-address = %q", addrs[0]),
-		fmt.Sprintf("caller-address = %q", addrs[1]),
-		fmt.Sprintf("operator-address = %q", addrs[2]),
+		fmt.Sprintf("peer-listen-address = %q", listen),
+		fmt.Sprintf("caller-address = %q", callers),
+		fmt.Sprintf("operator-address = %q", operators),
 		fmt.Sprintf("store-url = %q", "http://"+store),
 	}, settings...)
 	path := filepath.Join(f.dir, name+".toml")
@@ -113,7 +106,7 @@
 		return errorx.Decorate(err, "writing settings")
 	}
 	f.mu.Lock()
-	f.daemons[name] = Daemon{Name: name, Domain: domain, CallerURL: "http://" + addrs[1], OperatorURL: "http://" + addrs[2]}
+	f.daemons[name] = Daemon{Name: name, Domain: domain, CallerURL: "http://" + callers, OperatorURL: "http://" + operators}
 	f.mu.Unlock()
 	return f.start(name, "daemon", "--settings", path)
 }
@@ -124,10 +117,7 @@
 	if err != nil {
 		return err
 	}
-	addr, err := freeAddress()
-	if err != nil {
-		return err
-	}
+	addr := newAddress()
 	calls, err := f.addLink(name+":calls", addr)
 	if err != nil {
 		return err
@@ -143,7 +133,7 @@
 func (f *Fleet) JournalPath(name string) string { return filepath.Join(f.dir, name+".journal") }
 
 func (f *Fleet) addLink(name, upstream string) (string, error) {
-	p, err := faulter.Listen(loopbackIP+":0", upstream)
+	p, err := faulter.Listen(newAddress(), upstream)
 	if err != nil {
 		return "", err
 	}
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -100,7 +100,13 @@
 	f.mu.Lock()
 	p.frozen = frozen
 	f.mu.Unlock()
-	return p.cmd.Process.Signal(signal)
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		return errorx.Decorate(err, "signalling %s", name)
+	}
+	if frozen {
+		awaitSuspended(p.cmd.Process.Pid)
+	}
+	return nil
 }
 
 // IsRunning says whether a process has neither ended nor is frozen.
