Show all counters per daemon, and forge bad versions in the store

Cause: counters of the packages were nowhere to be read, and the bad-version scenario only wrote garbage over the head, which every decoder refuses. Change: publisher walks the counters of a struct and shows them under the instance ID; /debug/vars shows forwarder, executor, fencer, announcer and acceptor. The forge word makes a dangling route, a wrong digest, a missing content and an older version in the store past every check. The checker judges only documents that some daemon put in force; it blamed the forged one before.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -64,7 +64,7 @@
 	Applied map[string][]applier.Applied
 	// Accepted holds the digest of each accepted version that was seen.
 	Accepted map[versioner.Version]versioner.Digest
-	// Documents holds the accepted documents that were seen.
+	// Documents holds the documents that the store was seen to hold.
 	Documents []*versioner.Document
 	Targets   []Target
 	Told      []caller.Told
@@ -144,9 +144,19 @@
 	}
 }
 
-// documents checks that no accepted route points at something absent.
+// documents checks that no route in force points at something absent.
 func (c *check) documents() {
+	inForce := make(map[string]bool)
+	for _, history := range c.records.Applied {
+		for _, a := range history {
+			inForce[a.Digest] = true
+		}
+	}
 	for _, doc := range c.records.Documents {
+		digest, err := doc.Digest()
+		if err != nil || !inForce[digest.String()] {
+			continue
+		}
 		subject := fmt.Sprintf("version %d", doc.Version)
 		for _, e := range doc.Entries {
 			if e.Route == nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,7 @@
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store),
 	}
+	d.publish()
 	return d
 }
 
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"expvar"
+
+	"bambooweir.example/bambooweir/publisher"
+)
+
+// publish shows the daemon's counters under its instance ID.
+func (d *Daemon) publish() {
+	m := new(expvar.Map).Init()
+	m.Set("forwarder", publisher.Counters(&d.forwarder.Counters))
+	m.Set("executor", publisher.Counters(&d.executor.Counters))
+	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
+	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
+	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
+	m.Set("version", expvar.Func(d.versionInForce))
+	publisher.Publish(d.cfg.InstanceID, m)
+}
+
+func (d *Daemon) versionInForce() any {
+	if snapshot := d.applier.Current(); snapshot != nil {
+		return snapshot.Version()
+	}
+	return 0
+}
--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -41,6 +41,8 @@
 	recorder *checker.Recorder
 	caller   *caller.Caller
 	stop     context.CancelFunc
+	// genuineHead is the head before the first forged version.
+	genuineHead []byte
 
 	mu      sync.Mutex
 	batches map[string]*batch
@@ -101,6 +103,7 @@
 		"apply-start":      command(3, -1, "apply-start NAME DAEMON FILE [FLAG...]", (*scenario).applyStart),
 		"apply-end":        command(2, 2, "apply-end NAME REGEXP", (*scenario).applyEnd),
 		"put":              command(2, 2, "put KEY FILE", (*scenario).put),
+		"forge":            command(1, 1, "forge KIND", (*scenario).forge),
 		"call":             command(4, -1, "call NAME DAEMON METHOD PATH [OPTION=VALUE...]", (*scenario).call),
 		"end-calls":        command(1, -1, "end-calls NAME...", (*scenario).endCalls),
 		"wait-version":     command(1, -1, "wait-version VERSION [DAEMON...]", (*scenario).waitVersion),
--- a/scripter/waits.go
+++ b/scripter/waits.go
@@ -18,6 +18,7 @@
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/publisher"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -165,8 +166,8 @@
 	})
 }
 
-// waitCounter waits until a counter of /debug/vars satisfies the condition.
-// The name's parts are joined by dots.
+// waitCounter waits until a counter of the daemon satisfies the condition. The
+// name's parts are joined by dots.
 func (s *scenario) waitCounter(_ *testscript.TestScript, args []string) error {
 	d, err := s.fleet.Daemon(args[0])
 	if err != nil {
@@ -178,7 +179,8 @@
 	}
 	return await(func() error {
 		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/debug/vars", "")
-		got, err := counter(strings.TrimPrefix(answer, "200 "), strings.Split(cond.name, "."))
+		path := append([]string{publisher.Name, args[0]}, strings.Split(cond.name, ".")...)
+		got, err := counter(strings.TrimPrefix(answer, "200 "), path)
 		if err != nil {
 			return err
 		}
