Show a small fleet at work with go run . demo

Change: demonstrator runs the two partners' services, 24 daemons beside 24 targets in 6 failure domains, in one process; calls of seven kinds; four changes, one an exception; a killed daemon, the store cut off, a drain; an account at the end and status 1 if an invariant was broken. Seen: it fails on this commit, rightly. The first version with an exception has another digest on daemons fed by peers than on those that read the store, since State carries the exception's time in whole seconds (56 violations of versions-whole).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -21,6 +21,7 @@
 		new(fakeStoreCommand).command(),
 		new(fakeTargetCommand).command(),
 		new(applyCommand).command(),
+		new(demoCommand).command(),
 	)
 	if err := root.ExecuteContext(ctx); err != nil {
 		root.PrintErrln("bambooweir:", err)
--- /dev/null
+++ b/demonstrator/changes.go
@@ -0,0 +1,98 @@
+package demonstrator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+const (
+	convergenceBound = 20 * time.Second
+	pollInterval     = 20 * time.Millisecond
+)
+
+// change is one accepted change and how it spread.
+type change struct {
+	author, reason string
+	version        versioner.Version
+	accepted       time.Time
+	// convergence is the time until the last daemon had the version in force.
+	convergence time.Duration
+}
+
+// apply makes a change at an instance's daemon, as the operators' command does.
+func (f *fleet) apply(ctx context.Context, at *instance, author, reason, edits string) (change, error) {
+	c := change{author: author, reason: reason}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at.operatorURL()+"/v1/changes", strings.NewReader(edits))
+	if err != nil {
+		return c, err
+	}
+	req.Header.Set("Change-Id", rand.Text())
+	req.Header.Set("Change-Author", author)
+	req.Header.Set("Change-Reason", reason)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return c, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return c, err
+	}
+	var answer operator.ChangeAnswer
+	if res.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return c, fmt.Errorf("not accepted: %s", body)
+	}
+	c.version, c.accepted = answer.Version, time.Now()
+	return c, nil
+}
+
+// converge waits until all instances have the change's version in force.
+func (f *fleet) converge(ctx context.Context, c *change, instances []*instance) error {
+	ctx, cancel := context.WithTimeout(ctx, convergenceBound)
+	defer cancel()
+	for _, i := range instances {
+		for {
+			status, err := readStatus(ctx, i)
+			if err == nil && status.Version >= c.version {
+				break
+			}
+			if pause(ctx) != nil {
+				return fmt.Errorf("%s has version %d after %s, want %d", i.settings.InstanceID, status.Version, convergenceBound, c.version)
+			}
+		}
+	}
+	c.convergence = time.Since(c.accepted)
+	return nil
+}
+
+func readStatus(ctx context.Context, i *instance) (operator.Status, error) {
+	var status operator.Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.operatorURL()+"/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return status, err
+	}
+	defer res.Body.Close()
+	return status, json.NewDecoder(res.Body).Decode(&status)
+}
+
+func pause(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pollInterval):
+		return nil
+	}
+}
--- /dev/null
+++ b/demonstrator/report.go
@@ -0,0 +1,87 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/checker"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// report prints the account and fails if a promise was broken.
+func (d *demonstration) report() error {
+	d.fleet.recorder.AddUnplanned()
+	if err := d.fleet.records(); err != nil {
+		return err
+	}
+	d.reportVersions()
+	d.reportCalls()
+	counts := d.fleet.store.Counts()
+	fmt.Fprintf(d.w, "\nStore calls: %d reads, %d writes, %d watches.\n", counts.Reads, counts.Writes, counts.Watches)
+	broken := d.fleet.recorder.Check()
+	for _, v := range broken {
+		fmt.Fprintln(d.w, "BROKEN", v)
+	}
+	if len(broken) > 0 {
+		return &BrokenError{Violations: broken}
+	}
+	fmt.Fprintf(d.w, "All %d invariants held: %s.\n", len(checker.Invariants()), join(checker.Invariants()))
+	return nil
+}
+
+func join(invariants []checker.Invariant) string {
+	names := make([]string, len(invariants))
+	for i, v := range invariants {
+		names[i] = string(v)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (d *demonstration) reportVersions() {
+	inForce := make(map[versioner.Version]int)
+	for _, i := range d.fleet.instances {
+		if status, err := readStatus(context.Background(), i); err == nil {
+			inForce[status.Version]++
+		}
+	}
+	fmt.Fprintln(d.w)
+	tw := tabwriter.NewWriter(d.w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "VERSION\tAUTHOR\tREASON\tCONVERGENCE\tIN FORCE ON")
+	for _, c := range d.changes {
+		fmt.Fprintf(tw, "%d\t%s\t%s\t%s\t%d daemons\n", c.version, c.author, c.reason, c.convergence.Round(time.Millisecond), inForce[c.version])
+	}
+	_ = tw.Flush()
+}
+
+func (d *demonstration) reportCalls() {
+	outcomes := []caller.Outcome{caller.Answered, caller.NotRun, caller.Unknown, caller.Lost, caller.Unreachable}
+	counts := make(map[string]map[caller.Outcome]int)
+	for _, told := range d.traffic.told {
+		kind := told.Call.ID[:strings.LastIndexByte(told.Call.ID, '-')]
+		if counts[kind] == nil {
+			counts[kind] = make(map[caller.Outcome]int)
+		}
+		counts[kind][told.Outcome]++
+	}
+	kinds := make([]string, 0, len(counts))
+	for kind := range counts {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	fmt.Fprintln(d.w)
+	tw := tabwriter.NewWriter(d.w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "CALLS\tANSWERED\tNOT RUN\tUNKNOWN\tENTRY LOST\tENTRY UNREACHABLE\t")
+	for _, kind := range kinds {
+		fmt.Fprintf(tw, "%s\t", kind)
+		for _, o := range outcomes {
+			fmt.Fprintf(tw, "%d\t", counts[kind][o])
+		}
+		fmt.Fprintln(tw)
+	}
+	_ = tw.Flush()
+}
--- a/launcher/addresses.go
+++ b/launcher/addresses.go
@@ -15,6 +15,6 @@
 // ports counts the addresses handed out; none is handed out twice.
 var ports atomic.Int64
 
-func newAddress() string {
+func NewAddress() string {
 	return fmt.Sprintf("%s:%d", loopbackIP, firstPort+ports.Add(1))
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -77,13 +77,13 @@
 
 // StartStore starts the store stand-in.
 func (f *Fleet) StartStore() error {
-	f.storeAddr = newAddress()
+	f.storeAddr = NewAddress()
 	return f.start(StoreName, "fake-store", "--address", f.storeAddr)
 }
 
 // StartDaemon starts a daemon. Each setting is a line of its settings file.
 func (f *Fleet) StartDaemon(name, domain string, settings ...string) error {
-	listen, callers, operators := newAddress(), newAddress(), newAddress()
+	listen, callers, operators := NewAddress(), NewAddress(), NewAddress()
 	store, err := f.addLink(name+":store", f.storeAddr)
 	if err != nil {
 		return err
@@ -117,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	addr := newAddress()
+	addr := NewAddress()
 	calls, err := f.addLink(name+":calls", addr)
 	if err != nil {
 		return err
@@ -133,7 +133,7 @@
 func (f *Fleet) JournalPath(name string) string { return filepath.Join(f.dir, name+".journal") }
 
 func (f *Fleet) addLink(name, upstream string) (string, error) {
-	p, err := faulter.Listen(newAddress(), upstream)
+	p, err := faulter.Listen(NewAddress(), upstream)
 	if err != nil {
 		return "", err
 	}
