--- a/launcher/addresses.go
+++ b/launcher/addresses.go
@@ -15,6 +15,7 @@
 // ports counts the addresses handed out; none is handed out twice.
 var ports atomic.Int64
 
+// NewAddress returns an address on the loopback interface that nothing else uses.
 func NewAddress() string {
 	return fmt.Sprintf("%s:%d", loopbackIP, firstPort+ports.Add(1))
 }
