Soak a small fleet of processes under seeded faults

Cause: scenarios cause the faults that we thought of; mixed ones need a run. Change: soaker draws faults, calls and changes from one seed each, ends all faults, waits for convergence and lets the checker decide; go run . soak prints seed, calls, changes, faults and violations. The checker also holds what operators were told of their changes against the store (changes-told-truly).

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -30,6 +30,7 @@
 	AnswersOwn        Invariant = "answers-own"
 	DrainedGetsNoWork Invariant = "drained-gets-no-work"
 	StopsCutNothing   Invariant = "stops-cut-nothing"
+	ChangesToldTruly  Invariant = "changes-told-truly"
 )
 
 // Invariants returns the names of all invariants.
@@ -37,6 +38,7 @@
 	return []Invariant{
 		VersionsOnlyRise, VersionsWhole, ReferencesClosed, RunsAtMostOnce, NotRunIsTrue,
 		AnswersWhole, AnswersOwn, DrainedGetsNoWork, StopsCutNothing,
+		ChangesToldTruly,
 	}
 }
 
@@ -68,7 +70,11 @@
 	Documents []*versioner.Document
 	Targets   []Target
 	Told      []caller.Told
-	Stops     []Stop
+	// Changes holds what operators were told, Makers the change id that made each
+	// version.
+	Changes []caller.ToldChange
+	Makers  map[versioner.Version]string
+	Stops   []Stop
 	// Unplanned says that something other than planned stops was done to the
 	// fleet, so that calls may be lost for another reason.
 	Unplanned bool
@@ -92,6 +98,7 @@
 	c := &check{records: r, runs: countRuns(r.Targets)}
 	c.versions()
 	c.documents()
+	c.changes()
 	c.calls()
 	c.keys()
 	c.drains()
@@ -169,3 +176,21 @@
 		}
 	}
 }
+
+// changes holds what operators were told against what was accepted.
+func (c *check) changes() {
+	versions := make(map[string]versioner.Version)
+	for v, id := range c.records.Makers {
+		versions[id] = v
+	}
+	for _, told := range c.records.Changes {
+		id := told.Change.ID
+		v, made := versions[id]
+		switch {
+		case told.Outcome == caller.NotAccepted && made:
+			c.add(ChangesToldTruly, id, "made version %d, the operator was told not-accepted (%s)", v, told.Cause)
+		case told.Outcome == caller.Accepted && c.records.Makers[told.Version] != id:
+			c.add(ChangesToldTruly, id, "the operator was told of version %d, which %q made", told.Version, c.records.Makers[told.Version])
+		}
+	}
+}
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -34,6 +34,11 @@
 		}}},
 		Told:  []caller.Told{posting("answered", caller.Answered), posting("refused", caller.NotRun)},
 		Stops: []Stop{{Daemon: "d1", At: start}},
+		Changes: []caller.ToldChange{
+			{Change: caller.Change{ID: "c1"}, Outcome: caller.Accepted, Version: 1},
+			{Change: caller.Change{ID: "c3"}, Outcome: caller.NotAccepted},
+		},
+		Makers: map[versioner.Version]string{1: "c1", 2: "c2"},
 	}
 }
 
@@ -69,6 +74,8 @@
 		{"work after the drain", func(r *Records) {
 			r.Targets[0].Runs[0].Begun = start.Add(DrainBound + time.Millisecond)
 		}, DrainedGetsNoWork},
+		{"accepted change is not there", func(r *Records) { r.Makers[1] = "c4" }, ChangesToldTruly},
+		{"refused change is there", func(r *Records) { r.Makers[2] = "c3" }, ChangesToldTruly},
 		{"stop cuts a call", func(r *Records) { r.Told[1].Outcome = caller.Lost }, StopsCutNothing},
 		{"stop leaves a call undecided", func(r *Records) { r.Told[1].Outcome = caller.Unknown }, StopsCutNothing},
 	} {
--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -96,10 +96,12 @@
 	defer r.mu.Unlock()
 	if r.records.Accepted == nil {
 		r.records.Accepted = make(map[versioner.Version]versioner.Digest)
+		r.records.Makers = make(map[versioner.Version]string)
 	}
 	r.records.Accepted[head.Version] = head.Digest
 	for _, d := range head.Recent {
 		r.records.Accepted[d.To] = d.ToDigest
+		r.records.Makers[d.To] = d.Audit.ChangeID
 	}
 	if err == nil {
 		r.records.Documents = append(r.records.Documents, doc)
@@ -113,6 +115,24 @@
 	r.records.Told = append(r.records.Told, told...)
 }
 
+// AddChange records the end of a change.
+func (r *Recorder) AddChange(told caller.ToldChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Changes = append(r.records.Changes, told)
+}
+
+// Newest returns the newest accepted version that was seen.
+func (r *Recorder) Newest() versioner.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var newest versioner.Version
+	for v := range r.records.Accepted {
+		newest = max(newest, v)
+	}
+	return newest
+}
+
 // AddStop records a planned stop.
 func (r *Recorder) AddStop(daemon string) {
 	r.mu.Lock()
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,7 @@
 		new(fakeTargetCommand).command(),
 		new(applyCommand).command(),
 		new(demoCommand).command(),
+		new(soakCommand).command(),
 	)
 	if err := root.ExecuteContext(ctx); err != nil {
 		root.PrintErrln("bambooweir:", err)
--- a/demonstrator/changes.go
+++ b/demonstrator/changes.go
@@ -5,11 +5,10 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
+	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -30,29 +29,15 @@
 
 // apply makes a change at an instance's daemon, as the operators' command does.
 func (f *fleet) apply(ctx context.Context, at *instance, author, reason, edits string) (change, error) {
-	c := change{author: author, reason: reason}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at.operatorURL()+"/v1/changes", strings.NewReader(edits))
-	if err != nil {
-		return c, err
-	}
-	req.Header.Set("Change-Id", rand.Text())
-	req.Header.Set("Change-Author", author)
-	req.Header.Set("Change-Reason", reason)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return c, err
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	if err != nil {
-		return c, err
-	}
-	var answer operator.ChangeAnswer
-	if res.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil {
-		return c, fmt.Errorf("not accepted: %s", body)
+	told := caller.New().Apply(ctx, caller.Change{
+		ID: rand.Text(), Entry: at.settings.InstanceID, URL: at.operatorURL(),
+		Author: author, Reason: reason, Edits: edits,
+	})
+	f.recorder.AddChange(told)
+	if told.Outcome != caller.Accepted {
+		return change{}, fmt.Errorf("%s: %s", told.Outcome, told.Cause)
 	}
-	c.version, c.accepted = answer.Version, time.Now()
-	return c, nil
+	return change{author: author, reason: reason, version: told.Version, accepted: told.Finished}, nil
 }
 
 // converge waits until all instances have the change's version in force.
@@ -85,7 +70,8 @@
 		return status, err
 	}
 	defer res.Body.Close()
-	return status, json.NewDecoder(res.Body).Decode(&status)
+	err = json.NewDecoder(res.Body).Decode(&status)
+	return status, err
 }
 
 func pause(ctx context.Context) error {
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -24,8 +24,8 @@
 	counts := d.fleet.store.Counts()
 	fmt.Fprintf(d.w, "\nStore calls: %d reads, %d writes, %d watches.\n", counts.Reads, counts.Writes, counts.Watches)
 	broken := d.fleet.recorder.Check()
-	for _, v := range broken {
-		fmt.Fprintln(d.w, "BROKEN", v)
+	for _, line := range checker.Summarize(broken) {
+		fmt.Fprintln(d.w, "BROKEN", line)
 	}
 	if len(broken) > 0 {
 		return &BrokenError{Violations: broken}
--- /dev/null
+++ b/soaker/fleet.go
@@ -0,0 +1,104 @@
+package soaker
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+const configuration = `[partner.magnolia]
+share-percent = 50
+
+[service.ledger-view]
+partner = "magnolia"
+slots = 12
+
+[service.payout-desk]
+partner = "magnolia"
+slots = 12
+
+[route.shares]
+partner = "magnolia"
+path-prefix = "/shares"
+service = "ledger-view"
+class = "lookup"
+
+[route.payouts]
+partner = "magnolia"
+path-prefix = "/payouts"
+service = "payout-desk"
+class = "posting"
+`
+
+var (
+	domains  = []string{"mobile-bay", "selma-row", "natchez-hall"}
+	services = []string{"ledger-view", "payout-desk"}
+)
+
+// bringUp starts the processes and puts the first version in force.
+func (s *soak) bringUp(ctx context.Context) error {
+	if err := s.fleet.StartStore(); err != nil {
+		return err
+	}
+	go s.recorder.WatchStore(ctx, &storer.HTTPClient{BaseURL: s.fleet.StoreURL()})
+	for n := range cmp.Or(s.cfg.Daemons, defaultDaemons) {
+		if err := s.addInstance(ctx, n); err != nil {
+			return err
+		}
+	}
+	first := s.fleet.Daemons()[0]
+	for {
+		told := s.caller.Apply(ctx, caller.Change{
+			ID: "first", Entry: first.Name, URL: first.OperatorURL,
+			Author: "ada", Reason: "the first version", Edits: configuration,
+		})
+		if told.Outcome == caller.Accepted {
+			break
+		}
+		if pause(ctx, pollInterval) != nil {
+			return errors.New("first version: " + told.Cause)
+		}
+	}
+	if late := s.settle(ctx); len(late) > 0 {
+		return errors.New(late[0].String())
+	}
+	s.say("%d daemons and targets are up, version 1 is in force", len(s.fleet.Daemons()))
+	return nil
+}
+
+func (s *soak) addInstance(ctx context.Context, n int) error {
+	name := fmt.Sprintf("d%d", n)
+	if err := s.fleet.StartDaemon(name, domains[n%len(domains)]); err != nil {
+		return err
+	}
+	d, err := s.fleet.Daemon(name)
+	if err != nil {
+		return err
+	}
+	go s.recorder.WatchDaemon(ctx, name, d.OperatorURL)
+	service := services[n/len(domains)%len(services)]
+	return s.fleet.StartTarget(fmt.Sprintf("t%d", n), name, service)
+}
+
+func readVersion(ctx context.Context, operatorURL string) (versioner.Version, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+"/v1/status", nil)
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	var status operator.Status
+	err = json.NewDecoder(res.Body).Decode(&status)
+	return status.Version, err
+}
--- /dev/null
+++ b/soaker/load.go
@@ -0,0 +1,115 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"bambooweir.example/bambooweir/caller"
+)
+
+const (
+	callInterval   = 5 * time.Millisecond
+	callTimeout    = 15 * time.Second
+	changeInterval = 400 * time.Millisecond
+	changeTimeout  = 20 * time.Second
+	maxBodyBytes   = 64 << 10
+)
+
+// makeCalls begins calls until faulty ends. The calls go on to their own end.
+func (s *soak) makeCalls(ctx, faulty context.Context, random *rand.Rand) {
+	defer s.wg.Done()
+	for n := 0; pause(faulty, callInterval) == nil; n++ {
+		call, repeats := s.drawCall(random, n)
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.doCall(ctx, call, repeats)
+		}()
+	}
+}
+
+// drawCall returns a call, and the entries at which its caller repeats it with
+// the same key until it is answered.
+func (s *soak) drawCall(random *rand.Rand, n int) (caller.Call, []string) {
+	call := caller.Call{Method: http.MethodGet, Path: "/shares/7", BodyBytes: random.IntN(maxBodyBytes)}
+	daemons := s.fleet.Daemons()
+	call.Entry = daemons[random.IntN(len(daemons))].Name
+	var repeats []string
+	if random.IntN(2) == 0 {
+		call.Method, call.Path = http.MethodPost, "/payouts"
+		if random.IntN(4) == 0 {
+			call.Key = fmt.Sprintf("key-%d", n)
+			repeats = []string{daemons[random.IntN(len(daemons))].Name, call.Entry}
+		}
+	}
+	call.ID = fmt.Sprintf("call-%d", n)
+	return call, repeats
+}
+
+func (s *soak) doCall(ctx context.Context, call caller.Call, repeats []string) {
+	told := s.callOnce(ctx, call)
+	for i, entry := range repeats {
+		if told.Outcome == caller.Answered {
+			return
+		}
+		call.ID = fmt.Sprintf("%s-again-%d", call.ID, i)
+		call.Entry = entry
+		told = s.callOnce(ctx, call)
+	}
+}
+
+func (s *soak) callOnce(ctx context.Context, call caller.Call) caller.Told {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	d, err := s.fleet.Daemon(call.Entry)
+	if err != nil {
+		return caller.Told{Call: call, Outcome: caller.Unreachable}
+	}
+	call.URL = d.CallerURL
+	told := s.caller.Do(ctx, call)
+	s.recorder.AddTold(told)
+	return told
+}
+
+// makeChanges makes one change after the other, at random daemons.
+func (s *soak) makeChanges(ctx, faulty context.Context, random *rand.Rand) {
+	defer s.wg.Done()
+	for n := 0; pause(faulty, changeInterval) == nil; n++ {
+		daemons := s.fleet.Daemons()
+		d := daemons[random.IntN(len(daemons))]
+		change := caller.Change{
+			ID: fmt.Sprintf("change-%d", n), Entry: d.Name, URL: d.OperatorURL,
+			Author: "ada", Reason: "soak", Edits: drawEdits(random, n),
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.applyOnce(ctx, change)
+		}()
+	}
+}
+
+func (s *soak) applyOnce(ctx context.Context, change caller.Change) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	told := s.caller.Apply(ctx, change)
+	s.recorder.AddChange(told)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Changes[told.Outcome]++
+}
+
+// drawEdits returns edits of entries that several changes may touch at once.
+func drawEdits(random *rand.Rand, n int) string {
+	switch random.IntN(3) {
+	case 0:
+		return fmt.Sprintf("[class.lookup]\ntimeout-ms = %d\n", 1000+n)
+	case 1:
+		return fmt.Sprintf("[route.extra-%d]\npartner = \"magnolia\"\npath-prefix = \"/extra/%d\"\nservice = \"ledger-view\"\nclass = \"lookup\"\n", random.IntN(8), n)
+	default:
+		return fmt.Sprintf("[exception.soak-%d]\npartner = \"magnolia\"\nservice = \"payout-desk\"\nsetting = \"posting.timeout-ms\"\nvalue = %d\nreason = \"soak\"\n", random.IntN(4), 8000+n)
+	}
+}
