--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -26,6 +26,8 @@
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
 		new(checkCommand).command(),
+		new(demoCommand).command(),
+		new(soakCommand).command(),
 	)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &statusError{status: statusBadInput, err: err}
