Choose targets by the picker, retry on budgets, admit by the limiter

The call path takes the policies that the other packages decide: the picker per attempt, the retrier's budgets and hedging, the limiter's slots at the target's daemon, and the load that answers tell.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,9 +20,11 @@
 	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -36,6 +38,7 @@
 	table     *tracker.Table
 	spreader  *spreader.Spreader
 	announcer *announcer.Announcer
+	limiter   *limiter.Limiter
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
 	surface   *operator.Surface
@@ -57,11 +60,14 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
+	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service}
 	d.executor = &executor.Executor{
-		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Target: d.announcer.Target,
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
+		Target: d.announcer.Target, Draining: d.announcer.Draining,
+		Admit: d.admit, Load: d.load, Reached: d.reached,
 	}
 	d.forwarder = &forwarder.Forwarder{
-		Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain,
+		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
 		InstanceID: cfg.InstanceID, Local: d.executor.Run,
 	}
 	d.surface = &operator.Surface{
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -59,6 +59,10 @@
 	// Admit waits for a slot and returns its release, or the answer that refuses
 	// the call; nil admits every call.
 	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
+	// Load returns the calls that run and wait at the target; nil tells none.
+	Load func() (running, waiting int)
+	// Reached is told of every call whether the target accepted a connection.
+	Reached func(accepted bool)
 	// HTTP reaches the target; nil means a transport of its own.
 	HTTP     http.RoundTripper
 	Calls    fencer.Fencer
@@ -92,16 +96,14 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return ctx.Err() == nil }}
-	return x.count(x.perform(ctx, r))
+	return x.label(x.count(x.perform(ctx, r)))
 }
 
 // perform admits the call, begins it and asks the target.
 func (x *Executor) perform(ctx context.Context, r *run) *messenger.Answer {
 	id := r.call.ID
 	if x.isDraining() {
-		answer := messenger.NotRun(id, CauseDraining)
-		answer.Draining = true
-		return answer
+		return messenger.NotRun(id, CauseDraining)
 	}
 	base := x.Target()
 	if base == "" {
@@ -131,6 +133,16 @@
 	return x.ask(req, r)
 }
 
+// label tells on the answer what the entry daemon chooses targets by.
+func (x *Executor) label(answer *messenger.Answer) *messenger.Answer {
+	answer.Draining = answer.Draining || x.isDraining()
+	if x.Load != nil {
+		answer.Running, answer.Waiting = x.Load()
+		answer.Told = true
+	}
+	return answer
+}
+
 func (x *Executor) isDraining() bool {
 	return x.stopping.Load() || x.Draining != nil && x.Draining()
 }
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -126,7 +126,7 @@
 	}
 	x.running[call.ID] = r
 	x.mu.Unlock()
-	answer := x.count(x.perform(runCtx, r))
+	answer := x.label(x.count(x.perform(runCtx, r)))
 	x.mu.Lock()
 	delete(x.running, call.ID)
 	x.mu.Unlock()
@@ -144,11 +144,6 @@
 }
 
 func (x *Executor) send(ctx context.Context, l *servedLink, answer *messenger.Answer) {
-	if x.isDraining() {
-		marked := *answer
-		marked.Draining = true
-		answer = &marked
-	}
 	_ = l.conn.Send(ctx, answer)
 }
 
--- a/executor/target.go
+++ b/executor/target.go
@@ -95,8 +95,12 @@
 func (x *Executor) ask(req *http.Request, r *run) *messenger.Answer {
 	id := r.call.ID
 	res, err := x.roundTripper().RoundTrip(req)
+	refused := err != nil && neverDialed(err)
+	if x.Reached != nil {
+		x.Reached(!refused)
+	}
 	if err != nil {
-		if neverDialed(err) {
+		if refused {
 			return messenger.NotRun(id, CauseUnreachable)
 		}
 		return messenger.Unknown(id, failureCause(req.Context(), CauseTargetFailed))
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -5,18 +5,19 @@
 	"encoding/binary"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 const (
-	// maxRefusedRetries bounds the further attempts of a call that no target has begun.
-	maxRefusedRetries = 3
 	// maxHarmed bounds the further attempts of an idempotent call after attempts
 	// that ended without an answer: the call itself may be what kills its targets.
 	maxHarmed = 1
@@ -29,79 +30,108 @@
 	finalWait = 250 * time.Millisecond
 )
 
+// exchange is one request of a caller.
+type exchange struct {
+	call     messenger.Call
+	policy   *applier.Policy
+	deadline time.Time
+	retries  retrier.Call
+
+	// mu guards what follows, since two attempts may run side by side.
+	mu       sync.Mutex
+	tried    picker.Tried
+	attempts uint16
+	harmed   int
+	// undecided is the answer of an attempt that may have run.
+	undecided *messenger.Answer
+}
+
 // dispatch makes attempts until the call has an outcome that may be told.
 //
 // Invariants: a further attempt of a call that isn't idempotent is made only
 // after the one before it is proved never to begin. A call of which any attempt
 // may have run is never told not to have run.
 func (f *Forwarder) dispatch(ctx context.Context, x *exchange) *messenger.Answer {
-	choice := Choice{Route: x.route, Service: x.call.Service, Class: x.call.Class, Partner: x.call.Partner}
-	var last, undecided *messenger.Answer
-	refused, harmed := 0, 0
-	for n := 0; ; n++ {
-		target, ok := f.pick(choice)
-		if !ok && last == nil {
-			last = noTarget(x.call.ID)
-		}
-		if !ok || n > 0 && f.Budget != nil && !f.Budget(x.route) {
-			return conclude(last, undecided)
-		}
-		if n > 0 {
-			f.Counters.Redispatched.Add(1)
-		}
-		last = f.attempt(ctx, x, choice, target, n)
-		switch last.Outcome {
-		case messenger.OutcomeAnswered:
-			return last
-		case messenger.OutcomeNotRun:
-			refused++
-		default:
-			undecided = last
-			harmed++
+	for {
+		answer, ok := retrier.Hedge(ctx, &x.retries, func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
+			answer := f.attempt(ctx, x, marked)
+			return answer, answer.Outcome == messenger.OutcomeAnswered
+		})
+		if ok {
+			return answer
 		}
-		if ctx.Err() != nil || refused > maxRefusedRetries || harmed > min(maxHarmed, x.maxRetries) || !mayRepeat(x.call, last) {
-			return conclude(last, undecided)
+		failure, again := failureOf(&x.call, answer)
+		if !again || x.harmedTooOften() || !x.retries.Retry(ctx, failure) {
+			return x.conclude(answer)
 		}
-		choice.Exclude = append(choice.Exclude, target.InstanceID)
+		f.Counters.Redispatched.Add(1)
 	}
 }
 
-// conclude returns the last answer, or the undecided one if there was any.
-func conclude(last, undecided *messenger.Answer) *messenger.Answer {
-	if undecided != nil {
-		return undecided
+func (x *exchange) harmedTooOften() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.harmed > maxHarmed
+}
+
+// conclude returns what the caller is told when the last attempt brought no answer.
+func (x *exchange) conclude(last *messenger.Answer) *messenger.Answer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.undecided != nil {
+		return x.undecided
 	}
 	return last
 }
 
-func noTarget(id messenger.CallID) *messenger.Answer {
-	answer := messenger.NotRun(id, causeNoTarget)
-	answer.RetryAfterMS = unavailableRetryMS
-	return answer
+// take notes an attempt at the target and returns its call.
+func (x *exchange) take(choice picker.Choice, marked bool) *messenger.Call {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	call := x.call
+	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
+	x.attempts++
+	x.tried.Add(choice)
+	if marked {
+		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: "retry"})
+	}
+	return &call
 }
 
-// mayRepeat says whether another target may be asked after this answer.
-func mayRepeat(call *messenger.Call, answer *messenger.Answer) bool {
-	if answer.Outcome == messenger.OutcomeNotRun {
-		return statusOf(answer) >= 500 && answer.Cause != causeDeadline && answer.Cause != causeCancelled
+// note takes in the end of an attempt.
+func (x *exchange) note(answer *messenger.Answer) {
+	if answer.Outcome != messenger.OutcomeUnknown {
+		return
 	}
-	return call.Idempotent && answer.Cause != causeCancelled
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.undecided = answer
+	x.harmed++
+}
+
+func (x *exchange) snapshot() picker.Tried {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tried
 }
 
-func (f *Forwarder) pick(c Choice) (tracker.Record, bool) {
-	if f.Pick != nil {
-		return f.Pick(c)
+// attempt chooses a target and brings the call to it.
+func (f *Forwarder) attempt(ctx context.Context, x *exchange, marked bool) *messenger.Answer {
+	choice, ok := f.Picker.Pick(x.policy, x.snapshot())
+	if !ok {
+		answer := messenger.NotRun(x.call.ID, causeNoTarget)
+		answer.RetryAfterMS = unavailableRetryMS
+		return answer
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	targets := f.Table.Service(c.Service)
-	usable := make([]tracker.Record, 0, len(targets))
-	for _, r := range targets {
-		if !slices.Contains(c.Exclude, r.InstanceID) && f.draining[r.InstanceID] < r.Incarnation {
-			usable = append(usable, r)
-		}
+	call := x.take(choice, marked)
+	answer := f.try(ctx, call, choice.Record, x.deadline)
+	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
+		f.Counters.Damaged.Add(1)
+		answer = messenger.Unknown(call.ID, causeDamaged)
 	}
-	return picker.Pick(usable, f.Domain)
+	choice.Done(resultOf(answer))
+	x.note(answer)
+	return answer
 }
 
 // IsDraining says whether the target's daemon has said on a call link that it
@@ -109,7 +139,7 @@
 func (f *Forwarder) IsDraining(r tracker.Record) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.draining[r.InstanceID] >= r.Incarnation
+	return f.draining[r.InstanceID] >= r.Incarnation && r.Incarnation > 0
 }
 
 func (f *Forwarder) markDraining(instanceID string, incarnation uint64) {
@@ -121,25 +151,6 @@
 	f.draining[instanceID] = max(f.draining[instanceID], incarnation)
 }
 
-// attempt brings the call to one target, and reports how that went.
-func (f *Forwarder) attempt(ctx context.Context, x *exchange, choice Choice, target tracker.Record, n int) *messenger.Answer {
-	start := time.Now()
-	call := *x.call
-	binary.BigEndian.PutUint16(call.ID[14:], uint16(n))
-	answer := f.try(ctx, &call, target, x.deadline)
-	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
-		f.Counters.Damaged.Add(1)
-		answer = messenger.Unknown(call.ID, causeDamaged)
-	}
-	if f.Observe != nil {
-		f.Observe(Attempt{
-			Choice: choice, Target: target, Outcome: answer.Outcome, Status: answer.Status,
-			Cause: answer.Cause, Elapsed: time.Since(start),
-		})
-	}
-	return answer
-}
-
 func (f *Forwarder) try(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
 	call.RemainingMS = time.Until(deadline).Milliseconds()
 	if call.RemainingMS <= 0 {
@@ -148,6 +159,9 @@
 	if f.Local != nil && target.InstanceID == f.InstanceID {
 		return f.Local(ctx, call)
 	}
+	if f.IsDraining(target) {
+		return messenger.NotRun(call.ID, causeDraining)
+	}
 	link, err := f.link(ctx, target)
 	if err != nil {
 		if ctx.Err() != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,7 +18,8 @@
 
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
-	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -50,22 +51,15 @@
 	causeRestarted       = "target-daemon-restarted"
 )
 
-// Forwarder is the HTTP handler that callers reach. Applier and Table must be
+// Forwarder is the HTTP handler that callers reach. Applier and Picker must be
 // set; the other fields work when they are not.
 type Forwarder struct {
 	Applier *applier.Applier
-	Table   *tracker.Table
-	// Domain is the failure domain of this daemon.
-	Domain string
+	Picker  *picker.Picker
+	Retrier retrier.Retrier
 	// InstanceID and Local let a call for this daemon's own target cross no link.
 	InstanceID string
 	Local      func(ctx context.Context, call *messenger.Call) *messenger.Answer
-	// Pick chooses a target that is not in Choice.Exclude; nil means picker.Pick.
-	Pick func(Choice) (tracker.Record, bool)
-	// Observe is told of the end of every attempt.
-	Observe func(Attempt)
-	// Budget says whether one more attempt may be made on the route; nil means yes.
-	Budget func(route string) bool
 	// Dial opens a call link; nil means messenger.Dial.
 	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
 	// LinksPerPeer bounds the links for small calls to one daemon; 0 means 2.
@@ -81,34 +75,6 @@
 	draining map[string]uint64
 }
 
-// Choice is what a target is chosen for.
-type Choice struct {
-	Route   string
-	Service string
-	Class   string
-	Partner string
-	// Exclude lists instances that the call must not go to.
-	Exclude []string
-}
-
-// Attempt is one attempt at a target, and what came of it.
-type Attempt struct {
-	Choice  Choice
-	Target  tracker.Record
-	Outcome messenger.Outcome
-	Status  int
-	Cause   string
-	Elapsed time.Duration
-}
-
-// exchange is one request of a caller.
-type exchange struct {
-	route      string
-	call       *messenger.Call
-	maxRetries int
-	deadline   time.Time
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
@@ -140,7 +106,11 @@
 
 // newExchange reads the request, or returns the cause for which it is refused.
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, name string, route *versioner.Route) (x *exchange, cause string) {
-	timeout, ok := timeout(r, s, route)
+	policy := s.Policy(route.Service, route.Class, route.Partner)
+	if policy == nil {
+		return nil, causeNoRoute
+	}
+	timeout, ok := timeout(r, policy, route)
 	if !ok {
 		return nil, causeBadDeadline
 	}
@@ -152,25 +122,24 @@
 	if cause != "" {
 		return nil, cause
 	}
-	call := &messenger.Call{
+	x = &exchange{deadline: time.Now().Add(timeout), policy: policy}
+	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: route.Service, Host: r.Host,
 		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header),
 		Body: body, BodyDigest: messenger.Digest(body),
-		IdempotencyKey: key, Idempotent: s.Document.IsIdempotent(route.Class),
+		IdempotencyKey: key, Idempotent: policy.Idempotent,
 	}
-	_, _ = rand.Read(call.ID[:])
-	return &exchange{
-		route: name, call: call, deadline: time.Now().Add(timeout),
-		maxRetries: s.Value(route.Class+".max-retries", route.Service, route.Partner),
-	}, ""
+	_, _ = rand.Read(x.call.ID[:])
+	x.retries = f.Retrier.Begin(name, policy, r.Header)
+	return x, ""
 }
 
 // timeout returns the time that the call may take: that of its route, or what
 // the caller has left if that is less.
-func timeout(r *http.Request, s *applier.Snapshot, route *versioner.Route) (time.Duration, bool) {
+func timeout(r *http.Request, policy *applier.Policy, route *versioner.Route) (time.Duration, bool) {
 	ms := route.TimeoutMS
 	if ms == 0 {
-		ms = s.Value(route.Class+".timeout-ms", route.Service, route.Partner)
+		ms = int(policy.Timeout.Milliseconds())
 	}
 	if text := r.Header.Get(messenger.HeaderDeadline); text != "" {
 		left, err := strconv.Atoi(text)
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -87,6 +87,11 @@
 	BodyDigest uint64 `cbor:"8,keyasint,omitempty"`
 	// Draining says that the target's daemon takes no new calls any more.
 	Draining bool `cbor:"9,keyasint,omitempty"`
+	// Running and Waiting are the calls at the target's daemon, without this one.
+	Running int `cbor:"10,keyasint,omitempty"`
+	Waiting int `cbor:"11,keyasint,omitempty"`
+	// Told says that Running and Waiting are set.
+	Told bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
