Stop as planned: leave routing, refuse new calls, finish those in flight

A daemon ended at once on SIGTERM and cut what it was running. It now announces that it drains, refuses new calls as not run in both roles, tells entry daemons on every call link, waits for calls in flight and for their acknowledgements, leaves, and exits 0. A second signal or the drain limit ends it with a *CutError that says how many calls were cut in each role.

The tests with real sockets found that a refused connection was not recognised behind errorx.Decorate, which hides its cause from errors.Is: a posting waited for its whole deadline instead of 3 s. Dial errors are a type of their own now. The stop test was seen to fail with the wait for calls in flight taken out.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -57,6 +57,7 @@
 	record   tracker.Record
 	vanished bool
 	draining bool
+	left     bool
 }
 
 // view is the newest announcement and what follows from it.
@@ -123,7 +124,7 @@
 func (a *Announcer) state() tracker.State {
 	state := a.current.state()
 	switch {
-	case a.vanished || state == tracker.StateGone:
+	case a.left || a.vanished || state == tracker.StateGone:
 		return tracker.StateGone
 	case a.draining:
 		return tracker.StateDraining
@@ -143,6 +144,17 @@
 	}
 }
 
+// Leave announces that this daemon is gone, after Drain.
+func (a *Announcer) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = true
+	a.left = true
+	if a.record.Sequence > 0 {
+		a.publish()
+	}
+}
+
 // Target returns the target's base URL, or "" before the first announcement.
 func (a *Announcer) Target() string { return a.load().baseURL }
 
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -1,6 +1,11 @@
 package cmd
 
 import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
@@ -28,7 +33,9 @@
 		return err
 	}
 	store := &storer.HTTPClient{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
-	return daemon.New(cfg, store, log).Run(c.Context())
+	cut, stop := afterNextSignal(c.Context())
+	defer stop()
+	return daemon.New(cfg, store, log).Run(c.Context(), cut)
 }
 
 func newLogger(level string) (*zap.Logger, error) {
@@ -40,3 +47,20 @@
 	cfg.Level = parsed
 	return cfg.Build()
 }
+
+// afterNextSignal returns a context that ends at the first signal to stop that
+// comes after ctx has ended.
+func afterNextSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	next, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+		defer signal.Stop(signals)
+		select {
+		case <-signals:
+			cancel()
+		case <-next.Done():
+		}
+	})
+	return next, cancel
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,17 +2,12 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/announcer"
@@ -85,26 +80,6 @@
 	}
 }
 
-// Run serves until ctx ends.
-func (d *Daemon) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error {
-		return serve(ctx, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(ctx))
-	})
-	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
-	g.Go(func() error {
-		d.spreader.Run(ctx)
-		return nil
-	})
-	g.Go(func() error {
-		d.announcer.Run(ctx)
-		return nil
-	})
-	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
-	return g.Wait()
-}
-
 // peerHandler accepts the links of other daemons.
 func (d *Daemon) peerHandler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
@@ -124,20 +99,6 @@
 	}
 }
 
-func serve(ctx context.Context, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errorx.Decorate(err, "listening")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errorx.Decorate(err, "serving %s", addr)
-	}
-	return nil
-}
-
 // operatorHandler is the HTTP surface of operators and of the target.
 func (d *Daemon) operatorHandler() http.Handler {
 	e := echo.New()
--- /dev/null
+++ b/daemon/lifecycle.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+const (
+	// leaveWait is the least time between the announcement of a stop and its
+	// end, in which other daemons and callers learn of it.
+	leaveWait = time.Second
+	// acknowledgeWait bounds the wait for entry daemons to acknowledge answers.
+	acknowledgeWait = 2 * time.Second
+	// drainInterval is the time between two looks at what is in flight.
+	drainInterval = 10 * time.Millisecond
+	// closeWait bounds the closing of the callers' connections.
+	closeWait     = time.Second
+	headerTimeout = 10 * time.Second
+)
+
+// CutError reports a planned stop that ended before its calls did.
+type CutError struct {
+	// Entered and Running count the calls that were cut: requests of callers, and
+	// calls at the target.
+	Entered, Running int
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("stop cut %d requests of callers and %d calls at the target", e.Entered, e.Running)
+}
+
+// Run serves until ctx ends, and then stops as planned: it leaves routing,
+// refuses new calls and finishes those in flight. It fails with a *CutError
+// when cut ends, or the drain limit passes, before they are finished.
+func (d *Daemon) Run(ctx, cut context.Context) error {
+	serving, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return serve(serving, d.cfg.CallerAddress, d.forwarder) })
+	g.Go(func() error {
+		return serve(serving, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(serving))
+	})
+	g.Go(func() error { return serve(serving, d.cfg.OperatorAddress, d.operatorHandler()) })
+	g.Go(func() error {
+		d.spreader.Run(serving)
+		return nil
+	})
+	g.Go(func() error {
+		d.announcer.Run(serving)
+		return nil
+	})
+	g.Go(func() error {
+		defer end()
+		select {
+		case <-serving.Done():
+			return nil
+		case <-ctx.Done():
+			return d.drain(serving, cut)
+		}
+	})
+	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
+	return g.Wait()
+}
+
+// drain ends this daemon's part in routing and waits for the calls in flight.
+func (d *Daemon) drain(serving, cut context.Context) error {
+	limit := d.drainLimit()
+	d.log.Info("stop begun", zap.Int("entered", d.forwarder.InFlight()), zap.Int("running", d.executor.InFlight()), zap.Duration("limit", limit))
+	d.announcer.Drain()
+	d.forwarder.Drain()
+	d.executor.Drain(serving)
+	cut, cancel := context.WithTimeout(cut, limit)
+	defer cancel()
+	start := time.Now()
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	var quiet time.Time
+	for {
+		select {
+		case <-cut.Done():
+			return d.cutShort()
+		case now := <-tick.C:
+			if d.forwarder.InFlight() > 0 || d.executor.InFlight() > 0 {
+				quiet = time.Time{}
+				continue
+			}
+			if quiet.IsZero() {
+				quiet = now
+			}
+			acknowledged := d.executor.Calls.Len() == 0 || now.Sub(quiet) > acknowledgeWait
+			if acknowledged && now.Sub(start) > min(leaveWait, limit/2) {
+				d.announcer.Leave()
+				d.log.Info("stopped, nothing was cut")
+				return nil
+			}
+		}
+	}
+}
+
+// cutShort reports what is in flight when the stop has to end.
+func (d *Daemon) cutShort() error {
+	err := &CutError{Entered: d.forwarder.InFlight(), Running: d.executor.InFlight()}
+	if err.Entered == 0 && err.Running == 0 {
+		return nil
+	}
+	d.log.Warn("stopped, calls were cut", zap.Int("entered", err.Entered), zap.Int("running", err.Running))
+	return err
+}
+
+// drainLimit returns how long a planned stop may take.
+func (d *Daemon) drainLimit() time.Duration {
+	const setting = "drain-ms"
+	if snapshot := d.applier.Current(); snapshot != nil {
+		return time.Duration(snapshot.Value(setting, d.announcer.Service(), "")) * time.Millisecond
+	}
+	known, _ := versioner.FindSetting(setting)
+	return time.Duration(known.Default) * time.Millisecond
+}
+
+// serve serves HTTP until ctx ends; requests that are being answered are finished.
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errorx.Decorate(err, "listening")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeWait)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			_ = server.Close()
+		}
+	})
+	err = server.Serve(l)
+	if !errors.Is(err, http.ErrServerClosed) {
+		stop()
+		return errorx.Decorate(err, "serving %s", addr)
+	}
+	<-closed
+	return nil
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -38,6 +38,18 @@
 // Error implements error.
 func (e *QueueFullError) Error() string { return "link's queue is full" }
 
+// DialError reports a link that could not be opened.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return "dialing " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
 // Link is one WebSocket between two daemons. Send and Receive may be used at
 // the same time, Receive by one goroutine only.
 //
@@ -60,7 +72,7 @@
 	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
 	conn, _, err := websocket.Dial(ctx, "ws://"+addr+path, opts) //nolint:bodyclose // the library owns the body
 	if err != nil {
-		return nil, errorx.Decorate(err, "dialing %s", addr)
+		return nil, &DialError{Address: addr, Cause: err}
 	}
 	return newLink(conn), nil
 }
