--- a/checker/checker.go
+++ b/checker/checker.go
@@ -30,6 +30,7 @@
 	AnswersOwn        Invariant = "answers-own"
 	DrainedGetsNoWork Invariant = "drained-gets-no-work"
 	StopsCutNothing   Invariant = "stops-cut-nothing"
+	ChangesToldTruly  Invariant = "changes-told-truly"
 )
 
 // Invariants returns the names of all invariants.
@@ -37,6 +38,7 @@
 	return []Invariant{
 		VersionsOnlyRise, VersionsWhole, ReferencesClosed, RunsAtMostOnce, NotRunIsTrue,
 		AnswersWhole, AnswersOwn, DrainedGetsNoWork, StopsCutNothing,
+		ChangesToldTruly,
 	}
 }
 
@@ -64,11 +66,15 @@
 	Applied map[string][]applier.Applied
 	// Accepted holds the digest of each accepted version that was seen.
 	Accepted map[versioner.Version]versioner.Digest
-	// Documents holds the accepted documents that were seen.
+	// Documents holds the documents that the store was seen to hold.
 	Documents []*versioner.Document
 	Targets   []Target
 	Told      []caller.Told
-	Stops     []Stop
+	// Changes holds what operators were told, Makers the change id that made each
+	// version.
+	Changes []caller.ToldChange
+	Makers  map[versioner.Version]string
+	Stops   []Stop
 	// Unplanned says that something other than planned stops was done to the
 	// fleet, so that calls may be lost for another reason.
 	Unplanned bool
@@ -92,6 +98,7 @@
 	c := &check{records: r, runs: countRuns(r.Targets)}
 	c.versions()
 	c.documents()
+	c.changes()
 	c.calls()
 	c.keys()
 	c.drains()
@@ -144,9 +151,19 @@
 	}
 }
 
-// documents checks that no accepted route points at something absent.
+// documents checks that no route in force points at something absent.
 func (c *check) documents() {
+	inForce := make(map[string]bool)
+	for _, history := range c.records.Applied {
+		for _, a := range history {
+			inForce[a.Digest] = true
+		}
+	}
 	for _, doc := range c.records.Documents {
+		digest, err := doc.Digest()
+		if err != nil || !inForce[digest.String()] {
+			continue
+		}
 		subject := fmt.Sprintf("version %d", doc.Version)
 		for _, e := range doc.Entries {
 			if e.Route == nil {
@@ -159,3 +176,21 @@
 		}
 	}
 }
+
+// changes holds what operators were told against what was accepted.
+func (c *check) changes() {
+	versions := make(map[string]versioner.Version)
+	for v, id := range c.records.Makers {
+		versions[id] = v
+	}
+	for _, told := range c.records.Changes {
+		id := told.Change.ID
+		v, made := versions[id]
+		switch {
+		case told.Outcome == caller.NotAccepted && made:
+			c.add(ChangesToldTruly, id, "made version %d, the operator was told not-accepted (%s)", v, told.Cause)
+		case told.Outcome == caller.Accepted && c.records.Makers[told.Version] != id:
+			c.add(ChangesToldTruly, id, "the operator was told of version %d, which %q made", told.Version, c.records.Makers[told.Version])
+		}
+	}
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -45,6 +45,8 @@
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
 		new(checkCommand).command(),
+		new(demoCommand).command(),
+		new(soakCommand).command(),
 	)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
 	for _, c := range root.Commands() {
