Resolve exceptions in one place and publish the counters of changes

The rule of the narrowest exception stood in applier and in versioner; it is now versioner.Narrowest, which both use (applier/value.go is another area's: only the loop was replaced).

--- a/acceptor/counters.go
+++ b/acceptor/counters.go
@@ -22,17 +22,6 @@
 	LostAnswers expvar.Int
 }
 
-// Publish puts the counters into the map.
-func (c *Counters) Publish(m *expvar.Map) {
-	m.Set("changes-accepted", &c.Accepted)
-	m.Set("changes-unchanged", &c.Unchanged)
-	m.Set("changes-conflicting", &c.Conflicts)
-	m.Set("changes-refused", &c.Refused)
-	m.Set("changes-unknown", &c.Unknown)
-	m.Set("change-retries", &c.Retries)
-	m.Set("change-lost-answers", &c.LostAnswers)
-}
-
 func (c *Counters) count(err error) {
 	var conflict *ConflictError
 	var unknown *UnknownOutcomeError
--- a/applier/value.go
+++ b/applier/value.go
@@ -18,12 +18,13 @@
 // exceptions that can hold in one failure domain.
 type settings struct {
 	fleetWide map[string]int
+	domain    string
 	// exceptions lists the exceptions of each setting, sorted by entry name.
 	exceptions map[string][]*versioner.Exception
 }
 
 func newSettings(doc *versioner.Document, domain string) settings {
-	s := settings{fleetWide: make(map[string]int), exceptions: make(map[string][]*versioner.Exception)}
+	s := settings{domain: domain, fleetWide: make(map[string]int), exceptions: make(map[string][]*versioner.Exception)}
 	for _, known := range versioner.Settings() {
 		s.fleetWide[known.Name] = known.FleetWide(doc)
 	}
@@ -41,25 +42,9 @@
 	if !ok {
 		return 0
 	}
-	narrowest := 0
-	for _, x := range s.exceptions[setting] {
-		if cmp.Or(x.Service, service) != service || cmp.Or(x.Partner, partner) != partner {
-			continue
-		}
-		if width := scopeFields(x); width > narrowest {
-			value, narrowest = x.Value, width
-		}
+	place := versioner.Scope{Partner: partner, Service: service, FailureDomain: s.domain}
+	if x := versioner.Narrowest(s.exceptions[setting], place); x != nil {
+		return x.Value
 	}
 	return value
 }
-
-// scopeFields counts the fields that narrow an exception.
-func scopeFields(x *versioner.Exception) int {
-	n := 0
-	for _, field := range []string{x.Partner, x.Service, x.FailureDomain} {
-		if field != "" {
-			n++
-		}
-	}
-	return n
-}
--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -87,12 +87,11 @@
 }
 
 // Counters count refusals. The zero value works.
-type Counters struct{ Unauthenticated, Refused expvar.Int }
-
-// Publish puts the counters into the map.
-func (c *Counters) Publish(m *expvar.Map) {
-	m.Set("changes-unauthenticated", &c.Unauthenticated)
-	m.Set("changes-unauthorized", &c.Refused)
+type Counters struct {
+	// Unauthenticated counts tokens that are missing or not known.
+	Unauthenticated expvar.Int
+	// Unauthorized counts changes that lack approvals.
+	Unauthorized expvar.Int
 }
 
 var _ acceptor.Policy = (*Authorizer)(nil)
@@ -137,7 +136,7 @@
 		approvals = append(approvals, partner)
 	}
 	if refusals := missing(Requirements(from, to), from, author, approvals); len(refusals) > 0 {
-		a.Counters.Refused.Add(1)
+		a.Counters.Unauthorized.Add(1)
 		return &RefusedError{Author: author, Refusals: refusals}
 	}
 	return nil
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/publisher"
 )
 
@@ -14,6 +15,10 @@
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
 	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
+	if policy, ok := d.surface.Acceptor.Policy.(*authorizer.Authorizer); ok {
+		m.Set("authorizer", publisher.Counters(&policy.Counters))
+	}
+	m.Set("operator", publisher.Counters(&d.surface.Counters))
 	m.Set("version", expvar.Func(d.versionInForce))
 	publisher.Publish(d.cfg.InstanceID, m)
 }
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -11,7 +11,6 @@
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/acceptor"
-	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/decoder"
 	"bambooweir.example/bambooweir/parser"
 	"bambooweir.example/bambooweir/planner"
@@ -53,13 +52,11 @@
 	Refusal *Problem `json:"refusal,omitempty"`
 }
 
-// PublishChanges puts the counters of changes into the map.
-func (s *Surface) PublishChanges(m *expvar.Map) {
-	s.Acceptor.Counters.Publish(m)
-	if policy, ok := s.Acceptor.Policy.(*authorizer.Authorizer); ok {
-		policy.Counters.Publish(m)
-	}
-	m.Set("changes-malformed", &s.malformed)
+// Counters count requests of operators. The zero value works.
+type Counters struct {
+	// Malformed counts changes that could not be read.
+	Malformed expvar.Int
+	Plans     expvar.Int
 }
 
 func (s *Surface) change(c echo.Context) error {
@@ -80,6 +77,7 @@
 }
 
 func (s *Surface) plan(c echo.Context) error {
+	s.Counters.Plans.Add(1)
 	change, err := s.readChange(c)
 	if err != nil {
 		return fail(c, err)
@@ -103,7 +101,7 @@
 func (s *Surface) readChange(c echo.Context) (*acceptor.Change, error) {
 	change, err := readChange(c)
 	if err != nil {
-		s.malformed.Add(1)
+		s.Counters.Malformed.Add(1)
 	}
 	return change, err
 }
--- a/operator/changes_test.go
+++ b/operator/changes_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+func refused(s *operator.Surface) *expvar.Int   { return &s.Acceptor.Counters.Refused }
+func malformed(s *operator.Surface) *expvar.Int { return &s.Counters.Malformed }
+
+func unauthenticated(s *operator.Surface) *expvar.Int {
+	return &s.Acceptor.Policy.(*authorizer.Authorizer).Counters.Unauthenticated
+}
+
+func unauthorized(s *operator.Surface) *expvar.Int {
+	return &s.Acceptor.Policy.(*authorizer.Authorizer).Counters.Unauthorized
+}
+
 func TestChangeProblems(t *testing.T) {
 	const slots = "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n"
 	auth := []string{"Authorization", "Bearer magnolia", operator.HeaderChangeID, "x"}
@@ -66,18 +77,18 @@
 		headers    []string
 		status     int
 		cause      operator.Cause
-		counter    string
+		counter    func(*operator.Surface) *expvar.Int
 	}{
-		{"no change id", slots, auth[:2], http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
-		{"malformed file", "a = ", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
-		{"malformed base", slots, append(auth, operator.HeaderChangeBase, "-1"), http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
-		{"file too large", strings.Repeat("#", decoder.MaxFileBytes+1), auth, http.StatusRequestEntityTooLarge, operator.CauseTooLarge, "changes-malformed"},
-		{"invalid", "[service.x]\npartner = \"nobody\"\n", auth, http.StatusUnprocessableEntity, operator.CauseInvalid, "changes-refused"},
-		{"no token", slots, auth[2:], http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
-		{"unknown token", slots, append([]string{"Authorization", "Bearer x"}, auth[2:]...), http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
-		{"another's entry", slots, append([]string{"Authorization", "Bearer regie"}, auth[2:]...), http.StatusForbidden, operator.CauseUnauthorized, "changes-unauthorized"},
-		{"deleted nothing", "delete = [\"route.x\"]", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
-		{"reused id", slots, append(auth[:2:2], operator.HeaderChangeID, "first"), http.StatusUnprocessableEntity, operator.CauseReusedID, "changes-refused"},
+		{"no change id", slots, auth[:2], http.StatusBadRequest, operator.CauseMalformed, refused},
+		{"malformed file", "a = ", auth, http.StatusBadRequest, operator.CauseMalformed, malformed},
+		{"malformed base", slots, append(auth, operator.HeaderChangeBase, "-1"), http.StatusBadRequest, operator.CauseMalformed, malformed},
+		{"file too large", strings.Repeat("#", decoder.MaxFileBytes+1), auth, http.StatusRequestEntityTooLarge, operator.CauseTooLarge, malformed},
+		{"invalid", "[service.x]\npartner = \"nobody\"\n", auth, http.StatusUnprocessableEntity, operator.CauseInvalid, refused},
+		{"no token", slots, auth[2:], http.StatusUnauthorized, operator.CauseUnauthenticated, unauthenticated},
+		{"unknown token", slots, append([]string{"Authorization", "Bearer x"}, auth[2:]...), http.StatusUnauthorized, operator.CauseUnauthenticated, unauthenticated},
+		{"another's entry", slots, append([]string{"Authorization", "Bearer regie"}, auth[2:]...), http.StatusForbidden, operator.CauseUnauthorized, unauthorized},
+		{"deleted nothing", "delete = [\"route.x\"]", auth, http.StatusBadRequest, operator.CauseMalformed, refused},
+		{"reused id", slots, append(auth[:2:2], operator.HeaderChangeID, "first"), http.StatusUnprocessableEntity, operator.CauseReusedID, refused},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, h := newSurface(new(fakestorer.Store))
@@ -93,10 +104,8 @@
 			if got, want := w.Header().Get("Content-Type"), "application/problem+json"; got != want {
 				t.Errorf("content type: got %s, want %s", got, want)
 			}
-			metrics := new(expvar.Map)
-			s.PublishChanges(metrics)
-			if got := metrics.Get(tt.counter).String(); got != "1" {
-				t.Errorf("counter %s: got %s, want 1", tt.counter, got)
+			if got := tt.counter(s).Value(); got != 1 {
+				t.Errorf("counter: got %d, want 1", got)
 			}
 		})
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,15 +12,15 @@
 	"bambooweir.example/bambooweir/tracker"
 )
 
-// Surface is the operators' view of one daemon. All fields must be set.
+// Surface is the operators' view of one daemon. All fields but Counters must be
+// set.
 type Surface struct {
 	InstanceID string
 	Domain     string
 	Applier    *applier.Applier
 	Table      *tracker.Table
 	Acceptor   *acceptor.Acceptor
-
-	malformed expvar.Int
+	Counters   Counters
 }
 
 // Register adds the surface's resources to the router.
--- a/versioner/resolve.go
+++ b/versioner/resolve.go
@@ -33,19 +33,31 @@
 	return n
 }
 
-// Resolve returns what the setting is at a place: the value of the exception
-// with the narrowest scope that covers it, else the fleet-wide value. Of two
-// equally narrow exceptions the one that sorts first by name holds.
+// Narrowest returns the exception with the narrowest scope that covers the
+// place, or nil. Of two equally narrow exceptions the first one holds; in a
+// document that is the one that sorts first by name.
+func Narrowest(exceptions []*Exception, place Scope) *Exception {
+	var narrowest *Exception
+	width := 0
+	for _, x := range exceptions {
+		if w := x.Scope().Width(); w > width && x.Covers(place) {
+			narrowest, width = x, w
+		}
+	}
+	return narrowest
+}
+
+// Resolve returns what the setting is at a place: the value of the narrowest
+// exception that covers it, else the fleet-wide value.
 func (s Setting) Resolve(doc *Document, place Scope) int {
-	value, narrowest := s.FleetWide(doc), 0
+	var exceptions []*Exception
 	for _, e := range doc.Entries {
-		x := e.Exception
-		if x == nil || x.Setting != s.Name || !x.Covers(place) {
-			continue
-		}
-		if width := x.Scope().Width(); width > narrowest {
-			value, narrowest = x.Value, width
+		if e.Exception != nil && e.Exception.Setting == s.Name {
+			exceptions = append(exceptions, e.Exception)
 		}
 	}
-	return value
+	if x := Narrowest(exceptions, place); x != nil {
+		return x.Value
+	}
+	return s.FleetWide(doc)
 }
