Bound the operators' requests of one daemon

Each change may cost a body of 1 MiB and calls of the store; nothing bounded how many ran at a time.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -99,14 +99,14 @@
 			isOpen = true
 		}
 		var refused *problemError
-		isRefused := errors.As(err, &refused) && !isUnknown(err)
-		if !isOpen && (isRefused || time.Since(begin) > connectWindow) {
+		isRefused := errors.As(err, &refused) && !isUnknown(err) && !isPassing(refused)
+		if !isOpen && (isRefused || refused == nil && time.Since(begin) > connectWindow) {
 			return nil, definite(err)
 		}
 		if isRefused {
 			return nil, a.unknown(fmt.Errorf("an earlier try had no answer, a repetition was %w", err))
 		}
-		c.PrintErrf("no answer (%v), repeating change %s\n", firstLine(err), a.changeID)
+		c.PrintErrf("%v, repeating change %s\n", firstLine(err), a.changeID)
 		select {
 		case <-ctx.Done():
 			if !isOpen {
@@ -145,6 +145,11 @@
 	return errors.As(err, &p) && p.problem.Outcome == operator.OutcomeUnknown
 }
 
+// isPassing says whether a refusal has nothing to do with the change.
+func isPassing(p *problemError) bool {
+	return p.problem.Cause == operator.CauseBusy || p.problem.Cause == operator.CauseContention
+}
+
 func definite(err error) error {
 	var unanswered *unansweredError
 	if errors.As(err, &unanswered) {
--- a/cmd/wait.go
+++ b/cmd/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -18,6 +19,14 @@
 	// DaemonsByVersion counts the daemons of the fleet by the version that they
 	// have in force. A daemon that knows only of itself leaves it out.
 	DaemonsByVersion []versionCount `json:"daemons-by-version"`
+	// Laggards names a few daemons that are behind.
+	Laggards []laggard `json:"laggards"`
+}
+
+type laggard struct {
+	InstanceID string            `json:"instance-id"`
+	Version    versioner.Version `json:"version"`
+	Reason     string            `json:"reason"`
 }
 
 type versionCount struct {
@@ -41,6 +50,17 @@
 	return reached, all
 }
 
+// behind lists the laggards below the version, one a line.
+func (s *convergence) behind(v versioner.Version) string {
+	var b strings.Builder
+	for _, l := range s.Laggards {
+		if l.Version < v {
+			fmt.Fprintf(&b, "\n%s is at version %d: %s", l.InstanceID, l.Version, l.Reason)
+		}
+	}
+	return b.String()
+}
+
 // waiter waits until a version is in force everywhere.
 type waiter struct {
 	client  *client
@@ -50,7 +70,7 @@
 func (w *waiter) wait(c *cobra.Command, v versioner.Version) error {
 	ctx, cancel := context.WithTimeout(c.Context(), w.timeout)
 	defer cancel()
-	last := ""
+	last, behind := "", ""
 	for {
 		var s convergence
 		progress := ""
@@ -59,6 +79,7 @@
 		} else {
 			reached, all := s.reached(v)
 			progress = fmt.Sprintf("version %d in force on %d of %d daemons", v, reached, all)
+			behind = s.behind(v)
 			if reached == all {
 				fmt.Fprintln(c.OutOrStdout(), progress)
 				return nil
@@ -70,7 +91,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("accepted, but not yet in force everywhere: %s", last)
+			return fmt.Errorf("accepted, but not yet in force everywhere: %s%s", last, behind)
 		case <-time.After(waitInterval):
 		}
 	}
--- a/operator/changes_test.go
+++ b/operator/changes_test.go
@@ -1,12 +1,14 @@
 package operator_test
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/labstack/echo/v4"
 
@@ -154,3 +156,33 @@
 		}
 	}
 }
+
+// stuckStore answers nothing until the request ends.
+type stuckStore struct{ fakestorer.Store }
+
+func (*stuckStore) Get(ctx context.Context, key string) (storer.Item, error) {
+	<-ctx.Done()
+	return storer.Item{}, &storer.UnavailableError{Op: key, Cause: ctx.Err()}
+}
+
+func TestRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, h := newSurface(new(stuckStore))
+		codes := make(chan string, 100)
+		for range cap(codes) {
+			go func() {
+				w := send(h, http.MethodPost, operator.PlanPath, "[partner.magnolia]")
+				var p operator.Problem
+				_ = json.Unmarshal(w.Body.Bytes(), &p)
+				codes <- string(p.Cause) + " " + w.Header().Get("Retry-After")
+			}()
+		}
+		got := make(map[string]int)
+		for range cap(codes) {
+			got[<-codes]++
+		}
+		if got["busy 1"] != 92 || got["store-unavailable 1"] != 8 {
+			t.Errorf("got %v, want 92 busy and 8 that were let in", got)
+		}
+	})
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -25,12 +25,13 @@
 
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
+	gate := newGate()
 	e.GET("/v1/status", s.status)
-	e.POST(ChangesPath, s.change)
-	e.POST(PlanPath, s.plan)
-	e.GET(ConfigurationPath, s.configuration)
-	e.GET(HistoryPath, s.history)
-	e.GET(ExceptionsPath, s.exceptions)
+	e.POST(ChangesPath, s.change, gate)
+	e.POST(PlanPath, s.plan, gate)
+	e.GET(ConfigurationPath, s.configuration, gate)
+	e.GET(HistoryPath, s.history, gate)
+	e.GET(ExceptionsPath, s.exceptions, gate)
 	e.GET("/v1/applied", s.applied)
 	e.GET("/healthz", s.health)
 	e.GET("/readyz", s.readiness)
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -41,6 +41,7 @@
 	CauseStaleBase       Cause = "stale-base"
 	CauseReusedID        Cause = "reused-change-id"
 	CauseContention      Cause = "contention"
+	CauseBusy            Cause = "busy"
 	CauseStore           Cause = "store-unavailable"
 	CauseUnknownOutcome  Cause = "outcome-unknown"
 	CauseInternal        Cause = "internal"
@@ -134,7 +135,10 @@
 	var unknown *acceptor.UnknownOutcomeError
 	var contention *acceptor.ContentionError
 	var store *storer.UnavailableError
+	var busy *BusyError
 	switch {
+	case errors.As(err, &busy):
+		p.set(http.StatusServiceUnavailable, CauseBusy, "The daemon is busy")
 	case errors.As(err, &unknown):
 		p.set(http.StatusGatewayTimeout, CauseUnknownOutcome, "The change may have been accepted")
 		p.Outcome = OutcomeUnknown
