Write side by side what a change stores, so that a slow store delays it less

At 2 s a call a change in the steady state took 24 s (TestAcceptSlowStore), more than its timeout: pruning, the document and the history were written one after the other. They now go side by side, and pruning ends after a second. The same test takes at most 11 s.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -269,3 +269,25 @@
 		t.Errorf("keys left behind: got %d, want 0", got)
 	}
 }
+
+// A change costs few calls one after the other, so that a slow store delays it
+// but does not stop it.
+func TestAcceptSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		a := &acceptor.Acceptor{Store: store, RecentBytes: 600, HistoryVersions: 10}
+		for i := range 40 {
+			mustAccept(t, a, change(fmt.Sprint("fast-", i), magnolia(1+i%2)))
+		}
+		script := make([]step, 1000)
+		for i := range script {
+			script[i].delay = 2 * time.Second
+		}
+		slow := &acceptor.Acceptor{Store: &faultyClient{Client: store, script: script}, RecentBytes: 600, HistoryVersions: 10}
+		begin := time.Now()
+		mustAccept(t, slow, change("slow", magnolia(50)))
+		if got, limit := time.Since(begin), 11*time.Second; got > limit {
+			t.Errorf("time for a change, in delays of 2 s: got %v, want at most %v", got, limit)
+		}
+	})
+}
--- a/acceptor/commit.go
+++ b/acceptor/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
@@ -36,7 +37,6 @@
 // stage writes what must be stored before the head names it, and encodes the
 // new head. What would not fit is refused before anything is written.
 func (a *Acceptor) stage(ctx context.Context, p *proposal, head *Head, delta versioner.Delta) error {
-	a.prune(ctx, head)
 	next, evicted, err := head.next(delta, math.MaxUint64, a.recentBytes())
 	if err != nil {
 		return err
@@ -44,16 +44,21 @@
 	if _, err := encode(HeadKey, next); err != nil {
 		return err
 	}
-	content, err := a.putImmutable(ctx, ContentKey(p.digest), p.doc)
-	if err != nil {
+	pruned := a.startPrune(ctx, head)
+	g, writeCtx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		content, err := a.putImmutable(writeCtx, ContentKey(p.digest), p.doc)
+		p.content = content
 		return err
-	}
-	p.content = content
-	next.Contents[len(next.Contents)-1] = content
-	if p.value, err = encode(HeadKey, next); err != nil {
+	})
+	g.Go(func() error { return a.archive(writeCtx, evicted) })
+	if err := g.Wait(); err != nil {
 		return err
 	}
-	return a.archive(ctx, evicted)
+	next.forget(<-pruned)
+	next.Contents[len(next.Contents)-1] = p.content
+	p.value, err = encode(HeadKey, next)
+	return err
 }
 
 // encode returns the value to store under the key, or a *TooLargeError.
--- a/acceptor/faults_test.go
+++ b/acceptor/faults_test.go
@@ -66,11 +66,17 @@
 	return s
 }
 
-func call[T any](c *faultyClient, key string, write bool, do func() (T, error)) (T, error) {
+func call[T any](ctx context.Context, c *faultyClient, key string, write bool, do func() (T, error)) (T, error) {
 	s := c.next(key, write)
-	time.Sleep(s.delay)
 	var none T
 	lost := &storer.UnavailableError{Op: key, Cause: errInjected}
+	if s.delay > 0 {
+		select {
+		case <-ctx.Done():
+			return none, lost
+		case <-time.After(s.delay):
+		}
+	}
 	switch s.fault {
 	case faultLostBefore:
 		return none, lost
@@ -88,17 +94,17 @@
 }
 
 func (c *faultyClient) Get(ctx context.Context, key string) (storer.Item, error) {
-	return call(c, key, false, func() (storer.Item, error) { return c.Client.Get(ctx, key) })
+	return call(ctx, c, key, false, func() (storer.Item, error) { return c.Client.Get(ctx, key) })
 }
 
 func (c *faultyClient) CompareAndSwap(ctx context.Context, key string, value []byte, expect storer.Revision, id storer.LeaseID) (storer.Revision, error) {
-	return call(c, key, true, func() (storer.Revision, error) {
+	return call(ctx, c, key, true, func() (storer.Revision, error) {
 		return c.Client.CompareAndSwap(context.WithoutCancel(ctx), key, value, expect, id)
 	})
 }
 
 func (c *faultyClient) Delete(ctx context.Context, key string, expect storer.Revision) error {
-	_, err := call(c, key, true, func() (struct{}, error) { return struct{}{}, c.Client.Delete(ctx, key, expect) })
+	_, err := call(ctx, c, key, true, func() (struct{}, error) { return struct{}{}, c.Client.Delete(ctx, key, expect) })
 	return err
 }
 
--- a/acceptor/head.go
+++ b/acceptor/head.go
@@ -168,3 +168,9 @@
 	next.Recent, next.Contents = next.Recent[keep:], next.Contents[keep:]
 	return next, evicted, nil
 }
+
+// forget drops what was pruned.
+func (h *Head) forget(p progress) {
+	h.Garbage = slices.DeleteFunc(h.Garbage, func(ref ContentRef) bool { return slices.Contains(p.garbage, ref) })
+	h.Oldest = p.oldest
+}
--- a/acceptor/history.go
+++ b/acceptor/history.go
@@ -6,16 +6,23 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
 
-// pruneBatch bounds the deletions of each kind that one change pays for.
-const pruneBatch = 2
+const (
+	// pruneBatch bounds the deletions of each kind that one change pays for.
+	pruneBatch   = 2
+	pruneTimeout = time.Second
+	// archiveLimit bounds the writes of one change that are under way at a time.
+	archiveLimit = 8
+)
 
 // HistoryKey returns the immutable key under which the delta that leads to the
 // version is kept once the head has no room for it.
@@ -111,15 +118,19 @@
 // archive writes accepted deltas into the history. Any editor may write them,
 // since their keys and values are the same for all.
 func (a *Acceptor) archive(ctx context.Context, deltas []versioner.Delta) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(archiveLimit)
 	for _, d := range deltas {
-		if _, err := a.putImmutable(ctx, ChangeKey(d.Audit.ChangeID), accepted{Version: d.To, Edits: d.Audit.Edits}); err != nil {
+		g.Go(func() error {
+			_, err := a.putImmutable(ctx, ChangeKey(d.Audit.ChangeID), accepted{Version: d.To, Edits: d.Audit.Edits})
 			return err
-		}
-		if _, err := a.putImmutable(ctx, HistoryKey(d.To), d); err != nil {
+		})
+		g.Go(func() error {
+			_, err := a.putImmutable(ctx, HistoryKey(d.To), d)
 			return err
-		}
+		})
 	}
-	return nil
+	return g.Wait()
 }
 
 // putImmutable writes a value that is the same whoever writes it, and returns
@@ -139,25 +150,43 @@
 	})
 }
 
-// prune deletes a bounded number of documents that nobody needs and of history
-// entries beyond the limit, and records its progress in head. What fails is
-// left to the next change.
-func (a *Acceptor) prune(ctx context.Context, head *Head) {
-	for range min(pruneBatch, len(head.Garbage)) {
-		ref := head.Garbage[0]
-		if !a.remove(ctx, ContentKey(ref.Digest), ref.Revision) {
-			break
+// progress is what one change pruned.
+type progress struct {
+	// garbage holds the documents that are gone.
+	garbage []ContentRef
+	// oldest is the oldest version that the history may still hold.
+	oldest versioner.Version
+}
+
+// startPrune deletes a bounded number of documents that nobody needs and of
+// history entries beyond the limit, and sends what it did. What fails, or takes
+// longer than pruneTimeout, is left to the next change.
+func (a *Acceptor) startPrune(ctx context.Context, head *Head) <-chan progress {
+	done := make(chan progress, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, pruneTimeout)
+		defer cancel()
+		done <- a.prune(ctx, head)
+	}()
+	return done
+}
+
+func (a *Acceptor) prune(ctx context.Context, head *Head) progress {
+	p := progress{oldest: head.Oldest}
+	for _, ref := range head.Garbage[:min(pruneBatch, len(head.Garbage))] {
+		if a.remove(ctx, ContentKey(ref.Digest), ref.Revision) {
+			p.garbage = append(p.garbage, ref)
 		}
-		head.Garbage = head.Garbage[1:]
 	}
 	limit := versioner.Version(a.historyVersions())
 	for range pruneBatch {
-		_, recent := head.at(head.Oldest)
-		if recent || head.Oldest+limit > head.Version || !a.forget(ctx, head.Oldest) {
-			return
+		_, recent := head.at(p.oldest)
+		if recent || p.oldest+limit > head.Version || !a.forget(ctx, p.oldest) {
+			break
 		}
-		head.Oldest++
+		p.oldest++
 	}
+	return p
 }
 
 // forget deletes the history of one version and says whether it is gone.
