--- a/cmd/client.go
+++ b/cmd/client.go
@@ -17,6 +17,8 @@
 
 	"bambooweir.example/bambooweir/decoder"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/planner"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 const (
@@ -49,6 +51,8 @@
 		for _, r := range p.Refusals {
 			lines = append(lines, fmt.Sprintf("%s: %s (%s)", r.Key, r.Reason, r.Rule))
 		}
+	case p.Conflict != nil:
+		lines = append(lines, p.Detail, "  wanted:  "+entryText(p.Conflict.Wanted), "  current: "+entryText(p.Conflict.Current))
 	default:
 		lines = append(lines, p.Detail)
 	}
@@ -56,6 +60,14 @@
 	return strings.Join(lines, "\n")
 }
 
+// entryText writes an entry's fields; an entry that does not exist is deleted.
+func entryText(e *versioner.Entry) string {
+	if e == nil {
+		return "deleted"
+	}
+	return joinFields(planner.Fields(e))
+}
+
 // status returns the exit status for the problem.
 func (e *problemError) status() int {
 	switch e.problem.Cause {
--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -183,6 +183,7 @@
 		{"malformed", "[fleeet]\n", nil, statusBadInput, `edits.toml:1:2: fleeet: unknown key, did you mean "fleet"?`},
 		{"invalid", "[service.x]\npartner = \"nobody\"\n", nil, statusBadInput, `edits.toml:2:1: service.x.partner: names the partner "nobody"`},
 		{"conflict", "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n", []string{"--base", "1"}, statusConflict, "changed in version 2, after base version 1"},
+		{"conflict shows both", "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n", []string{"--base", "1"}, statusConflict, "  wanted:  partner=magnolia slots=2\n  current: partner=magnolia slots=1"},
 		{"base of the future", "[partner.regie]\n", []string{"--base", "9"}, statusBadInput, "base-version is 9, the newest version is 2"},
 		{"refused", "[partner.regie]\n", []string{"--token", "other"}, statusRefused, "A partner's token is needed"},
 		{"unreachable", "[partner.regie]\n", []string{"--daemon", "http://127.0.0.1:1", "--timeout", "100ms"}, statusFailure, "not accepted: "},
--- a/cmd/plan.go
+++ b/cmd/plan.go
@@ -59,7 +59,8 @@
 		err = printPlan(c, answer.Plan)
 	}
 	if err == nil && answer.Refusal != nil {
-		return withStatus(&problemError{problem: *answer.Refusal})
+		refusal := &problemError{problem: *answer.Refusal}
+		return &statusError{status: refusal.status(), err: fmt.Errorf("apply would fail: %w", refusal)}
 	}
 	return err
 }
