Check the rest of a file beside its unknown keys and wrong types

A wrong type hid every missing or bad value of the same file, and an unknown key hid everything else. What has a problem is now left out and the rest is decoded and checked; a key with the wrong type gets no second problem. The test's file gives 15 problems in one go, 4 before.

--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -62,15 +62,20 @@
 	name    string
 	data    []byte
 	offsets map[string]int
+	// rejected holds the keys whose values have the wrong type.
+	rejected map[string]bool
 
 	problems []Problem
+	isBroken bool
 }
 
 // Decode reads TOML into the struct that out points to, whose fields have toml
-// tags. The file called name keeps its problems; see Err.
+// tags. The file called name keeps its problems; see Err. What has a problem is
+// left out of the struct, so that the rest can be checked as well.
 func Decode(name string, data []byte, out any) *File {
-	f := &File{name: name, data: data, offsets: make(map[string]int)}
+	f := &File{name: name, data: data, offsets: make(map[string]int), rejected: make(map[string]bool)}
 	if len(data) > MaxFileBytes {
+		f.isBroken = true
 		f.addAt(0, "", fmt.Sprintf("must be at most %d bytes, got %d", MaxFileBytes, len(data)))
 		return f
 	}
@@ -82,7 +87,11 @@
 	f.locate()
 	f.checkTypes(tree, out)
 	if len(f.problems) > 0 {
-		return f
+		var err error
+		if data, err = toml.Marshal(tree); err != nil {
+			f.syntax(err)
+			return f
+		}
 	}
 	if err := toml.Unmarshal(data, out); err != nil {
 		f.syntax(err)
@@ -111,9 +120,19 @@
 	return ok
 }
 
+// IsBroken says whether the file could not be read at all, so that nothing can
+// be said of its keys.
+func (f *File) IsBroken() bool { return f.isBroken }
+
+// IsRejected says whether the key's value has the wrong type.
+func (f *File) IsRejected(key string) bool { return f.rejected[key] }
+
 // Add notes a problem of the key, at the place of the key or of the closest
-// table that holds it.
+// table that holds it. A key whose value has the wrong type gets no other.
 func (f *File) Add(key, format string, args ...any) {
+	if f.IsRejected(key) {
+		return
+	}
 	f.addAt(f.offset(key), key, fmt.Sprintf(format, args...))
 }
 
@@ -141,6 +160,7 @@
 
 // syntax notes what the TOML library found.
 func (f *File) syntax(err error) {
+	f.isBroken = true
 	p := Problem{File: f.name, Line: 1, Column: 1, Want: err.Error()}
 	var at *toml.DecodeError
 	if errors.As(err, &at) {
--- a/decoder/types.go
+++ b/decoder/types.go
@@ -8,7 +8,8 @@
 	"strings"
 )
 
-// checkTypes notes unknown keys and wrong types of the tree.
+// checkTypes notes unknown keys and wrong types of the tree, and removes them
+// from it.
 func (f *File) checkTypes(tree map[string]any, out any) {
 	f.checkStruct("", tree, reflect.TypeOf(out).Elem())
 }
@@ -24,54 +25,50 @@
 		field, ok := fields[key]
 		if !ok {
 			f.Add(join(path, key), "unknown key%s", suggestion(key, fields))
-			continue
 		}
-		f.check(join(path, key), tree[key], field)
+		if !ok || !f.check(join(path, key), tree[key], field) {
+			delete(tree, key)
+		}
 	}
 }
 
-func (f *File) check(path string, value any, t reflect.Type) {
+// check says whether the value itself has the type; faults within a table are
+// removed from the table.
+func (f *File) check(path string, value any, t reflect.Type) bool {
 	switch t.Kind() {
 	case reflect.Pointer:
-		f.check(path, value, t.Elem())
-	case reflect.Struct:
-		if tree, ok := f.table(path, value); ok {
-			f.checkStruct(path, tree, t)
-		}
-	case reflect.Map:
-		tree, ok := f.table(path, value)
-		for _, key := range slices.Sorted(maps.Keys(tree)) {
-			if ok {
-				f.check(join(path, key), tree[key], t.Elem())
-			}
-		}
+		return f.check(path, value, t.Elem())
+	case reflect.Struct, reflect.Map:
+		return f.checkTable(path, value, t)
 	case reflect.Slice:
-		f.checkSlice(path, value, t.Elem())
+		list, ok := value.([]any)
+		if !ok {
+			return f.reject(path, "a list", value)
+		}
+		return !slices.ContainsFunc(list, func(v any) bool { return !f.checkScalar(path, v, t.Elem()) })
 	default:
-		f.checkScalar(path, value, t)
+		return f.checkScalar(path, value, t)
 	}
 }
 
-func (f *File) table(path string, value any) (map[string]any, bool) {
+func (f *File) checkTable(path string, value any, t reflect.Type) bool {
 	tree, ok := value.(map[string]any)
 	if !ok {
-		f.Add(path, "must be a table, got %s", describe(value))
+		return f.reject(path, "a table", value)
 	}
-	return tree, ok
-}
-
-func (f *File) checkSlice(path string, value any, elem reflect.Type) {
-	list, ok := value.([]any)
-	if !ok {
-		f.Add(path, "must be a list, got %s", describe(value))
-		return
+	if t.Kind() == reflect.Struct {
+		f.checkStruct(path, tree, t)
+		return true
 	}
-	for _, v := range list {
-		f.checkScalar(path, v, elem)
+	for _, key := range slices.Sorted(maps.Keys(tree)) {
+		if !f.check(join(path, key), tree[key], t.Elem()) {
+			delete(tree, key)
+		}
 	}
+	return true
 }
 
-func (f *File) checkScalar(path string, value any, t reflect.Type) {
+func (f *File) checkScalar(path string, value any, t reflect.Type) bool {
 	want, ok := "", false
 	switch t.Kind() {
 	case reflect.String:
@@ -91,9 +88,14 @@
 		want = "a whole number"
 		_, ok = value.(int64)
 	}
-	if !ok {
-		f.Add(path, "must be %s, got %s", want, describe(value))
-	}
+	return ok || f.reject(path, want, value)
+}
+
+// reject notes a value of the wrong type.
+func (f *File) reject(path, want string, value any) bool {
+	f.Add(path, "must be %s, got %s", want, describe(value))
+	f.rejected[path] = true
+	return false
 }
 
 // describe names a value's type in the words of TOML.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -56,7 +56,7 @@
 func Parse(name string, b []byte) (*Daemon, error) {
 	d := Defaults()
 	f := decoder.Decode(name, b, d)
-	if f.Err() == nil {
+	if !f.IsBroken() {
 		check(f, d)
 	}
 	if err := f.Err(); err != nil {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -42,6 +42,12 @@
 			`d.toml:8:1: log-level: must be a string, got the number 3`,
 			`d.toml:9:1: head-bytes: must be a whole number, got the string "6k"`,
 		}},
+		{"a type, a value and a missing key", strings.Replace(strings.Replace(complete, `"mobile-bay"`, "7", 1), "instance-id", "instance", 1) + "head-bytes = 1\n", []string{
+			`d.toml:1:1: instance: unknown key`,
+			`d.toml:1:1: instance-id: is required`,
+			`d.toml:2:1: failure-domain: must be a string, got the number 7`,
+			`d.toml:7:1: head-bytes: must be from 1024 to 262144, got 1`,
+		}},
 		{"values", strings.Replace(complete, "127.0.0.1:1", "localhost:1", 1) + "log-level = \"loud\"\nhead-bytes = 1\nbootstrap-token-sha256 = \"x\"\n", []string{
 			`d.toml:3:1: caller-address: must be IP:port, got "localhost:1"`,
 			`d.toml:7:1: log-level: must be one of debug, info, warn, error, got "loud"`,
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -47,9 +47,6 @@
 func Parse(name string, b []byte) (*Edits, error) {
 	var in file
 	f := decoder.Decode(name, b, &in)
-	if err := f.Err(); err != nil {
-		return nil, err
-	}
 	edits := &Edits{BaseVersion: in.BaseVersion, Upserts: in.entries(), file: f}
 	for _, s := range in.Delete {
 		edits.delete(f, s)
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -70,11 +70,22 @@
 		name, in string
 		want     []string
 	}{
-		{"keys and types", broken, []string{
+		{"keys, types and values", broken, []string{
+			`f.toml:1:1: delete: must name entries as kind.name, got "shares"`,
+			`f.toml:1:1: delete: names route.b, which the file also sets`,
 			`f.toml:2:1: fleeet: unknown key, did you mean "fleet"?`,
 			`f.toml:4:1: fleet.eject-ms: must be a whole number, got the string "5s"`,
+			`f.toml:5:1: fleet.drain-ms: must be from 100 to 3600000, got 1`,
+			`f.toml:6:10: service.Ledger.name: must be kebab-case of at most 63 characters, got "Ledger"`,
 			`f.toml:7:1: service.Ledger.partner: must be a string, got the number 7`,
+			`f.toml:8:8: route.b.class: must be one of lookup, posting, scan, internal-read, got ""`,
+			`f.toml:8:8: route.b.partner: is required`,
+			`f.toml:8:8: route.b.service: is required`,
 			`f.toml:10:1: route.b.classs: unknown key, did you mean "class"?`,
+			`f.toml:12:1: route.c.path-prefix: must start with /, got "c"`,
+			`f.toml:13:1: route.c.class: must be one of lookup, posting, scan, internal-read, got "lookups"`,
+			`f.toml:16:12: exception.d.reason: is required`,
+			`f.toml:16:12: exception.d.value: is required`,
 		}},
 		{"values", strings.NewReplacer("fleeet = 1", "", `"5s"`, "5", "= 7", `= "m"`, "classs =", "class =").Replace(broken), []string{
 			`f.toml:1:1: delete: must name entries as kind.name, got "shares"`,
