Measure the path of calls, and let internal reads look for a slot elsewhere

A partner's part of the reserved slots is lent while it has sent no call of the class for 10 s.

Ruled out: a short wait for internal reads, which must never queue; head-room in the general slots, which idles a twelfth of them.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -21,6 +21,7 @@
 		new(fakeStoreCommand).command(),
 		new(fakeTargetCommand).command(),
 		new(applyCommand).command(),
+		newMeasureCommand(),
 		new(planCommand).command(),
 		new(showCommand).command(),
 		new(historyCommand).command(),
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -84,7 +84,7 @@
 	l.mu.Lock()
 	l.update()
 	a := l.account(r.Partner)
-	a.seen = now
+	a.seen[c] = now
 	if len(a.queues[c]) == 0 {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
 			slot := l.take(a, c, kind, now)
@@ -154,7 +154,7 @@
 	switch {
 	case l.running >= l.limits.slots:
 		return slotNone
-	case l.mayReserved(a, c):
+	case l.mayReserved(a, c, now):
 		return slotReserved
 	case l.generalRunning >= l.limits.general:
 		return slotNone
@@ -168,21 +168,24 @@
 }
 
 // mayReserved says whether a slot reserved for the class is free for the
-// account. The guaranteed part of other partners is not lent here, since
-// classes with reserved slots may not wait for it.
-func (l *Limiter) mayReserved(a *account, c class) bool {
+// account. Calls of classes with reserved slots may not be able to wait for the
+// end of a borrowed call, so that the guaranteed part of a partner is lent only
+// while it has sent no call of the class for activeFor.
+func (l *Limiter) mayReserved(a *account, c class, now time.Time) bool {
 	free := l.limits.reserved[c] - l.reservedRunning[c]
 	if free <= 0 || a.reservedRunning[c] < a.reservedGuarantee[c] {
 		return free > 0
 	}
 	for _, other := range l.accounts {
-		if other != a {
+		if other != a && isRecent(other.seen[c], now) {
 			free -= max(0, other.reservedGuarantee[c]-other.reservedRunning[c])
 		}
 	}
 	return free > 0
 }
 
+func isRecent(t, now time.Time) bool { return !t.IsZero() && now.Sub(t) < activeFor }
+
 // headRoom returns the number of general slots that a call may not borrow. It
 // is 0 while no general call runs, so that a waiting call always has a release
 // to wait for.
@@ -192,7 +195,7 @@
 	}
 	kept := 0
 	for _, other := range l.accounts {
-		if other != a && !other.seen.IsZero() && now.Sub(other.seen) < activeFor {
+		if other != a && isRecent(other.lastSeen(), now) {
 			kept += max(0, other.guarantee-other.generalRunning)
 		}
 	}
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -42,10 +42,13 @@
 	generalRunning    int
 	reservedRunning   [classCount]int
 	queues            [classCount][]*waiter
-	// seen is when the partner's last call came.
-	seen time.Time
+	// seen is when the partner's last call of each class came.
+	seen [classCount]time.Time
 }
 
+// lastSeen returns when the partner's last call came.
+func (a *account) lastSeen() time.Time { return slices.MaxFunc(a.seen[:], time.Time.Compare) }
+
 func (a *account) idle() bool {
 	waiting, running := 0, a.generalRunning
 	for c := range classCount {
--- a/loadgenerator/loadgenerator.go
+++ b/loadgenerator/loadgenerator.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -42,6 +43,9 @@
 	Rate float64
 	// Offset is when the first call is due, counted from the start of the run.
 	Offset time.Duration
+	// Jitter moves each call by a part of the interval between two calls; nil
+	// means that all are due at the interval's start.
+	Jitter *rand.Rand
 	// Call makes the nth call of the stream.
 	Call func(ctx context.Context, n int) Result
 }
@@ -125,6 +129,9 @@
 	interval := time.Duration(float64(time.Second) / s.Rate)
 	for n := 0; ; n++ {
 		due := start.Add(s.Offset + time.Duration(n)*interval)
+		if s.Jitter != nil {
+			due = due.Add(time.Duration(s.Jitter.Float64() * float64(interval)))
+		}
 		if due.Sub(start) >= duration || !sleepUntil(ctx, due) {
 			break
 		}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -115,7 +115,9 @@
 // Retry says whether the call may be tried again after the failure. If so it
 // has waited for as long as the attempts should lie apart.
 func (c *Call) Retry(ctx context.Context, f Failure) bool {
-	if f == FailureNotBegun {
+	// Calls that may not wait for a slot look for one elsewhere instead.
+	mayNotWait := f == FailureOverloaded && c.policy.QueueLength == 0
+	if f == FailureNotBegun || mayNotWait {
 		return c.redispatch(ctx)
 	}
 	if f == FailureUnknown && !c.policy.Idempotent {
