Bound connections and slots of a target by configuration and announcement

The limiter's transport, with the executor's settings, bounds the connections to the target by the service's connections or what the target announced, whichever is lower; slots likewise. Both may change while calls run.

executor: newTransport is exported as NewTransport. Seen failing: announced slots ignored.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 // admit waits for a slot at the target.
@@ -37,3 +39,18 @@
 	}
 	d.announcer.Unreachable()
 }
+
+// connections returns the bound on the connections to the target.
+func (d *Daemon) connections() int {
+	bound := applier.DefaultConnections
+	announcement := d.announcer.Current()
+	if snapshot := d.applier.Current(); snapshot != nil {
+		if p := snapshot.Policy(announcement.Service, versioner.ClassLookup, ""); p != nil {
+			bound = p.Connections
+		}
+	}
+	if announcement.Connections > 0 {
+		bound = min(bound, announcement.Connections)
+	}
+	return bound
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,11 +55,12 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service}
+	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots}
 	d.executor = &executor.Executor{
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
 		Target: d.announcer.Target, Draining: d.announcer.Draining,
 		Admit: d.admit, Load: d.load, Reached: d.reached,
+		HTTP: &limiter.Transport{Connections: d.connections, New: executor.NewTransport},
 	}
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
--- a/executor/target.go
+++ b/executor/target.go
@@ -21,9 +21,9 @@
 	readBufferBytes = 16 << 10
 )
 
-// newTransport returns the transport to the target. It follows no redirect,
+// NewTransport returns the transport to the target. It follows no redirect,
 // adds no header, and asks for no compression of its own.
-func newTransport() *http.Transport {
+func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -40,7 +40,7 @@
 	if x.HTTP != nil {
 		return x.HTTP
 	}
-	x.transportOnce.Do(func() { x.transport = newTransport() })
+	x.transportOnce.Do(func() { x.transport = NewTransport() })
 	return x.transport
 }
 
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -40,13 +40,18 @@
 type Limiter struct {
 	Applier *applier.Applier
 	// Service returns the service of the target beside this daemon.
-	Service  func() string
-	Counters Counters
+	Service func() string
+	// Announced returns the slots that the target announced; they lower those of
+	// the configuration. 0, or a nil Announced, leaves them.
+	Announced func() int
+	Counters  Counters
 
 	mu       sync.Mutex
 	snapshot *applier.Snapshot
 	limits   limits
-	accounts []*account
+	// announced is the number of slots that limits were made with.
+	announced int
+	accounts  []*account
 
 	running         int
 	generalRunning  int
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -219,6 +219,22 @@
 	})
 }
 
+func TestAnnouncedSlotsLowerTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		announced := 4
+		l.Announced = func() int { return announced }
+		mustAdmit(t, l, 3, Request{lookup, "magnolia"})
+		mustAdmit(t, l, 1, Request{internalRead, "magnolia"})
+		wantRefused(t, l, Request{internalRead, "magnolia"}, CauseNoSlot)
+		announced = 100
+		mustAdmit(t, l, 7, Request{lookup, "magnolia"})
+		if got := l.Load().Slots; got != 12 {
+			t.Errorf("slots: got %d, want the 12 of the configuration", got)
+		}
+	})
+}
+
 func TestApportion(t *testing.T) {
 	for _, tt := range []struct {
 		slots    int
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -60,12 +60,15 @@
 
 // update takes over the snapshot in force if it is another. The caller holds mu.
 func (l *Limiter) update() {
-	snapshot := l.Applier.Current()
-	if snapshot == l.snapshot && l.limits.slots > 0 {
+	snapshot, announced := l.Applier.Current(), 0
+	if l.Announced != nil {
+		announced = l.Announced()
+	}
+	if snapshot == l.snapshot && announced == l.announced && l.limits.slots > 0 {
 		return
 	}
-	l.snapshot = snapshot
-	l.limits = newLimits(snapshot, l.Service())
+	l.snapshot, l.announced = snapshot, announced
+	l.limits = newLimits(snapshot, l.Service(), announced)
 	var shares []applier.Share
 	if snapshot != nil {
 		shares = snapshot.Shares()
@@ -73,18 +76,18 @@
 	l.bookShares(shares)
 }
 
-func newLimits(s *applier.Snapshot, service string) limits {
-	n := limits{slots: applier.DefaultSlots}
+func newLimits(s *applier.Snapshot, service string, announced int) limits {
+	n := limits{slots: lower(applier.DefaultSlots, announced)}
 	if s != nil {
 		for c, name := range classNames {
 			p := s.Policy(service, name, "")
 			if p == nil {
 				continue
 			}
-			n.slots = p.Slots
+			n.slots = lower(p.Slots, announced)
 			n.queueLength[c], n.queueWait[c] = p.QueueLength, p.QueueWait
 			if p.ReservedPercent > 0 {
-				n.reserved[c] = max(1, (p.Slots*p.ReservedPercent+50)/100)
+				n.reserved[c] = max(1, (n.slots*p.ReservedPercent+50)/100)
 			}
 		}
 	}
@@ -96,6 +99,14 @@
 	return n
 }
 
+// lower returns the smaller of two limits, of which the second is not set at 0.
+func lower(limit, announced int) int {
+	if announced == 0 {
+		return limit
+	}
+	return min(limit, announced)
+}
+
 // bookShares opens the accounts of the partners and sets their guarantees. An
 // account that is no longer named stays without a guarantee while it has calls.
 func (l *Limiter) bookShares(shares []applier.Share) {
--- a/limiter/transport.go
+++ b/limiter/transport.go
@@ -14,6 +14,8 @@
 type Transport struct {
 	// Connections returns the bound, at least 1.
 	Connections func() int
+	// New makes the transport on which the bound is set; nil means a plain one.
+	New func() *http.Transport
 
 	mu      sync.Mutex
 	bound   int
@@ -35,10 +37,11 @@
 	if t.current != nil {
 		t.current.CloseIdleConnections()
 	}
-	t.bound = bound
-	t.current = &http.Transport{
-		MaxConnsPerHost: bound, MaxIdleConns: bound, MaxIdleConnsPerHost: bound,
-		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+	next := &http.Transport{IdleConnTimeout: idleConnTimeout, DisableCompression: true}
+	if t.New != nil {
+		next = t.New()
 	}
-	return t.current
+	next.MaxConnsPerHost, next.MaxIdleConns, next.MaxIdleConnsPerHost = bound, bound, bound
+	t.bound, t.current = bound, next
+	return next
 }
--- a/measurer/overload.go
+++ b/measurer/overload.go
@@ -14,6 +14,8 @@
 	overloadTargets = 5
 	overloadSlots   = 12
 	overloadTakes   = 40 * time.Millisecond
+	// overloadTimeoutMS bounds the calls that wait where no limiter refuses them.
+	overloadTimeoutMS = 1000
 	// overloadFactor is the offered load in terms of the targets' capacity.
 	overloadFactor = 2.0
 	// readsPart and modestPart are the offered internal reads and lookups of the
@@ -49,6 +51,9 @@
 	} {
 		f, err := newCallFleet(ctx, fleetPlan{
 			targets: overloadTargets, slots: overloadSlots, size: p.Size, takes: overloadTakes, tuning: v.tuning,
+			edit: func(entries []versioner.Entry) []versioner.Entry {
+				return append(entries, lookupClass(overloadTimeoutMS, 0))
+			},
 		})
 		if err != nil {
 			return nil, err
