--- a/measurer/overload.go
+++ b/measurer/overload.go
@@ -59,9 +59,9 @@
 			return nil, err
 		}
 		if v.name == "limited" {
-			rows = append(rows, p.overloadRows(ctx, f, "calm", p.lookups(f, "internal-reads", "/"+versioner.ClassInternalRead, readsPart))...)
+			rows = append(rows, p.overloadRows(ctx, "calm", p.lookups(f, "internal-reads", "/"+versioner.ClassInternalRead, readsPart))...)
 		}
-		rows = append(rows, p.overloadRows(ctx, f, v.name,
+		rows = append(rows, p.overloadRows(ctx, v.name,
 			p.lookups(f, "internal-reads", "/"+versioner.ClassInternalRead, readsPart),
 			p.lookups(f, "within-share", "/"+versioner.ClassLookup, modestPart),
 			p.lookups(f, "flood", "/guest/lookup", overloadFactor-readsPart-modestPart),
@@ -83,7 +83,7 @@
 	return loadgenerator.Stream{Name: name, Rate: part * capacity(), Jitter: p.random(uint64(len(name))), Call: call}
 }
 
-func (p CallsPlan) overloadRows(ctx context.Context, f *callFleet, variant string, streams ...loadgenerator.Stream) []OverloadRow {
+func (p CallsPlan) overloadRows(ctx context.Context, variant string, streams ...loadgenerator.Stream) []OverloadRow {
 	loadgenerator.Run(ctx, warmUp, streams...)
 	start := time.Now()
 	tallies := loadgenerator.Run(ctx, p.Duration, streams...)
