Learn from attempts that were given up

Change: an abandoned attempt shows that the answer would have taken at least as long; it can only worsen the latency.

Seen failing: the abandoned attempt not taken in gives the slow target 20-26%.

--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -15,11 +15,14 @@
 	fails bool
 }
 
-// drive sends calls at a fixed rate for a time and returns the share in percent
+// driveRate is in calls a second.
+const driveRate = 500
+
+// drive sends calls at driveRate for a time and returns the share in percent
 // that each target got.
-func (f *fleet) drive(t *testing.T, rate int, length time.Duration, targets map[string]behaviour) map[string]float64 {
+func (f *fleet) drive(t *testing.T, length time.Duration, targets map[string]behaviour) map[string]float64 {
 	t.Helper()
-	n := int(length.Seconds() * float64(rate))
+	n := int(length.Seconds() * driveRate)
 	got := make(map[string]float64)
 	for range n {
 		c := f.mustPick(t)
@@ -33,16 +36,17 @@
 			}
 			c.Done(Result{Outcome: Answered})
 		}()
-		time.Sleep(time.Second / time.Duration(rate))
+		time.Sleep(time.Second / driveRate)
 		synctest.Wait()
 	}
 	time.Sleep(time.Second)
 	return got
 }
 
-func equalTargets(n int, takes time.Duration) map[string]behaviour {
+// equalTargets returns the behaviour of five targets.
+func equalTargets(takes time.Duration) map[string]behaviour {
 	targets := make(map[string]behaviour)
-	for i := range n {
+	for i := range 5 {
 		targets[fmt.Sprintf("mobile-bay-%d", i)] = behaviour{takes: takes}
 	}
 	return targets
@@ -58,28 +62,40 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(map[string]int{"mobile-bay": 5})
 			f.Choices = tt.choices
-			targets := equalTargets(5, 5*time.Millisecond)
+			targets := equalTargets(5 * time.Millisecond)
 			targets["mobile-bay-0"] = behaviour{takes: 100 * time.Millisecond}
-			got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+			got := f.drive(t, 10*time.Second, targets)["mobile-bay-0"]
 			wantBetween(t, fmt.Sprintf("share of a slow target with %d choices", tt.choices), got, tt.low, tt.high)
 		})
 	}
 }
 
+func TestAbandonedAttemptShowsSlowTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 5})
+		f.drive(t, time.Second, equalTargets(5*time.Millisecond))
+		c := f.until(t, "mobile-bay-0")
+		time.Sleep(50 * time.Millisecond)
+		c.Done(Result{Outcome: Abandoned})
+		got := f.shares(t, 100)["mobile-bay-0"]
+		wantBetween(t, "share after an attempt that was given up after ten times the latency", got, 0, 5)
+	})
+}
+
 func TestFastErrorsAttractNoLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(map[string]int{"mobile-bay": 5})
 		f.policy.MaxEjectedPercent = 0
-		targets := equalTargets(5, 20*time.Millisecond)
+		targets := equalTargets(20 * time.Millisecond)
 		targets["mobile-bay-0"] = behaviour{takes: 100 * time.Microsecond, fails: true}
-		got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+		got := f.drive(t, 10*time.Second, targets)["mobile-bay-0"]
 		wantBetween(t, "share of a target that fails at once and may not be ejected", got, 0, 4)
 	})
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(map[string]int{"mobile-bay": 5})
-		targets := equalTargets(5, 20*time.Millisecond)
+		targets := equalTargets(20 * time.Millisecond)
 		targets["mobile-bay-0"] = behaviour{takes: 100 * time.Microsecond, fails: true}
-		got := f.drive(t, 500, 10*time.Second, targets)["mobile-bay-0"]
+		got := f.drive(t, 10*time.Second, targets)["mobile-bay-0"]
 		wantBetween(t, "share of a target that is ready by its record and fails each call", got, 0, 0.5)
 	})
 }
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -16,8 +16,8 @@
 	Overloaded
 	// Draining means that the target takes no new calls.
 	Draining
-	// Abandoned says nothing of the target: the caller went away, or another
-	// attempt was faster.
+	// Abandoned means that the caller went away, or that another attempt was
+	// faster. It shows only that the target took at least as long.
 	Abandoned
 )
 
@@ -68,6 +68,8 @@
 			c.picker.Counters.DomainsLost.Add(1)
 		}
 		c.fail(now, 1)
+	case Abandoned:
+		c.observeAtLeast(now)
 	case Overloaded:
 		t.told.others.Store(max(int64(c.policy.Slots), t.told.others.Load()))
 		t.told.at.Store(int64(now))
@@ -96,14 +98,20 @@
 	}
 }
 
+// observeAtLeast takes in an attempt that brought no answer: the answer would
+// have taken longer than the attempt lasted. It never improves the latency.
+func (c Choice) observeAtLeast(now instant) {
+	l, took := &c.target.latencies[classIndex(c.policy)], now.sub(c.start)
+	if float64(took) > l.mean.value() {
+		l.observe(took, now)
+	}
+}
+
 // fail books a failure and ejects the target when limit failures followed each
 // other or half of its calls fail. A fast failure does not improve the latency.
 func (c Choice) fail(now instant, limit int64) {
 	t := c.target
-	l, took := &t.latencies[classIndex(c.policy)], now.sub(c.start)
-	if float64(took) > l.mean.value() {
-		l.observe(took, now)
-	}
+	c.observeAtLeast(now)
 	t.failing.add(1, failureWeight)
 	failures := t.failures.Add(1)
 	if failures >= limit || c.probe || t.failsOften() {
