Book a call on the calling partner's share where the caller names it

A call to a shared service used the share of its route's partner, whoever made it. Bambooweir-Partner names the partner on whose behalf a call is made; a name that the configuration does not hold counts as none. Settings still follow the route's partner, so a caller can't choose its limits. The header is trusted, as calls are: callers are not authenticated.

The forwarder takes a route with its policy in one lookup. The mark on retries is named Bambooweir-Attempt, like the other headers.

forwarder, messenger (calls' packages): newExchange takes *applier.Route, Call has CallingPartner as field 17.

--- a/applier/policy.go
+++ b/applier/policy.go
@@ -1,6 +1,8 @@
 package applier
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bambooweir.example/bambooweir/versioner"
@@ -70,6 +72,12 @@
 // must not be changed.
 func (s *Snapshot) Shares() []Share { return s.shares }
 
+// HasPartner says whether the configuration names the partner.
+func (s *Snapshot) HasPartner(name string) bool {
+	_, ok := slices.BinarySearchFunc(s.shares, name, func(share Share, name string) int { return cmp.Compare(share.Partner, name) })
+	return ok
+}
+
 func newShares(doc *versioner.Document) []Share {
 	var shares []Share
 	for _, e := range doc.Entries {
--- a/applier/policy_test.go
+++ b/applier/policy_test.go
@@ -76,6 +76,9 @@
 			t.Errorf("Policy(%s, %s, %s): got %+v, want timeout %v and 16 slots", tt.service, tt.class, tt.partner, p, tt.want)
 		}
 	}
+	if !s.HasPartner("regie") || s.HasPartner("") || s.HasPartner("other") {
+		t.Error("HasPartner: got other partners than the two of the configuration")
+	}
 	if got := s.Policy("absent", versioner.ClassLookup, "regie"); got != nil {
 		t.Errorf("Policy of an absent service: got %+v, want nil", got)
 	}
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 
@@ -12,7 +13,8 @@
 
 // admit waits for a slot at the target.
 func (d *Daemon) admit(ctx context.Context, call *messenger.Call) (func(), *messenger.Answer) {
-	slot, err := d.limiter.Admit(ctx, limiter.Request{Class: call.Class, Partner: call.Partner})
+	request := limiter.Request{Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner)}
+	slot, err := d.limiter.Admit(ctx, request)
 	if err == nil {
 		return slot.Release, nil
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,12 +89,12 @@
 		f.refuse(w, causeNoConfiguration)
 		return
 	}
-	name, route, ok := snapshot.Match(r.Host, r.URL.Path, r.Method)
-	if !ok {
+	route := snapshot.Route(r.Host, r.URL.Path, r.Method)
+	if route == nil {
 		f.refuse(w, causeNoRoute)
 		return
 	}
-	x, cause := f.newExchange(w, r, snapshot, name, route)
+	x, cause := f.newExchange(w, r, snapshot, route)
 	if cause != "" {
 		f.refuse(w, cause)
 		return
@@ -105,11 +105,8 @@
 }
 
 // newExchange reads the request, or returns the cause for which it is refused.
-func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, name string, route *versioner.Route) (x *exchange, cause string) {
-	policy := s.Policy(route.Service, route.Class, route.Partner)
-	if policy == nil {
-		return nil, causeNoRoute
-	}
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, matched *applier.Route) (x *exchange, cause string) {
+	route, policy := matched.Config, matched.Policy
 	timeout, ok := timeout(r, policy, route)
 	if !ok {
 		return nil, causeBadDeadline
@@ -129,8 +126,11 @@
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 	}
+	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
+		x.call.CallingPartner = partner
+	}
 	_, _ = rand.Read(x.call.ID[:])
-	x.retries = f.Retrier.Begin(name, policy, r.Header)
+	x.retries = f.Retrier.Begin(matched.Name, policy, r.Header)
 	return x, ""
 }
 
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -45,6 +45,9 @@
 	BodyDigest uint64 `cbor:"15,keyasint,omitempty"`
 	// Acks lists calls whose answers the entry daemon has received.
 	Acks []CallID `cbor:"16,keyasint,omitempty"`
+	// CallingPartner is the partner whose share the call uses, if that is not
+	// Partner.
+	CallingPartner string `cbor:"17,keyasint,omitempty"`
 }
 
 // Outcome says what became of a call.
--- a/messenger/headers.go
+++ b/messenger/headers.go
@@ -14,6 +14,9 @@
 const (
 	// HeaderDeadline is the time left until a call's deadline, in milliseconds.
 	HeaderDeadline = "Bambooweir-Deadline-Ms"
+	// HeaderPartner names the partner on whose behalf a call is made, where that
+	// is not the partner of the route.
+	HeaderPartner = "Bambooweir-Partner"
 	// HeaderIdempotencyKey names a call that its caller may repeat.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -21,7 +21,7 @@
 
 // AttemptHeader marks a call that is, or belongs to, a retry. Targets copy it
 // to the calls that they make for the call.
-const AttemptHeader = "Call-Attempt"
+const AttemptHeader = "Bambooweir-Attempt"
 
 const (
 	// maxRedispatches bounds the tries of a call that did not begin.
