--- /dev/null
+++ b/measurer/calls_test.go
@@ -0,0 +1,39 @@
+package measurer
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"bambooweir.example/bambooweir/versioner"
+)
+
+func TestMeasureCallsReportsEveryPart(t *testing.T) {
+	plan := CallsPlan{
+		Rates: []int{50}, Duration: 300 * time.Millisecond, Classes: []string{versioner.ClassLookup, versioner.ClassPosting},
+		Size: 512, ChangesPerSecond: 10, Scans: true, Seed: 1, Runs: []string{RunLatency},
+	}
+	report, err := MeasureCalls(t.Context(), plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(report.Latency); got != 3 {
+		t.Fatalf("latency rows: got %d, want two classes over links and one local", got)
+	}
+	for _, row := range report.Latency {
+		if row.Answered != 15 || row.NotAnswered != 0 || row.Scans == 0 || row.ScansLost != 0 || row.Changes == 0 {
+			t.Errorf("row: got %+v, want 15 answered, scans and changes, and none lost", row)
+		}
+		if row.Direct.P50 <= 0 || row.Added != row.Through.minus(row.Direct) {
+			t.Errorf("row: got %+v, want latencies and their differences", row)
+		}
+	}
+	var table bytes.Buffer
+	if err := report.WriteTable(&table); err != nil || !strings.Contains(table.String(), "seed 1;") {
+		t.Errorf("table: got %q, %v, want the seed", table.String(), err)
+	}
+	if _, err := MeasureCalls(t.Context(), CallsPlan{Runs: []string{"other"}}); err == nil {
+		t.Error("unknown run: got no error")
+	}
+}
