--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -40,6 +40,7 @@
 		new(fakeStoreCommand).command(),
 		new(fakeTargetCommand).command(),
 		new(applyCommand).command(),
+		newMeasureCommand(),
 		new(planCommand).command(),
 		new(showCommand).command(),
 		new(historyCommand).command(),
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -1,16 +1,20 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 // admit waits for a slot at the target.
 func (d *Daemon) admit(ctx context.Context, call *messenger.Call) (func(), *messenger.Answer) {
-	slot, err := d.limiter.Admit(ctx, limiter.Request{Class: call.Class, Partner: call.Partner})
+	request := limiter.Request{Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner)}
+	slot, err := d.limiter.Admit(ctx, request)
 	if err == nil {
 		return slot.Release, nil
 	}
@@ -37,3 +41,18 @@
 	}
 	d.announcer.Unreachable()
 }
+
+// connections returns the bound on the connections to the target.
+func (d *Daemon) connections() int {
+	bound := applier.DefaultConnections
+	announcement := d.announcer.Current()
+	if snapshot := d.applier.Current(); snapshot != nil {
+		if p := snapshot.Policy(announcement.Service, versioner.ClassLookup, ""); p != nil {
+			bound = p.Connections
+		}
+	}
+	if announcement.Connections > 0 {
+		bound = min(bound, announcement.Connections)
+	}
+	return bound
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -13,6 +13,9 @@
 	m.Set("forwarder", publisher.Counters(&d.forwarder.Counters))
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
+	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
+	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
+	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
 	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
 	if policy, ok := d.surface.Acceptor.Policy.(*authorizer.Authorizer); ok {
