--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -13,6 +13,7 @@
 
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/faulter"
+	"bambooweir.example/bambooweir/launcher"
 )
 
 func (s *scenario) store(*testscript.TestScript, []string) error {
@@ -32,7 +33,18 @@
 		return err
 	}
 	go s.recorder.WatchDaemon(s.ctx, d.Name, d.OperatorURL)
-	return nil
+	return s.awaitHealth(d)
+}
+
+// awaitHealth waits until a daemon serves.
+func (s *scenario) awaitHealth(d launcher.Daemon) error {
+	return await(func() error {
+		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/healthz", "")
+		if !strings.HasPrefix(answer, "204") {
+			return fmt.Errorf("%s: %s", d.Name, answer)
+		}
+		return nil
+	})
 }
 
 func (s *scenario) target(_ *testscript.TestScript, args []string) error {
@@ -98,6 +110,15 @@
 			return err
 		}
 	}
+	for _, name := range args {
+		d, err := s.fleet.Daemon(name)
+		if err != nil {
+			continue
+		}
+		if err := s.awaitHealth(d); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
