--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -207,6 +207,12 @@
 	if got, want := mustAccept(t, a, change("first", magnolia(1))), versioner.Version(1); got != want {
 		t.Errorf("version of a repeated old change: got %d, want %d", got, want)
 	}
+	var reused *acceptor.ReusedIDError
+	for _, id := range []string{"first", "next-19"} {
+		if _, err := a.Accept(t.Context(), change(id, magnolia(99))); !errors.As(err, &reused) {
+			t.Errorf("other edits under the id %s: got %v, want a ReusedIDError", id, err)
+		}
+	}
 	deltas, err := acceptor.ReadHistory(t.Context(), store, 100)
 	if err != nil {
 		t.Fatal(err)
@@ -245,8 +251,14 @@
 	store := newStore()
 	a := &acceptor.Acceptor{Store: store}
 	c := change("large")
-	c.Audit.Reason = strings.Repeat("x", storer.MaxValueBytes)
 	c.Upserts = []versioner.Entry{magnolia(1)}
+	for i := range storer.MaxValueBytes / 100 {
+		c.Upserts = append(c.Upserts, versioner.Entry{
+			Key:     versioner.Key{Kind: versioner.KindService, Name: fmt.Sprintf("s%d-%s", i, strings.Repeat("x", 50))},
+			Service: &versioner.Service{Partner: "magnolia"},
+		})
+	}
+	c.Upserts = c.Upserts[:9000]
 	_, err := a.Accept(t.Context(), c)
 	var large *acceptor.TooLargeError
 	if !errors.As(err, &large) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,14 +19,20 @@
 	Applier    *applier.Applier
 	Table      *tracker.Table
 	Acceptor   *acceptor.Acceptor
+
+	malformed expvar.Int
 }
 
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
 	e.GET("/v1/status", s.status)
+	e.POST(ChangesPath, s.change)
+	e.POST(PlanPath, s.plan)
+	e.GET(ConfigurationPath, s.configuration)
+	e.GET(HistoryPath, s.history)
+	e.GET(ExceptionsPath, s.exceptions)
 	e.GET("/v1/applied", s.applied)
 	e.GET("/healthz", s.health)
 	e.GET("/readyz", s.readiness)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	e.POST("/v1/changes", s.change)
 }
