--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -42,7 +42,7 @@
 func (r *Recorder) PollDaemon(ctx context.Context, name, operatorURL string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+"/v1/applied", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+operator.AppliedPath, nil)
 	if err != nil {
 		return
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	defer res.Body.Close()
-	var answer operator.HistoryAnswer
+	var answer operator.AppliedAnswer
 	if json.NewDecoder(res.Body).Decode(&answer) == nil {
 		r.addApplied(name, answer.Applied)
 	}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -26,6 +26,8 @@
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
 		new(checkCommand).command(),
+		new(statusCommand).command(),
+		new(versionCommand).command(),
 		new(demoCommand).command(),
 		new(soakCommand).command(),
 	)
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,118 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/operator"
+)
+
+const inUse = "in-use"
+
+// statusCommand shows a daemon and what it knows of the fleet.
+type statusCommand struct {
+	client
+	output outputFlag
+	all    bool
+}
+
+func (s *statusCommand) command() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Show a daemon, the versions in force in the fleet, and the targets",
+		Long: `Status shows the version in force on a daemon and its place in the spreading,
+how many daemons of the fleet have which version in force and who is behind, and
+the targets that the daemon does not use, each with the reason.`,
+		Example: `  bambooweir status
+  bambooweir status --all
+  bambooweir status --output json`,
+		Args: cobra.NoArgs,
+		RunE: s.run,
+	}
+	s.daemonFlag(c)
+	s.output.flags(c, outputJSON)
+	c.Flags().BoolVar(&s.all, "all", false, "list the targets in use too")
+	return c
+}
+
+func (s *statusCommand) run(c *cobra.Command, _ []string) error {
+	var status operator.Status
+	if err := s.get(c.Context(), operator.StatusPath, &status); err != nil {
+		return err
+	}
+	if s.output.value == outputJSON {
+		return printJSON(c, status)
+	}
+	w := c.OutOrStdout()
+	printDaemon(w, &status)
+	if err := printFleet(c, &status); err != nil {
+		return err
+	}
+	return s.printTargets(c, &status)
+}
+
+func printDaemon(w io.Writer, status *operator.Status) {
+	fmt.Fprintf(w, "instance %s in failure domain %s\n", status.InstanceID, status.FailureDomain)
+	if status.Version == 0 {
+		fmt.Fprintln(w, "no version in force: calls are refused as not run")
+	} else {
+		fmt.Fprintf(w, "version %d in force, digest %s, %s\n", status.Version, status.Digest, confirmation(status))
+	}
+	if status.Role != "" {
+		fmt.Fprintf(w, "%s, parent %s, depth %d, %d children\n", status.Role, dash(status.Parent), status.Depth, status.Children)
+	}
+}
+
+func confirmation(status *operator.Status) string {
+	if !status.IsConfirmed {
+		return "not confirmed by the store"
+	}
+	return fmt.Sprintf("confirmed, version %d was newest %s ago", status.HeadVersion, age(time.Duration(status.HeadAgeMS)*time.Millisecond))
+}
+
+func printFleet(c *cobra.Command, status *operator.Status) error {
+	if len(status.DaemonsByVersion) == 0 {
+		return nil
+	}
+	fmt.Fprintln(c.OutOrStdout())
+	rows := [][]string{{"VERSION", "DAEMONS"}}
+	for _, n := range status.DaemonsByVersion {
+		rows = append(rows, []string{fmt.Sprint(n.Version), fmt.Sprint(n.Daemons)})
+	}
+	if err := printTable(c, rows); err != nil || len(status.Laggards) == 0 {
+		return err
+	}
+	fmt.Fprintln(c.OutOrStdout())
+	rows = [][]string{{"BEHIND", "VERSION", "REASON"}}
+	for _, l := range status.Laggards {
+		rows = append(rows, []string{l.InstanceID, fmt.Sprint(l.Version), l.Reason})
+	}
+	return printTable(c, rows)
+}
+
+// printTargets lists targets that are not in use, or all, and counts the rest.
+func (s *statusCommand) printTargets(c *cobra.Command, status *operator.Status) error {
+	w := c.OutOrStdout()
+	rows := [][]string{{"SERVICE", "TARGET", "FAILURE DOMAIN", "USE", "CAUSE", "IN FLIGHT"}}
+	used := 0
+	for _, t := range status.Choices {
+		if t.Use == inUse {
+			used++
+		}
+		if t.Use != inUse || s.all {
+			rows = append(rows, []string{t.Service, t.InstanceID, t.Domain, t.Use, dash(t.Cause), fmt.Sprint(t.InFlight)})
+		}
+	}
+	if len(status.Choices) == 0 {
+		_, err := fmt.Fprintf(w, "\n%d targets known\n", len(status.Targets))
+		return err
+	}
+	fmt.Fprintf(w, "\n%d of %d targets in use\n", used, len(status.Choices))
+	if len(rows) == 1 {
+		return nil
+	}
+	return printTable(c, rows)
+}
--- a/cmd/wait.go
+++ b/cmd/wait.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -54,7 +55,7 @@
 	for {
 		var s convergence
 		progress := ""
-		if err := w.client.get(ctx, "/v1/status", &s); err != nil {
+		if err := w.client.get(ctx, operator.StatusPath, &s); err != nil {
 			progress = fmt.Sprintf("no status: %v", firstLine(err))
 		} else {
 			reached, all := s.reached(v)
--- a/demonstrator/changes.go
+++ b/demonstrator/changes.go
@@ -61,7 +61,7 @@
 
 func readStatus(ctx context.Context, i *instance) (operator.Status, error) {
 	var status operator.Status
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.operatorURL()+"/v1/status", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.operatorURL()+operator.StatusPath, nil)
 	if err != nil {
 		return status, err
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,30 +9,36 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/tracker"
 )
 
-// Surface is the operators' view of one daemon. All fields must be set.
+// Surface is the operators' view of one daemon. The fields must be set, but for
+// Spread and Choices.
 type Surface struct {
 	InstanceID string
 	Domain     string
 	Applier    *applier.Applier
 	Table      *tracker.Table
 	Acceptor   *acceptor.Acceptor
+	// Spread tells the daemon's place in the spreading; nil tells nothing.
+	Spread func() Spread
+	// Choices tells how the daemon sees each target; nil tells nothing.
+	Choices func() []picker.TargetView
 
 	malformed expvar.Int
 }
 
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
-	e.GET("/v1/status", s.status)
+	e.GET(StatusPath, s.status)
 	e.POST(ChangesPath, s.change)
 	e.POST(PlanPath, s.plan)
 	e.GET(ConfigurationPath, s.configuration)
 	e.GET(HistoryPath, s.history)
 	e.GET(ExceptionsPath, s.exceptions)
-	e.GET("/v1/applied", s.applied)
-	e.GET("/healthz", s.health)
-	e.GET("/readyz", s.readiness)
-	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	e.GET(AppliedPath, s.applied)
+	e.GET(HealthPath, s.health)
+	e.GET(ReadinessPath, s.readiness)
+	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
 }
--- a/operator/status.go
+++ b/operator/status.go
@@ -6,17 +6,77 @@
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
-// Status is what a daemon says of itself.
+// Resources that show a daemon.
+const (
+	StatusPath  = "/v1/status"
+	AppliedPath = "/v1/applied"
+	// HealthPath answers while the process serves, ReadinessPath once a
+	// configuration is in force.
+	HealthPath    = "/healthz"
+	ReadinessPath = "/readyz"
+	MetricsPath   = "/debug/vars"
+)
+
+// Status is what a daemon says of itself and of the fleet.
 type Status struct {
-	InstanceID    string            `json:"instance-id"`
-	FailureDomain string            `json:"failure-domain"`
-	Version       versioner.Version `json:"version"`
-	Digest        string            `json:"digest"`
-	Targets       []tracker.Record  `json:"targets"`
+	InstanceID    string `json:"instance-id"`
+	FailureDomain string `json:"failure-domain"`
+	// Version is the version in force, 0 for none, and Digest its document's.
+	Version versioner.Version `json:"version"`
+	Digest  string            `json:"digest"`
+	Spread
+	// Targets holds the membership records, sorted by instance.
+	Targets []tracker.Record `json:"targets"`
+	// Choices says why this daemon uses each target or does not.
+	Choices []picker.TargetView `json:"choices,omitempty"`
+}
+
+// Role is a daemon's part in the spreading.
+type Role string
+
+// The roles. A relay watches the store, a follower is fed by another daemon,
+// and a joining daemon looks for one.
+const (
+	RoleRelay    Role = "relay"
+	RoleFollower Role = "follower"
+	RoleJoining  Role = "joining"
+)
+
+// Spread is a daemon's place in the spreading and what it heard of the fleet.
+type Spread struct {
+	Role Role `json:"role,omitempty"`
+	// Parent feeds this daemon; it is "" for the root of a failure domain.
+	Parent   string `json:"parent,omitempty"`
+	Depth    int    `json:"depth"`
+	Children int    `json:"children"`
+	// IsConfirmed says that the version in force was not taken on trust.
+	IsConfirmed bool `json:"confirmed"`
+	// HeadVersion is the newest version that the store is known to have held,
+	// HeadAgeMS milliseconds ago.
+	HeadVersion versioner.Version `json:"head-version"`
+	HeadAgeMS   int64             `json:"head-age-ms"`
+	// DaemonsByVersion counts the daemons heard of by the version in force.
+	DaemonsByVersion []VersionCount `json:"daemons-by-version,omitempty"`
+	// Laggards names a few of the daemons that are behind.
+	Laggards []Laggard `json:"laggards,omitempty"`
+}
+
+// VersionCount is a number of daemons with one version in force.
+type VersionCount struct {
+	Version versioner.Version `json:"version"`
+	Daemons int               `json:"daemons"`
+}
+
+// Laggard is a daemon that is behind.
+type Laggard struct {
+	InstanceID string            `json:"instance-id"`
+	Version    versioner.Version `json:"version"`
+	Reason     string            `json:"reason"`
 }
 
 func (s *Surface) status(c echo.Context) error {
@@ -25,24 +85,28 @@
 		status.Version = snapshot.Version()
 		status.Digest = snapshot.Digest.String()
 	}
+	if s.Spread != nil {
+		status.Spread = s.Spread()
+	}
+	if s.Choices != nil {
+		status.Choices = s.Choices()
+	}
 	return c.JSON(http.StatusOK, status)
 }
 
-// HistoryAnswer lists the newest versions that a daemon put in force since it
+// AppliedAnswer lists the newest versions that a daemon put in force since it
 // started, oldest first.
-type HistoryAnswer struct {
+type AppliedAnswer struct {
 	InstanceID string            `json:"instance-id"`
 	Applied    []applier.Applied `json:"applied"`
 }
 
 func (s *Surface) applied(c echo.Context) error {
-	return c.JSON(http.StatusOK, HistoryAnswer{InstanceID: s.InstanceID, Applied: s.Applier.History()})
+	return c.JSON(http.StatusOK, AppliedAnswer{InstanceID: s.InstanceID, Applied: s.Applier.History()})
 }
 
-// health answers as long as the process serves at all.
 func (s *Surface) health(c echo.Context) error { return c.NoContent(http.StatusNoContent) }
 
-// readiness answers with success once a configuration is in force.
 func (s *Surface) readiness(c echo.Context) error {
 	if s.Applier.Current() == nil {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "no configuration in force")
--- /dev/null
+++ b/scripter/counters.go
@@ -0,0 +1,66 @@
+package scripter
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/publisher"
+)
+
+// waitCounter waits until a counter of the daemon satisfies the condition. The
+// name's parts are joined by dots.
+func (s *scenario) waitCounter(_ *testscript.TestScript, args []string) error {
+	cond, err := parseCondition(args[1])
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		got, err := s.counter(args[0], cond.name)
+		if err != nil {
+			return err
+		}
+		return cond.check(got)
+	})
+}
+
+// assertCounter checks that a counter exists.
+func (s *scenario) assertCounter(_ *testscript.TestScript, args []string) error {
+	_, err := s.counter(args[0], args[1])
+	return err
+}
+
+func (s *scenario) counter(daemon, name string) (int, error) {
+	d, err := s.fleet.Daemon(daemon)
+	if err != nil {
+		return 0, err
+	}
+	answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+operator.MetricsPath, "")
+	body, ok := strings.CutPrefix(answer, "200 ")
+	if !ok {
+		return 0, fmt.Errorf("%s: %s", daemon, answer)
+	}
+	path := append([]string{publisher.Name, daemon}, strings.Split(name, ".")...)
+	return findNumber(json.RawMessage(body), path)
+}
+
+// findNumber finds a number in nested objects.
+func findNumber(value json.RawMessage, path []string) (int, error) {
+	for _, name := range path {
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal(value, &object); err != nil {
+			return 0, fmt.Errorf("%s: %w", name, err)
+		}
+		next, ok := object[name]
+		if !ok {
+			return 0, fmt.Errorf("no counter %s", strings.Join(path, "."))
+		}
+		value = next
+	}
+	return strconv.Atoi(string(value))
+}
--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -14,6 +14,7 @@
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/faulter"
 	"bambooweir.example/bambooweir/launcher"
+	"bambooweir.example/bambooweir/operator"
 )
 
 func (s *scenario) store(*testscript.TestScript, []string) error {
@@ -40,7 +41,7 @@
 // awaitHealth waits until a daemon serves.
 func (s *scenario) awaitHealth(d launcher.Daemon) error {
 	return await(func() error {
-		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/healthz", "")
+		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+operator.HealthPath, "")
 		if !strings.HasPrefix(answer, "204") {
 			return fmt.Errorf("%s: %s", d.Name, answer)
 		}
--- a/scripter/waits.go
+++ b/scripter/waits.go
@@ -18,7 +18,6 @@
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/operator"
-	"bambooweir.example/bambooweir/publisher"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -61,7 +60,7 @@
 	if err != nil {
 		return "", err
 	}
-	answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/v1/status", "")
+	answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+operator.StatusPath, "")
 	body, ok := strings.CutPrefix(answer, "200 ")
 	if !ok {
 		return "", fmt.Errorf("%s: %s", name, answer)
@@ -149,62 +148,27 @@
 	return nil
 }
 
-func (s *scenario) waitAnswer(_ *testscript.TestScript, args []string) error {
+func (s *scenario) waitAnswer(ts *testscript.TestScript, args []string) error {
 	d, err := s.fleet.Daemon(args[0])
 	if err != nil {
 		return err
 	}
-	want, err := regexp.Compile(args[3])
-	if err != nil {
-		return err
-	}
-	return await(func() error {
-		if got := fetch(s.ctx, args[1], d.CallerURL+args[2], ""); !want.MatchString(got) {
-			return fmt.Errorf("%s %s: got %q, want match for %q", args[1], args[2], got, want)
-		}
-		return nil
-	})
+	return s.waitURL(ts, []string{args[1], d.CallerURL + args[2], args[3]})
 }
 
-// waitCounter waits until a counter of the daemon satisfies the condition. The
-// name's parts are joined by dots.
-func (s *scenario) waitCounter(_ *testscript.TestScript, args []string) error {
-	d, err := s.fleet.Daemon(args[0])
-	if err != nil {
-		return err
-	}
-	cond, err := parseCondition(args[1])
+func (s *scenario) waitURL(_ *testscript.TestScript, args []string) error {
+	want, err := regexp.Compile(args[2])
 	if err != nil {
 		return err
 	}
 	return await(func() error {
-		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+"/debug/vars", "")
-		path := append([]string{publisher.Name, args[0]}, strings.Split(cond.name, ".")...)
-		got, err := counter(strings.TrimPrefix(answer, "200 "), path)
-		if err != nil {
-			return err
+		if got := fetch(s.ctx, args[0], args[1], ""); !want.MatchString(got) {
+			return fmt.Errorf("%s %s: got %q, want match for %q", args[0], args[1], got, want)
 		}
-		return cond.check(got)
+		return nil
 	})
 }
 
-// counter finds a number in nested objects. A name that is absent counts 0.
-func counter(body string, path []string) (int, error) {
-	value := json.RawMessage(body)
-	for _, name := range path {
-		var object map[string]json.RawMessage
-		if err := json.Unmarshal(value, &object); err != nil {
-			return 0, fmt.Errorf("%s: %w", name, err)
-		}
-		next, ok := object[name]
-		if !ok {
-			return 0, nil
-		}
-		value = next
-	}
-	return strconv.Atoi(string(value))
-}
-
 // waitRuns waits until at least N calls have begun to run: those of a batch, or
 // all of a target.
 func (s *scenario) waitRuns(_ *testscript.TestScript, args []string) error {
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -89,7 +89,7 @@
 }
 
 func readVersion(ctx context.Context, operatorURL string) (versioner.Version, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+"/v1/status", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+operator.StatusPath, nil)
 	if err != nil {
 		return 0, err
 	}
