--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,17 +2,12 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/announcer"
@@ -20,9 +15,11 @@
 	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -36,6 +33,7 @@
 	table     *tracker.Table
 	spreader  *spreader.Spreader
 	announcer *announcer.Announcer
+	limiter   *limiter.Limiter
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
 	surface   *operator.Surface
@@ -57,11 +55,14 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
+	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service}
 	d.executor = &executor.Executor{
-		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Target: d.announcer.Target,
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
+		Target: d.announcer.Target, Draining: d.announcer.Draining,
+		Admit: d.admit, Load: d.load, Reached: d.reached,
 	}
 	d.forwarder = &forwarder.Forwarder{
-		Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain,
+		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
 		InstanceID: cfg.InstanceID, Local: d.executor.Run,
 	}
 	d.surface = &operator.Surface{
@@ -80,29 +81,6 @@
 	}
 }
 
-// Run serves until ctx ends.
-func (d *Daemon) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error {
-		return serve(ctx, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(ctx))
-	})
-	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
-	g.Go(func() error {
-		d.spreader.Run(ctx)
-		return nil
-	})
-	g.Go(func() error {
-		d.announcer.Run(ctx)
-		return nil
-	})
-	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
-	if d.cfg.BootstrapTokenSHA256 == "" {
-		d.log.Warn("anyone may make changes until a partner has a token", zap.String("setting", "bootstrap-token-sha256"))
-	}
-	return g.Wait()
-}
-
 // peerHandler accepts the links of other daemons.
 func (d *Daemon) peerHandler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
@@ -122,20 +100,6 @@
 	}
 }
 
-func serve(ctx context.Context, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errorx.Decorate(err, "listening")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errorx.Decorate(err, "serving %s", addr)
-	}
-	return nil
-}
-
 // operatorHandler is the HTTP surface of operators and of the target.
 func (d *Daemon) operatorHandler() http.Handler {
 	e := echo.New()
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -104,7 +104,7 @@
 	go func() {
 		defer f.wg.Done()
 		defer close(i.done)
-		_ = d.Run(ctx)
+		_ = d.Run(ctx, ctx)
 	}()
 }
 
