--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,7 +67,7 @@
 	}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
-		Acceptor: newAcceptor(cfg, store),
+		Acceptor: newAcceptor(cfg, store), Choices: d.forwarder.Picker.Targets,
 	}
 	d.publish()
 	return d
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -13,6 +13,8 @@
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
+	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
+	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
 	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
 	m.Set("version", expvar.Func(d.versionInForce))
 	publisher.Publish(d.cfg.InstanceID, m)
