--- a/scripter/calls.go
+++ b/scripter/calls.go
@@ -187,3 +187,20 @@
 	defer b.mu.Unlock()
 	return slices.Contains(b.ids, id)
 }
+
+// maxSamples is the number of calls that a failed assertion shows.
+const maxSamples = 4
+
+// samples describes the first calls that were not answered.
+func (b *batch) samples() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines []string
+	for _, told := range b.told {
+		if told.Outcome != caller.Answered && len(lines) < maxSamples {
+			lines = append(lines, fmt.Sprintf("%s at %s: %s %s after %s", told.Call.ID, told.Call.Entry,
+				told.Outcome, told.Cause, told.Finished.Sub(told.Begun).Round(time.Millisecond)))
+		}
+	}
+	return strings.Join(lines, "; ")
+}
