--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -165,10 +166,12 @@
 	return nil
 }
 
-// AddEvents records the events of a target, in their order.
+// AddEvents records all events of a target, in their order, in place of those
+// recorded before.
 func (r *Recorder) AddEvents(name string, events []faketarget.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.records.Targets = slices.DeleteFunc(r.records.Targets, func(t Target) bool { return t.Name == name })
 	target := Target{Name: name}
 	for _, e := range events {
 		switch e.Kind {
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -45,10 +45,12 @@
 	s.cfg.Program, s.cfg.Dir = program, s.logs
 	if s.logs == "" {
 		s.cfg.Dir, err = os.MkdirTemp("", "bambooweir-soak")
-		if err != nil {
-			return err
-		}
 		defer func() { _ = os.RemoveAll(s.cfg.Dir) }()
+	} else {
+		err = os.MkdirAll(s.logs, 0o700)
+	}
+	if err != nil {
+		return err
 	}
 	result, err := soaker.Run(c.Context(), s.cfg, c.OutOrStdout())
 	if err != nil {
--- a/scripter/calls.go
+++ b/scripter/calls.go
@@ -35,6 +35,8 @@
 	count int
 	// id replaces the calls' IDs if it is set, as if a call were sent again.
 	id string
+	// past names a target that is called past its daemon; "" is none.
+	past string
 	// every is the time from the beginning of one call to that of the next.
 	every   time.Duration
 	timeout time.Duration
@@ -90,6 +92,8 @@
 			p.timeout, err = time.ParseDuration(value)
 		case "bytes":
 			p.call.BodyBytes, err = strconv.Atoi(value)
+		case "past":
+			p.past = value
 		case "id":
 			p.id = value
 		case "key":
@@ -116,6 +120,9 @@
 			return
 		}
 		call.URL = d.CallerURL
+		if t, err := s.fleet.Target(p.past); err == nil {
+			call.URL = t.URL
+		}
 		b.wg.Add(1)
 		go func() {
 			defer b.wg.Done()
