--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -46,6 +46,8 @@
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
 		new(checkCommand).command(),
+		new(statusCommand).command(),
+		new(versionCommand).command(),
 		new(demoCommand).command(),
 		new(soakCommand).command(),
 	)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,6 +17,8 @@
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
+	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
+	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
 	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
 	if policy, ok := d.surface.Acceptor.Policy.(*authorizer.Authorizer); ok {
 		m.Set("authorizer", publisher.Counters(&policy.Counters))
--- a/scripter/calls.go
+++ b/scripter/calls.go
@@ -35,6 +35,8 @@
 	count int
 	// id replaces the calls' IDs if it is set, as if a call were sent again.
 	id string
+	// past names a target that is called past its daemon; "" is none.
+	past string
 	// every is the time from the beginning of one call to that of the next.
 	every   time.Duration
 	timeout time.Duration
@@ -90,6 +92,8 @@
 			p.timeout, err = time.ParseDuration(value)
 		case "bytes":
 			p.call.BodyBytes, err = strconv.Atoi(value)
+		case "past":
+			p.past = value
 		case "id":
 			p.id = value
 		case "key":
@@ -116,6 +120,9 @@
 			return
 		}
 		call.URL = d.CallerURL
+		if t, err := s.fleet.Target(p.past); err == nil {
+			call.URL = t.URL
+		}
 		b.wg.Add(1)
 		go func() {
 			defer b.wg.Done()
@@ -187,3 +194,20 @@
 	defer b.mu.Unlock()
 	return slices.Contains(b.ids, id)
 }
+
+// maxSamples is the number of calls that a failed assertion shows.
+const maxSamples = 4
+
+// samples describes the first calls that were not answered.
+func (b *batch) samples() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines []string
+	for _, told := range b.told {
+		if told.Outcome != caller.Answered && len(lines) < maxSamples {
+			lines = append(lines, fmt.Sprintf("%s at %s: %s %s after %s", told.Call.ID, told.Call.Entry,
+				told.Outcome, told.Cause, told.Finished.Sub(told.Begun).Round(time.Millisecond)))
+		}
+	}
+	return strings.Join(lines, "; ")
+}
