--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -21,6 +21,7 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/launcher"
 	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -68,18 +69,14 @@
 
 // A daemon that is just starting is tried again.
 func TestApplyReachesAStartingDaemon(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = l.Close()
+	addr := launcher.NewAddress()
 	surface := &operator.Surface{Applier: new(applier.Applier), Table: new(tracker.Table), Acceptor: &acceptor.Acceptor{Store: new(fakestorer.Store)}}
 	e := echo.New()
 	surface.Register(e)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
 	c := new(applyCommand).command()
 	refused := &onWrite{do: sync.OnceFunc(func() {
-		l, err := net.Listen("tcp", l.Addr().String())
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			t.Error(err)
 			return
@@ -89,7 +86,7 @@
 	defer func() { _ = server.Close() }()
 	c.SetErr(refused)
 	c.SetOut(&refused.out)
-	c.SetArgs([]string{writeFile(t, "[partner.magnolia]\n"), "--daemon", "http://" + l.Addr().String()})
+	c.SetArgs([]string{writeFile(t, "[partner.magnolia]\n"), "--daemon", "http://" + addr})
 	if err := c.ExecuteContext(t.Context()); err != nil {
 		t.Fatalf("got %v, want version 1 accepted", err)
 	}
