Run a call with an idempotency key at most once, at the key's home

A posting that its caller repeats after unknown could run again at another daemon. A key's home is the target with the highest rank for it; the home's daemon answers repeats from its table, waits for one that runs, and refuses the key for another request with 422. A new key runs only if the home is one in its own view and in the entry daemon's, no process that may have run the key was lost within key-retention-ms, and, while the home is new, every other target has said that it hasn't seen the key and won't run it. A planned stop hands its keys over before it leaves, and says so in its record.

Ruled out: a replicated table or a write to the store per key, by the budget; refusing while views differ, since it costs every planned stop.

Tracker: records say HandedOver; Departed also names processes that were replaced or came back, for an hour, since key-retention-ms may be as long. Its test purged what was older than an hour, which was longer than the retention before; it now purges what is older than twice the retention, as strict.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -58,6 +58,8 @@
 	vanished bool
 	draining bool
 	left     bool
+	// handedOver says that other daemons hold this one's idempotency keys.
+	handedOver bool
 }
 
 // view is the newest announcement and what follows from it.
@@ -111,6 +113,7 @@
 	next.Service = a.current.Service
 	next.Epoch = a.current.Epoch
 	next.State = a.state()
+	next.HandedOver = a.handedOver
 	same := a.record
 	same.Sequence++
 	if a.record.Sequence > 0 && next == same {
@@ -144,12 +147,14 @@
 	}
 }
 
-// Leave announces that this daemon is gone, after Drain.
-func (a *Announcer) Leave() {
+// Leave announces that this daemon is gone, after Drain, and whether it gave its
+// idempotency keys to others.
+func (a *Announcer) Leave(handedOver bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.draining = true
 	a.left = true
+	a.handedOver = handedOver
 	if a.record.Sequence > 0 {
 		a.publish()
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,12 +59,16 @@
 	d.executor = &executor.Executor{
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
 		Target: d.announcer.Target, Draining: d.announcer.Draining,
-		Admit: d.admit, Load: d.load, Reached: d.reached,
+		Service: d.announcer.Service, Admit: d.admit, Load: d.load, Reached: d.reached,
 	}
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
 		InstanceID: cfg.InstanceID, Local: d.executor.Run,
 	}
+	d.executor.Keyring.Peers = d.table
+	d.executor.Keyring.Ask = d.forwarder.Ask
+	d.executor.Keyring.Retention = d.keyRetention
+	d.executor.Keyring.Joined = time.Now()
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store),
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -22,6 +22,8 @@
 	leaveWait = time.Second
 	// acknowledgeWait bounds the wait for entry daemons to acknowledge answers.
 	acknowledgeWait = 2 * time.Second
+	// handoverWait bounds the handing over of idempotency keys.
+	handoverWait = 5 * time.Second
 	// drainInterval is the time between two looks at what is in flight.
 	drainInterval = 10 * time.Millisecond
 	// closeWait bounds the closing of the callers' connections.
@@ -61,6 +63,10 @@
 		d.announcer.Run(serving)
 		return nil
 	})
+	g.Go(func() error {
+		d.executor.Keyring.Run(serving)
+		return nil
+	})
 	g.Go(func() error {
 		defer end()
 		select {
@@ -101,7 +107,7 @@
 			}
 			acknowledged := d.executor.Calls.Len() == 0 || now.Sub(quiet) > acknowledgeWait
 			if acknowledged && now.Sub(start) > min(leaveWait, limit/2) {
-				d.announcer.Leave()
+				d.leave(cut)
 				d.log.Info("stopped, nothing was cut")
 				return nil
 			}
@@ -120,15 +126,31 @@
 }
 
 // drainLimit returns how long a planned stop may take.
-func (d *Daemon) drainLimit() time.Duration {
-	const setting = "drain-ms"
+func (d *Daemon) drainLimit() time.Duration { return d.setting("drain-ms") }
+
+// keyRetention returns how long idempotency keys are remembered.
+func (d *Daemon) keyRetention() time.Duration { return d.setting("key-retention-ms") }
+
+// setting returns a setting in milliseconds for the target's service.
+func (d *Daemon) setting(name string) time.Duration {
 	if snapshot := d.applier.Current(); snapshot != nil {
-		return time.Duration(snapshot.Value(setting, d.announcer.Service(), "")) * time.Millisecond
+		return time.Duration(snapshot.Value(name, d.announcer.Service(), "")) * time.Millisecond
 	}
-	known, _ := versioner.FindSetting(setting)
+	known, _ := versioner.FindSetting(name)
 	return time.Duration(known.Default) * time.Millisecond
 }
 
+// leave hands over what others have to know, and announces that it is gone.
+func (d *Daemon) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	err := d.executor.HandOver(ctx)
+	if err != nil {
+		d.log.Warn("idempotency keys were not handed over", zap.Error(err))
+	}
+	d.announcer.Leave(err == nil)
+}
+
 // serve serves HTTP until ctx ends; requests that are being answered are finished.
 func serve(ctx context.Context, addr string, h http.Handler) error {
 	l, err := net.Listen("tcp", addr)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -59,6 +59,8 @@
 	// Admit waits for a slot and returns its release, or the answer that refuses
 	// the call; nil admits every call.
 	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
+	// Service returns the service of the target; nil means that keys have no homes.
+	Service func() string
 	// Load returns the calls that run and wait at the target; nil tells none.
 	Load func() (running, waiting int)
 	// Reached is told of every call whether the target accepted a connection.
@@ -66,6 +68,7 @@
 	// HTTP reaches the target; nil means a transport of its own.
 	HTTP     http.RoundTripper
 	Calls    fencer.Fencer
+	Keyring  Keyring
 	Counters Counters
 
 	transportOnce sync.Once
@@ -93,10 +96,22 @@
 	x.inFlight.Add(1)
 	defer x.inFlight.Add(-1)
 	deadline := time.Now().Add(time.Duration(call.RemainingMS) * time.Millisecond)
+	caller := ctx
+	if call.IsKeyed() {
+		// The caller may come back for the answer under the same key.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return ctx.Err() == nil }}
-	return x.label(x.count(x.perform(ctx, r)))
+	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return caller.Err() == nil }}
+	return x.label(x.count(x.runOrRepeat(ctx, r)))
+}
+
+func (x *Executor) runOrRepeat(ctx context.Context, r *run) *messenger.Answer {
+	if r.call.IsKeyed() {
+		return x.performKeyed(ctx, r)
+	}
+	return x.perform(ctx, r)
 }
 
 // perform admits the call, begins it and asks the target.
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -72,6 +72,10 @@
 		x.cancel(m.ID)
 	case *messenger.Reattach:
 		x.reattach(ctx, l, m)
+	case *messenger.KeyQuery:
+		go x.answerQuery(ctx, l, m)
+	case *messenger.KeyHandover:
+		go x.takeOver(ctx, l, m)
 	case *messenger.Ping:
 		x.Calls.Acknowledge(m.Acks)
 		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: x.isDraining()}) }()
@@ -126,7 +130,7 @@
 	}
 	x.running[call.ID] = r
 	x.mu.Unlock()
-	answer := x.label(x.count(x.perform(runCtx, r)))
+	answer := x.label(x.count(x.runOrRepeat(runCtx, r)))
 	x.mu.Lock()
 	delete(x.running, call.ID)
 	x.mu.Unlock()
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -52,6 +52,9 @@
 // after the one before it is proved never to begin. A call of which any attempt
 // may have run is never told not to have run.
 func (f *Forwarder) dispatch(ctx context.Context, x *exchange) *messenger.Answer {
+	if x.call.IsKeyed() {
+		return f.dispatchKeyed(ctx, x)
+	}
 	for {
 		answer, ok := retrier.Hedge(ctx, &x.retries, func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
 			answer := f.attempt(ctx, x, marked)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,22 +81,22 @@
 	defer f.inFlight.Add(-1)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		f.refuse(w, causeDraining)
+		f.refuse(w, r, causeDraining)
 		return
 	}
 	snapshot := f.Applier.Current()
 	if snapshot == nil {
-		f.refuse(w, causeNoConfiguration)
+		f.refuse(w, r, causeNoConfiguration)
 		return
 	}
 	name, route, ok := snapshot.Match(r.Host, r.URL.Path, r.Method)
 	if !ok {
-		f.refuse(w, causeNoRoute)
+		f.refuse(w, r, causeNoRoute)
 		return
 	}
 	x, cause := f.newExchange(w, r, snapshot, name, route)
 	if cause != "" {
-		f.refuse(w, cause)
+		f.refuse(w, r, cause)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -178,11 +178,21 @@
 }
 
 // refuse tells the caller that the call was not run, for a reason found here.
-func (f *Forwarder) refuse(w http.ResponseWriter, cause string) {
-	f.Counters.NotRun.Add(1)
+// A call with an idempotency key may have run before, which only the key's home
+// knows.
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, cause string) {
 	answer := messenger.NotRun(messenger.CallID{}, cause)
-	if statusOf(answer) == http.StatusServiceUnavailable {
-		answer.RetryAfterMS = unavailableRetryMS
+	if statusOf(answer) != http.StatusServiceUnavailable {
+		f.Counters.NotRun.Add(1)
+		writeProblem(w, answer)
+		return
+	}
+	answer.RetryAfterMS = unavailableRetryMS
+	if r.Header.Get(messenger.HeaderIdempotencyKey) != "" {
+		answer.Outcome = messenger.OutcomeUnknown
+		f.Counters.Unknown.Add(1)
+	} else {
+		f.Counters.NotRun.Add(1)
 	}
 	writeProblem(w, answer)
 }
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -52,9 +52,12 @@
 	executor *executor.Executor
 	stop     context.CancelFunc
 
-	mu    sync.Mutex
-	down  bool
-	pipes []*pipe
+	mu       sync.Mutex
+	down     bool
+	pipes    []*pipe
+	sequence uint64
+	// remembers is how far back the process knows its service's keys at its start.
+	remembers time.Duration
 	// runs holds the bodies of the requests that ran.
 	runs []string
 	// work is what the target does with a request; nil answers it.
@@ -92,7 +95,7 @@
 		t.Fatal(err)
 	}
 	for _, name := range names {
-		m.targets[name] = &fakeTarget{mesh: m, name: name}
+		m.targets[name] = &fakeTarget{mesh: m, name: name, remembers: time.Hour}
 		m.targets[name].start()
 	}
 	return m
@@ -106,8 +109,13 @@
 	f.down = false
 	f.executor = &executor.Executor{
 		InstanceID: f.name, Incarnation: uint64(time.Now().UnixNano()), HTTP: f,
-		Target: func() string { return "http://target" },
+		Target:  func() string { return "http://target" },
+		Service: func() string { return "payout-desk" },
 	}
+	f.executor.Keyring.Peers = f.mesh.table
+	f.executor.Keyring.Ask = f.mesh.forwarder.Ask
+	f.executor.Keyring.Joined = time.Now().Add(-f.remembers)
+	f.sequence = 1
 	incarnation := f.executor.Incarnation
 	f.mu.Unlock()
 	context.AfterFunc(ctx, f.cut)
@@ -117,6 +125,31 @@
 	}})
 }
 
+// announce spreads a state of the target to all daemons.
+func (f *fakeTarget) announce(state tracker.State, handedOver bool) {
+	f.mu.Lock()
+	f.sequence++
+	r := tracker.Record{
+		InstanceID: f.name, Incarnation: f.executor.Incarnation, Sequence: f.sequence, Service: "payout-desk",
+		PeerAddress: f.name, State: state, HandedOver: handedOver,
+	}
+	f.mu.Unlock()
+	f.mesh.table.Merge([]tracker.Record{r})
+}
+
+// leave stops the target's daemon as planned.
+func (f *fakeTarget) leave(ctx context.Context) error {
+	f.announce(tracker.StateDraining, false)
+	f.executor.Drain(ctx)
+	for f.executor.InFlight() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	err := f.executor.HandOver(ctx)
+	f.announce(tracker.StateGone, err == nil)
+	f.kill()
+	return err
+}
+
 // kill ends the process of the target's daemon; nothing listens until start.
 func (f *fakeTarget) kill() {
 	f.mu.Lock()
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -45,8 +45,14 @@
 	BodyDigest uint64 `cbor:"15,keyasint,omitempty"`
 	// Acks lists calls whose answers the entry daemon has received.
 	Acks []CallID `cbor:"16,keyasint,omitempty"`
+	// KeyPeers lists the service's targets as the entry daemon knows them, for a
+	// call with an idempotency key.
+	KeyPeers []KeyPeer `cbor:"17,keyasint,omitempty"`
 }
 
+// IsKeyed says whether the call runs at the home of its idempotency key.
+func (c *Call) IsKeyed() bool { return c.IdempotencyKey != "" && !c.Idempotent }
+
 // Outcome says what became of a call.
 type Outcome uint8
 
@@ -92,6 +98,9 @@
 	Waiting int `cbor:"11,keyasint,omitempty"`
 	// Told says that Running and Waiting are set.
 	Told bool `cbor:"12,keyasint,omitempty"`
+	// MemoryMS answers a KeyQuery: how far back the daemon knows that no keys of
+	// the service were lost, in milliseconds.
+	MemoryMS int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,6 +31,9 @@
 	KindPending  Kind = 37
 	KindPing     Kind = 38
 	KindPong     Kind = 39
+
+	KindKeyQuery    Kind = 40
+	KindKeyHandover Kind = 41
 )
 
 // Message is one typed message of the inner protocol.
@@ -101,6 +104,10 @@
 		return new(Ping)
 	case KindPong:
 		return new(Pong)
+	case KindKeyQuery:
+		return new(KeyQuery)
+	case KindKeyHandover:
+		return new(KeyHandover)
 	default:
 		return nil
 	}
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -15,7 +15,7 @@
 	// journalLength bounds the changes that Since can look back on.
 	journalLength = 16_384
 	// departureRetention is how long Departed names a target that left.
-	departureRetention = 10 * time.Minute
+	departureRetention = time.Hour
 )
 
 // Source names the session that a record came from. 0 means this daemon.
@@ -28,6 +28,8 @@
 type Departure struct {
 	Record Record
 	At     time.Time
+	// Returned says that the process was only thought to have left, and came back at At.
+	Returned bool
 }
 
 type entry struct {
@@ -41,6 +43,7 @@
 // view is what readers see. A view is never changed once it is stored.
 type view struct {
 	byService map[string][]Record
+	draining  map[string][]Record
 	departed  map[string][]Departure
 }
 
@@ -52,7 +55,9 @@
 	mu        sync.Mutex
 	entries   map[string]*entry
 	byService map[string]map[string]*entry
-	digests   map[string]uint64
+	// lost holds, by service, the processes that were replaced or came back.
+	lost    map[string][]Departure
+	digests map[string]uint64
 	// journal holds the instances in the order of their changes; journal[0] is
 	// at position first.
 	journal []string
@@ -77,6 +82,7 @@
 		}
 		if ok {
 			touched[old.record.Service] = struct{}{}
+			t.noteLost(old.record, r)
 		}
 		touched[r.Service] = struct{}{}
 		t.put(r, from)
@@ -88,6 +94,19 @@
 	return changed
 }
 
+// noteLost notes a process whose place another one has taken, and one that
+// comes back after it was held to be gone. The caller holds mu.
+func (t *Table) noteLost(old, next Record) {
+	replaced := next.Incarnation > old.Incarnation && !old.HandedOver
+	returned := next.Incarnation == old.Incarnation && old.State == StateGone && next.State != StateGone
+	if !replaced && !returned {
+		return
+	}
+	oldest := time.Now().Add(-departureRetention)
+	kept := slices.DeleteFunc(slices.Clone(t.lost[old.Service]), func(d Departure) bool { return d.At.Before(oldest) })
+	t.lost[old.Service] = append(kept, Departure{Record: old, At: time.Now(), Returned: returned})
+}
+
 func (t *Table) prepare() {
 	if t.entries != nil {
 		return
@@ -95,6 +114,7 @@
 	t.entries = make(map[string]*entry)
 	t.byService = make(map[string]map[string]*entry)
 	t.digests = make(map[string]uint64)
+	t.lost = make(map[string][]Departure)
 }
 
 // put replaces one record. The caller holds mu.
@@ -158,14 +178,18 @@
 // publish builds the views of the touched services and swaps the view. All
 // other services keep their slices. The caller holds mu.
 func (t *Table) publish(touched map[string]struct{}) {
-	next := &view{byService: make(map[string][]Record), departed: make(map[string][]Departure)}
+	next := &view{
+		byService: make(map[string][]Record), draining: make(map[string][]Record), departed: make(map[string][]Departure),
+	}
 	if old := t.view.Load(); old != nil {
 		next.byService = maps.Clone(old.byService)
+		next.draining = maps.Clone(old.draining)
 		next.departed = maps.Clone(old.departed)
 	}
 	for service := range touched {
-		ready, departed := t.split(service)
+		ready, draining, departed := t.split(service)
 		setOrDelete(next.byService, service, ready)
+		setOrDelete(next.draining, service, draining)
 		setOrDelete(next.departed, service, departed)
 	}
 	t.view.Store(next)
@@ -181,21 +205,27 @@
 
 // split returns a service's ready and recently departed targets, each sorted
 // by instance. The caller holds mu.
-func (t *Table) split(service string) ([]Record, []Departure) {
-	var ready []Record
-	var departed []Departure
+func (t *Table) split(service string) (ready, draining []Record, departed []Departure) {
 	oldest := time.Now().Add(-departureRetention)
+	for _, d := range t.lost[service] {
+		if d.At.After(oldest) {
+			departed = append(departed, d)
+		}
+	}
 	for _, e := range t.byService[service] {
 		switch {
 		case e.record.State == StateReady:
 			ready = append(ready, e.record)
+		case e.record.State == StateDraining:
+			draining = append(draining, e.record)
 		case e.record.State == StateGone && e.goneAt.After(oldest):
 			departed = append(departed, Departure{Record: e.record, At: e.goneAt})
 		}
 	}
 	slices.SortFunc(ready, compareID)
 	slices.SortFunc(departed, func(a, b Departure) int { return compareID(a.Record, b.Record) })
-	return ready, departed
+	slices.SortFunc(draining, compareID)
+	return ready, draining, departed
 }
 
 func compareID(a, b Record) int { return cmp.Compare(a.InstanceID, b.InstanceID) }
@@ -210,8 +240,19 @@
 	return v.byService[name]
 }
 
+// Draining returns the targets of a service that take no new calls and have
+// not left, sorted by instance. The slice must not be changed.
+func (t *Table) Draining(service string) []Record {
+	v := t.view.Load()
+	if v == nil {
+		return nil
+	}
+	return v.draining[service]
+}
+
 // Departed returns the targets of a service that left within the last minutes,
-// sorted by instance. The slice must not be changed.
+// also those whose place another process has taken or that came back, sorted by
+// instance. The slice must not be changed.
 func (t *Table) Departed(service string) []Departure {
 	v := t.view.Load()
 	if v == nil {
--- a/tracker/table_test.go
+++ b/tracker/table_test.go
@@ -94,7 +94,7 @@
 			t.Fatalf("service: got %v, want b", got)
 		}
 		time.Sleep(departureRetention + time.Second)
-		table.Purge(time.Now().Add(-time.Hour))
+		table.Purge(time.Now().Add(-2 * departureRetention))
 		if got := table.Departed("ledger-view"); len(got) != 0 {
 			t.Errorf("departed: got %v, want none", got)
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -50,6 +50,9 @@
 	// Epoch is the run of the target as it announced it; another value means
 	// that the target was started anew.
 	Epoch uint64 `cbor:"20,keyasint,omitempty" json:"epoch,omitempty"`
+	// HandedOver says, of a target that is gone, that its daemon gave its
+	// idempotency keys to others before it left.
+	HandedOver bool `cbor:"21,keyasint,omitempty" json:"handed-over,omitempty"`
 }
 
 // Newer says whether r replaces other.
