Carry large bodies on links of their own, whole before they begin

A scan of megabytes on the only link to a daemon held back every small call behind it. Scans and bodies over 64 KB now have a lane of links of their own. A body is taken in whole and its digest checked before its call begins, so that an upload that is cut was not run; bodies are bounded at 16 MB each and 96 MB together per role, and a caller must send its own by the call's deadline.

Weighed: chunks with credits, passed on while they come. They need less memory, but a cut in the middle leaves a begun request at the target, which is unknown instead of not run.

The test was seen to fail with large bodies in the small lane: a small call waited for a silent link to be given up.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -16,8 +16,8 @@
 	"bambooweir.example/bambooweir/messenger"
 )
 
-// MaxBodyBytes bounds the body of an answer that is not streamed.
-const MaxBodyBytes = 4 << 20
+// maxBufferedBytes bounds the bodies of all requests that are accepted and not answered.
+const maxBufferedBytes = 96 << 20
 
 // Causes of answers that are no answers of the target.
 const (
@@ -34,6 +34,7 @@
 	CauseCancelled      = "cancelled"
 	CauseDraining       = "draining"
 	CauseTableFull      = "call-table-full"
+	CauseBuffersFull    = "buffers-full"
 	CauseLinkEnded      = "link-ended"
 	CauseAnswerNotKept  = "answer-not-kept"
 	CauseForgotten      = "call-forgotten"
@@ -76,6 +77,7 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	buffered atomic.Int64
 
 	mu      sync.Mutex
 	links   map[*servedLink]struct{}
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -86,9 +86,17 @@
 
 func (x *Executor) accept(ctx context.Context, l *servedLink, call *messenger.Call) {
 	late := l.delay(call.SentUS)
+	if x.buffered.Add(int64(len(call.Body))) > maxBufferedBytes {
+		x.buffered.Add(-int64(len(call.Body)))
+		go x.send(ctx, l, messenger.NotRun(call.ID, CauseBuffersFull))
+		return
+	}
 	err := x.Calls.Accept(call.ID, l.number, call.Sequence)
 	var full *fencer.FullError
 	var ended *fencer.LinkEndedError
+	if err != nil {
+		x.buffered.Add(-int64(len(call.Body)))
+	}
 	switch {
 	case errors.As(err, &full):
 		go x.send(ctx, l, messenger.NotRun(call.ID, CauseTableFull))
@@ -118,6 +126,7 @@
 // serveCall runs a call that was accepted from a link, and answers it.
 func (x *Executor) serveCall(ctx context.Context, l *servedLink, call *messenger.Call, deadline time.Time) {
 	defer x.inFlight.Add(-1)
+	defer x.buffered.Add(-int64(len(call.Body)))
 	runCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{
--- a/executor/target.go
+++ b/executor/target.go
@@ -143,7 +143,7 @@
 	}
 	chunked := len(res.TransferEncoding) > 0
 	switch {
-	case res.ContentLength > MaxBodyBytes:
+	case res.ContentLength > messenger.MaxBodyBytes:
 		return nil, CauseTooLarge
 	case res.ContentLength >= 0:
 		body = make([]byte, res.ContentLength)
@@ -154,11 +154,11 @@
 		// The end of the connection ends the body, so a cut can't be told from the end.
 		return nil, CauseUnbounded
 	default:
-		read, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1))
+		read, err := io.ReadAll(io.LimitReader(res.Body, messenger.MaxBodyBytes+1))
 		if err != nil {
 			return nil, CauseCutShort
 		}
-		if len(read) > MaxBodyBytes {
+		if len(read) > messenger.MaxBodyBytes {
 			return nil, CauseTooLarge
 		}
 		body = read
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -165,7 +165,7 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining)
 	}
-	link, err := f.link(ctx, target)
+	link, err := f.link(ctx, target, laneOf(call))
 	if err != nil {
 		if ctx.Err() != nil {
 			return messenger.NotRun(call.ID, causeDeadline)
@@ -186,7 +186,7 @@
 		return messenger.Unknown(call.ID, causeLinkLost)
 	}
 	f.Counters.Reattached.Add(1)
-	return f.reattach(ctx, call.ID, target, link)
+	return f.reattach(ctx, call, target, link)
 }
 
 // ended returns the answer of a call whose context ended before it was known.
@@ -198,13 +198,14 @@
 }
 
 // reattach asks over new links what became of a call whose link was lost.
-func (f *Forwarder) reattach(ctx context.Context, id messenger.CallID, target tracker.Record, old *callLink) *messenger.Answer {
+func (f *Forwarder) reattach(ctx context.Context, call *messenger.Call, target tracker.Record, old *callLink) *messenger.Answer {
+	id := call.ID
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = reattachFirstWait
 	wait.MaxInterval = reattachMaxWait
 	refusedUntil := time.Now().Add(reattachRefused)
 	for ctx.Err() == nil {
-		link, err := f.link(ctx, target)
+		link, err := f.link(ctx, target, laneOf(call))
 		switch {
 		case err != nil && time.Now().After(refusedUntil) && isRefused(err):
 			return messenger.Unknown(id, causeLost)
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -23,6 +23,7 @@
 // overloaded holds the causes of calls refused for want of capacity.
 var overloaded = map[string]bool{
 	executor.CauseTableFull:   true,
+	executor.CauseBuffersFull: true,
 	limiter.CauseNoSlot:       true,
 	limiter.CauseQueueFull:    true,
 	limiter.CauseExpectedWait: true,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	maxBodyBytes = 4 << 20
+	maxBodyBytes = messenger.MaxBodyBytes
+	// maxBufferedBytes bounds the bodies of all requests that are under way.
+	maxBufferedBytes = 96 << 20
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 	// unavailableRetryMS is the Retry-After of calls for which there is no target.
@@ -42,6 +44,7 @@
 	causeBadDeadline     = "malformed-deadline"
 	causeBadKey          = "malformed-idempotency-key"
 	causeDigest          = "content-digest-mismatch"
+	causeBuffersFull     = "buffers-full"
 	causeDraining        = "draining"
 	causeDeadline        = "deadline-passed"
 	causeCancelled       = "cancelled"
@@ -68,9 +71,10 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	buffered atomic.Int64
 
 	mu    sync.Mutex
-	peers map[string]*peer
+	peers map[string]*[laneCount]peer
 	// draining holds, by instance, the newest incarnation that refuses new calls.
 	draining map[string]uint64
 }
@@ -94,6 +98,15 @@
 		f.refuse(w, r, causeNoRoute)
 		return
 	}
+	size := r.ContentLength
+	if size < 0 {
+		size = maxBodyBytes
+	}
+	defer f.buffered.Add(-size)
+	if f.buffered.Add(size) > maxBufferedBytes && size > 0 {
+		f.refuse(w, r, causeBuffersFull)
+		return
+	}
 	x, cause := f.newExchange(w, r, snapshot, name, route)
 	if cause != "" {
 		f.refuse(w, r, cause)
@@ -118,11 +131,12 @@
 	if len(key) > maxKeyBytes {
 		return nil, causeBadKey
 	}
-	body, cause := readBody(w, r)
+	deadline := time.Now().Add(timeout)
+	body, cause := readBody(w, r, deadline)
 	if cause != "" {
 		return nil, cause
 	}
-	x = &exchange{deadline: time.Now().Add(timeout), policy: policy}
+	x = &exchange{deadline: deadline, policy: policy}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: route.Service, Host: r.Host,
 		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header),
@@ -151,13 +165,20 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) (body []byte, cause string) {
+// readBody reads the whole body by the deadline, so that no caller holds the
+// memory for it for longer.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body []byte, cause string) {
 	if r.ContentLength == 0 {
 		return nil, ""
 	}
 	if r.ContentLength > maxBodyBytes {
 		return nil, causeBodyTooLarge
 	}
+	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(deadline)
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
 	var err error
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
--- a/forwarder/home.go
+++ b/forwarder/home.go
@@ -94,7 +94,7 @@
 
 // Ask sends a message to another target's daemon and returns its answer.
 func (f *Forwarder) Ask(ctx context.Context, to tracker.Record, id messenger.CallID, m messenger.Message) (*messenger.Answer, error) {
-	link, err := f.link(ctx, to)
+	link, err := f.link(ctx, to, laneSmall)
 	if err != nil {
 		return nil, err
 	}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -11,6 +11,7 @@
 
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 const (
@@ -29,7 +30,30 @@
 	return fmt.Sprintf("peer is instance %q, want %q", e.Got, e.Want)
 }
 
-// peer holds the links to one daemon.
+// lane keeps calls apart that must not wait for each other's bytes.
+type lane uint8
+
+const (
+	// laneSmall carries calls whose bodies are small.
+	laneSmall lane = iota
+	// laneBulk carries scans and all other calls with large bodies.
+	laneBulk
+	laneCount
+)
+
+// smallBodyBytes is the largest body in laneSmall.
+const smallBodyBytes = 64 << 10
+
+// laneOf returns the lane of a call. The answers of scans' class are taken to be
+// large too.
+func laneOf(call *messenger.Call) lane {
+	if call.Class == versioner.ClassScan || len(call.Body) > smallBodyBytes {
+		return laneBulk
+	}
+	return laneSmall
+}
+
+// peer holds the links of one lane to one daemon.
 type peer struct {
 	mu    sync.Mutex
 	links []*callLink
@@ -40,24 +64,24 @@
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-func (f *Forwarder) peer(addr string) *peer {
+func (f *Forwarder) peer(addr string, in lane) *peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p, ok := f.peers[addr]
+	lanes, ok := f.peers[addr]
 	if !ok {
 		if f.peers == nil {
-			f.peers = make(map[string]*peer)
+			f.peers = make(map[string]*[laneCount]peer)
 		}
-		p = new(peer)
-		f.peers[addr] = p
+		lanes = new([laneCount]peer)
+		f.peers[addr] = lanes
 	}
-	return p
+	return &lanes[in]
 }
 
-// link returns the least busy link to the target's daemon. It opens one when
+// link returns the least busy link of the lane to the target's daemon. It opens one when
 // there is none, and a further one beside it when all are busy.
-func (f *Forwarder) link(ctx context.Context, target tracker.Record) (*callLink, error) {
-	p := f.peer(target.PeerAddress)
+func (f *Forwarder) link(ctx context.Context, target tracker.Record, in lane) (*callLink, error) {
+	p := f.peer(target.PeerAddress, in)
 	for {
 		p.mu.Lock()
 		best := p.leastBusy()
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -16,11 +16,14 @@
 	CallPath    = "/v1/calls"
 )
 
+// MaxBodyBytes bounds the body of a request and of an answer.
+const MaxBodyBytes = 16 << 20
+
 // MaxMessageBytes bounds one message on a link.
-const MaxMessageBytes = 8 << 20
+const MaxMessageBytes = MaxBodyBytes + 1<<20
 
 // maxQueuedBytes bounds what waits on a link to be written.
-const maxQueuedBytes = 4 * MaxMessageBytes
+const maxQueuedBytes = 2 * MaxMessageBytes
 
 // Conn is what a link does; tests put failures in its place.
 type Conn interface {
