--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -18,9 +19,9 @@
 )
 
 const (
-	// maxHarmed bounds the further attempts of an idempotent call after attempts
-	// that ended without an answer: the call itself may be what kills its targets.
-	maxHarmed = 1
+	// defaultMaxHarmed is the number of attempts without an answer after which an
+	// idempotent call is given up.
+	defaultMaxHarmed = 2
 
 	reattachFirstWait = 20 * time.Millisecond
 	reattachMaxWait   = 300 * time.Millisecond
@@ -64,17 +65,18 @@
 			return answer
 		}
 		failure, again := failureOf(&x.call, answer)
-		if !again || x.harmedTooOften() || !x.retries.Retry(ctx, failure) {
+		if !again || x.isHarmful(f.MaxHarmed) || !x.retries.Retry(ctx, failure) {
 			return x.conclude(answer)
 		}
 		f.Counters.Redispatched.Add(1)
 	}
 }
 
-func (x *exchange) harmedTooOften() bool {
+// isHarmful says whether the call may itself be what its targets die of.
+func (x *exchange) isHarmful(limit int) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.harmed > maxHarmed
+	return limit >= 0 && x.harmed >= cmp.Or(limit, defaultMaxHarmed)
 }
 
 // conclude returns what the caller is told when the last attempt brought no answer.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,10 @@
 	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
 	// LinksPerPeer bounds the links for small calls to one daemon; 0 means 2.
 	LinksPerPeer int
-	Counters     Counters
+	// MaxHarmed bounds the targets that one idempotent call may reach without an
+	// answer, since it may be what they die of; 0 means 2, below 0 means no bound.
+	MaxHarmed int
+	Counters  Counters
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -69,7 +69,7 @@
 func newMesh(ctx context.Context, t testing.TB, names ...string) *mesh {
 	t.Helper()
 	doc := &versioner.Document{}
-	timeout, retries := testTimeoutMS, 2
+	timeout, retries := testTimeoutMS, 10
 	class := func(name string) versioner.Entry {
 		return versioner.Entry{Key: versioner.Key{Kind: versioner.KindClass, Name: name}, Class: &versioner.Class{TimeoutMS: &timeout, MaxRetries: &retries}}
 	}
