--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	maxBodyBytes = 4 << 20
+	maxBodyBytes = messenger.MaxBodyBytes
+	// maxBufferedBytes bounds the bodies of all requests that are under way.
+	maxBufferedBytes = 96 << 20
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 	// unavailableRetryMS is the Retry-After of calls for which there is no target.
@@ -42,6 +44,7 @@
 	causeBadDeadline     = "malformed-deadline"
 	causeBadKey          = "malformed-idempotency-key"
 	causeDigest          = "content-digest-mismatch"
+	causeBuffersFull     = "buffers-full"
 	causeDraining        = "draining"
 	causeDeadline        = "deadline-passed"
 	causeCancelled       = "cancelled"
@@ -64,13 +67,17 @@
 	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
 	// LinksPerPeer bounds the links for small calls to one daemon; 0 means 2.
 	LinksPerPeer int
-	Counters     Counters
+	// MaxHarmed bounds the targets that one idempotent call may reach without an
+	// answer, since it may be what they die of; 0 means 2, below 0 means no bound.
+	MaxHarmed int
+	Counters  Counters
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	buffered atomic.Int64
 
 	mu    sync.Mutex
-	peers map[string]*peer
+	peers map[string]*[laneCount]peer
 	// draining holds, by instance, the newest incarnation that refuses new calls.
 	draining map[string]uint64
 }
@@ -81,22 +88,31 @@
 	defer f.inFlight.Add(-1)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		f.refuse(w, causeDraining)
+		f.refuse(w, r, causeDraining)
 		return
 	}
 	snapshot := f.Applier.Current()
 	if snapshot == nil {
-		f.refuse(w, causeNoConfiguration)
+		f.refuse(w, r, causeNoConfiguration)
 		return
 	}
 	route := snapshot.Route(r.Host, r.URL.Path, r.Method)
 	if route == nil {
-		f.refuse(w, causeNoRoute)
+		f.refuse(w, r, causeNoRoute)
+		return
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = maxBodyBytes
+	}
+	defer f.buffered.Add(-size)
+	if f.buffered.Add(size) > maxBufferedBytes && size > 0 {
+		f.refuse(w, r, causeBuffersFull)
 		return
 	}
 	x, cause := f.newExchange(w, r, snapshot, route)
 	if cause != "" {
-		f.refuse(w, cause)
+		f.refuse(w, r, cause)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -115,11 +131,12 @@
 	if len(key) > maxKeyBytes {
 		return nil, causeBadKey
 	}
-	body, cause := readBody(w, r)
+	deadline := time.Now().Add(timeout)
+	body, cause := readBody(w, r, deadline)
 	if cause != "" {
 		return nil, cause
 	}
-	x = &exchange{deadline: time.Now().Add(timeout), policy: policy}
+	x = &exchange{deadline: deadline, policy: policy}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: route.Service, Host: r.Host,
 		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header),
@@ -151,13 +168,20 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) (body []byte, cause string) {
+// readBody reads the whole body by the deadline, so that no caller holds the
+// memory for it for longer.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body []byte, cause string) {
 	if r.ContentLength == 0 {
 		return nil, ""
 	}
 	if r.ContentLength > maxBodyBytes {
 		return nil, causeBodyTooLarge
 	}
+	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(deadline)
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
 	var err error
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
@@ -178,11 +202,21 @@
 }
 
 // refuse tells the caller that the call was not run, for a reason found here.
-func (f *Forwarder) refuse(w http.ResponseWriter, cause string) {
-	f.Counters.NotRun.Add(1)
+// A call with an idempotency key may have run before, which only the key's home
+// knows.
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, cause string) {
 	answer := messenger.NotRun(messenger.CallID{}, cause)
-	if statusOf(answer) == http.StatusServiceUnavailable {
-		answer.RetryAfterMS = unavailableRetryMS
+	if statusOf(answer) != http.StatusServiceUnavailable {
+		f.Counters.NotRun.Add(1)
+		writeProblem(w, answer)
+		return
+	}
+	answer.RetryAfterMS = unavailableRetryMS
+	if r.Header.Get(messenger.HeaderIdempotencyKey) != "" {
+		answer.Outcome = messenger.OutcomeUnknown
+		f.Counters.Unknown.Add(1)
+	} else {
+		f.Counters.NotRun.Add(1)
 	}
 	writeProblem(w, answer)
 }
