Spread configuration and membership over a tree with relays as its roots

Cause: every daemon of a domain hung on one relay, followed whole documents only, trusted any peer, never noticed a silent link, and fell apart with the store. Change: bounded fan-out with redirects and admission; sessions send what the peer lacks (deltas, else the state) at most once a window; pings carry position, membership digest and tally, and close what a push lost; confirmations of the head carry an age that every hop adds to, and a fresh daemon serves only on a recent one, on the store's own head, or, with the store down, on the highest version of its peers, marked unconfirmed; lost daemons are marked gone after a grace and refute; relays of a domain audit who is in no tree; relays of different domains are linked; roots exchange tallies. Tests: in-process fleets over loopback with a network that cuts and silences and a store that is down, slow or loses answers. Seen failing before their fixes: relays killed together (dead relays stayed listed: children now note a lost parent, and relays audit), a frozen relay (owner and marker made one sequence: the later state now holds), a domain cut off (one silent domain of two was marked by those cut off themselves). Known limit: a daemon that dies together with all its peers while the store is down is marked only once the store is back.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -28,7 +28,12 @@
 
 // Dial opens a link to the daemon at addr ("127.0.0.1:7101").
 func Dial(ctx context.Context, addr, path string) (*Link, error) {
-	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	return DialWith(ctx, nil, addr, path)
+}
+
+// DialWith is Dial by an HTTP client of the caller's; nil means the default.
+func DialWith(ctx context.Context, client *http.Client, addr, path string) (*Link, error) {
+	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled, HTTPClient: client}
 	conn, _, err := websocket.Dial(ctx, "ws://"+addr+path, opts) //nolint:bodyclose // the library owns the body
 	if err != nil {
 		return nil, errorx.Decorate(err, "dialing %s", addr)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -22,9 +22,23 @@
 	KindState   Kind = 2
 	KindDeltas  Kind = 3
 	KindMembers Kind = 4
-	KindCall    Kind = 32
-	KindAnswer  Kind = 33
-	KindCancel  Kind = 34
+
+	KindWelcome       Kind = 5
+	KindRedirect      Kind = 6
+	KindBusy          Kind = 7
+	KindPath          Kind = 8
+	KindPing          Kind = 9
+	KindPong          Kind = 10
+	KindPull          Kind = 11
+	KindRefused       Kind = 12
+	KindMemberDigests Kind = 13
+	KindSubtree       Kind = 14
+	KindReports       Kind = 15
+	KindAppoint       Kind = 16
+
+	KindCall   Kind = 32
+	KindAnswer Kind = 33
+	KindCancel Kind = 34
 )
 
 // Message is one typed message of the inner protocol.
@@ -79,6 +93,30 @@
 		return new(Deltas)
 	case KindMembers:
 		return new(Members)
+	case KindWelcome:
+		return new(Welcome)
+	case KindRedirect:
+		return new(Redirect)
+	case KindBusy:
+		return new(Busy)
+	case KindPath:
+		return new(Path)
+	case KindPing:
+		return new(Ping)
+	case KindPong:
+		return new(Pong)
+	case KindPull:
+		return new(Pull)
+	case KindRefused:
+		return new(Refused)
+	case KindMemberDigests:
+		return new(MemberDigests)
+	case KindSubtree:
+		return new(Subtree)
+	case KindReports:
+		return new(Reports)
+	case KindAppoint:
+		return new(Appoint)
 	case KindCall:
 		return new(Call)
 	case KindAnswer:
--- /dev/null
+++ b/spreader/fleet_test.go
@@ -0,0 +1,292 @@
+package spreader
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// stateBound is the longest wait for a state; it is no part of any verdict but
+// "never".
+const stateBound = 30 * time.Second
+
+var fastSettings = Settings{
+	Fanout: 3, Coalesce: 5 * time.Millisecond, Heartbeat: 100 * time.Millisecond, SilentAfter: 600 * time.Millisecond,
+	LeaseTTL: 900 * time.Millisecond, WatchWait: 200 * time.Millisecond, JoinJitter: 50 * time.Millisecond,
+	DepartureGrace: 2 * time.Second, DomainSilence: 4 * time.Second, FreshFor: 2 * time.Second,
+}
+
+// member is one daemon of a fleet.
+type member struct {
+	*Spreader
+	gate   *fakestorer.Gate
+	cancel context.CancelFunc
+	server *http.Server
+	done   chan struct{}
+}
+
+// fleet is a set of spreaders in one process with links over loopback.
+type fleet struct {
+	t        *testing.T
+	store    *fakestorer.Store
+	net      *network
+	settings Settings
+	members  []*member
+	accepted versioner.Version
+	acceptor *acceptor.Acceptor
+	lives    int
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Parallel()
+	f := &fleet{t: t, store: new(fakestorer.Store), net: new(network), settings: fastSettings}
+	f.acceptor = &acceptor.Acceptor{Store: f.store}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			m.cancel()
+		}
+		for _, m := range f.members {
+			m.kill()
+		}
+	})
+	return f
+}
+
+// grow starts n daemons in each failure domain.
+func (f *fleet) grow(n int, domains ...string) {
+	for i := range n {
+		for _, d := range domains {
+			f.start(fmt.Sprintf("%s-%d", d, i), d, "127.0.0.1:0")
+		}
+	}
+}
+
+func (f *fleet) start(id, domain, addr string) *member {
+	f.t.Helper()
+	return f.startWith(id, domain, addr, fakestorer.Fault{})
+}
+
+func (f *fleet) startWith(id, domain, addr string, fault fakestorer.Fault) *member {
+	f.t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		f.t.Fatalf("listening: %v", err)
+	}
+	addr = l.Addr().String()
+	gate := &fakestorer.Gate{Client: f.store}
+	gate.Set(fault)
+	m := &member{gate: gate, done: make(chan struct{}), Spreader: &Spreader{
+		InstanceID: id, Domain: domain, PeerAddress: addr, Store: gate, Applier: &applier.Applier{Domain: domain},
+		Table: new(tracker.Table), Log: zap.NewNop(), Settings: f.settings, HTTP: f.net.client(addr),
+	}}
+	f.run(m, l)
+	return m
+}
+
+func (f *fleet) run(m *member, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if link, err := messenger.Accept(w, r); err == nil {
+			_ = m.Serve(ctx, link)
+		}
+	})}
+	go func() { _ = m.server.Serve(l) }()
+	go func() {
+		defer close(m.done)
+		m.Run(ctx)
+	}()
+	f.lives++
+	m.Announce(ctx, []tracker.Record{{
+		InstanceID: m.InstanceID, Incarnation: uint64(f.lives), Sequence: 1, Service: "ledger-view",
+		Domain: m.Domain, PeerAddress: m.PeerAddress, State: tracker.StateReady,
+	}})
+	go f.checkMonotonic(ctx, m)
+	f.members = append(f.members, m)
+}
+
+// checkMonotonic fails the test when the version in force goes down.
+func (f *fleet) checkMonotonic(ctx context.Context, m *member) {
+	var newest versioner.Version
+	for sleep(ctx, time.Millisecond) {
+		snapshot := m.Applier.Current()
+		if snapshot == nil {
+			continue
+		}
+		if got := snapshot.Version(); got < newest {
+			f.t.Errorf("%s: got version %d in force after %d", m.InstanceID, got, newest)
+		}
+		newest = max(newest, snapshot.Version())
+	}
+}
+
+// kill ends a daemon without any farewell.
+func (m *member) kill() {
+	m.cancel()
+	_ = m.server.Close()
+	<-m.done
+}
+
+// restart starts a killed daemon again, with nothing kept.
+func (f *fleet) restart(old *member) {
+	f.t.Helper()
+	f.remove(old)
+	f.start(old.InstanceID, old.Domain, old.PeerAddress)
+}
+
+func (f *fleet) remove(old *member) {
+	kept := f.members[:0:0]
+	for _, m := range f.members {
+		if m != old {
+			kept = append(kept, m)
+		}
+	}
+	f.members = kept
+}
+
+// accept makes the next version.
+func (f *fleet) accept() {
+	f.t.Helper()
+	share := int(f.accepted) % 100
+	change := acceptor.Change{
+		Audit: versioner.Audit{ChangeID: fmt.Sprint("change-", f.accepted), Author: "ada", Reason: "test"},
+		Upserts: []versioner.Entry{{
+			Key: versioner.Key{Kind: versioner.KindPartner, Name: "magnolia"}, Partner: &versioner.Partner{SharePercent: share},
+		}},
+	}
+	v, err := f.acceptor.Accept(context.Background(), change)
+	if err != nil {
+		f.t.Fatalf("accepting: %v", err)
+	}
+	f.accepted = v
+}
+
+// waitFor polls until the state holds.
+func (f *fleet) waitFor(what string, holds func() (bool, string)) {
+	f.t.Helper()
+	deadline := time.Now().Add(stateBound)
+	for {
+		ok, got := holds()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waiting for %s: got %s", what, got)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// waitConverged waits until the members have the newest accepted version.
+func (f *fleet) waitConverged(members ...*member) {
+	f.t.Helper()
+	if members == nil {
+		members = f.members
+	}
+	f.waitFor(fmt.Sprintf("version %d everywhere", f.accepted), func() (bool, string) {
+		for _, m := range members {
+			if got := m.versionInForce(); got != f.accepted {
+				return false, fmt.Sprintf("%s at %d, %+v", m.InstanceID, got, m.Convergence())
+			}
+		}
+		return true, ""
+	})
+}
+
+// waitMembers waits until all members know the same ready targets.
+func (f *fleet) waitMembers(want int, members ...*member) {
+	f.t.Helper()
+	if members == nil {
+		members = f.members
+	}
+	f.waitFor(fmt.Sprintf("%d targets known everywhere", want), func() (bool, string) {
+		for _, m := range members {
+			if got := len(m.Table.Service("ledger-view")); got != want {
+				return false, fmt.Sprintf("%s knows %d", m.InstanceID, got)
+			}
+		}
+		return true, ""
+	})
+}
+
+func (f *fleet) relays() []*member {
+	var relays []*member
+	for _, m := range f.members {
+		if m.Convergence().IsRelay {
+			relays = append(relays, m)
+		}
+	}
+	return relays
+}
+
+// waitRelays waits until each failure domain has its two relays.
+func (f *fleet) waitRelays() {
+	f.t.Helper()
+	domains := make(map[string]bool)
+	for _, m := range f.members {
+		domains[m.Domain] = true
+	}
+	want := 2 * len(domains)
+	f.waitFor(fmt.Sprintf("%d relays", want), func() (bool, string) {
+		got := len(f.relays())
+		return got == want, fmt.Sprint(got)
+	})
+}
+
+// domain returns the members of a failure domain.
+func (f *fleet) domain(name string) []*member {
+	var members []*member
+	for _, m := range f.members {
+		if m.Domain == name {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (f *fleet) setStore(fault fakestorer.Fault) {
+	for _, m := range f.members {
+		m.gate.Set(fault)
+	}
+}
+
+// writeInvalid puts a version with a dangling reference past the acceptor, and
+// mends it by the next one.
+func (f *fleet) writeInvalid() {
+	f.t.Helper()
+	ctx := context.Background()
+	head, rev, err := acceptor.ReadHead(ctx, f.store)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	doc, err := acceptor.ReadDocument(ctx, f.store, head)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	service := versioner.Entry{
+		Key:     versioner.Key{Kind: versioner.KindService, Name: "ledger-view"},
+		Service: &versioner.Service{Partner: "magnolia"},
+	}
+	bad := doc.With([]versioner.Entry{service}, []versioner.Key{{Kind: versioner.KindPartner, Name: "magnolia"}})
+	digest, _ := bad.Digest()
+	content, _ := versioner.Marshal(bad)
+	value, _ := versioner.Marshal(acceptor.Head{Version: bad.Version, Digest: digest})
+	if _, err := f.store.CompareAndSwap(ctx, acceptor.ContentKey(digest), content, 0, 0); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.store.CompareAndSwap(ctx, acceptor.HeadKey, value, rev, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/spreader/neighbor.go
@@ -0,0 +1,120 @@
+package spreader
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bambooweir.example/bambooweir/messenger"
+)
+
+// foreignNeighbors is the number of links that a relay opens to relays of other
+// failure domains: one along the ring of domains and one at random.
+const foreignNeighbors = 2
+
+// keepNeighbors keeps the links to other relays until ctx ends.
+func (s *Spreader) keepNeighbors(ctx context.Context, key string) {
+	var refreshed time.Time
+	wait := s.cfg.LeaseTTL
+	for ctx.Err() == nil {
+		if time.Since(refreshed) > wait {
+			s.refreshSlots(ctx)
+			refreshed = time.Now()
+			wait = around(2 * s.cfg.LeaseTTL)
+		}
+		for _, addr := range s.missingNeighbors(key) {
+			s.link(ctx, addr)
+		}
+		sleep(ctx, around(s.cfg.Heartbeat/2))
+	}
+}
+
+func (s *Spreader) refreshSlots(ctx context.Context) {
+	slots, err := s.readSlots(ctx)
+	if err == nil {
+		s.appoint(s.ownSlots(slots))
+	}
+}
+
+// link opens a link to another relay and serves it in the background. A daemon
+// that is no root redirects to its own.
+func (s *Spreader) link(ctx context.Context, addr string) {
+	began := time.Now()
+	link, reply, err := s.greet(ctx, addr, messenger.PurposeNeighbor)
+	if err != nil {
+		return
+	}
+	if m, ok := reply.(*messenger.Redirect); ok && len(m.Nodes) > 0 {
+		link.Close()
+		began = time.Now()
+		if link, reply, err = s.greet(ctx, m.Nodes[0].PeerAddress, messenger.PurposeNeighbor); err != nil {
+			return
+		}
+	}
+	m, ok := reply.(*messenger.Welcome)
+	if !ok {
+		link.Close()
+		return
+	}
+	sess := &session{role: roleNeighbor, link: link, node: m.Node, domain: m.Domain, remote: m.Position, dialed: true}
+	s.mu.Lock()
+	s.register(sess)
+	sess.members = make(map[string]struct{}, len(m.Subtree)+1)
+	sess.addMembers(append(m.Subtree, m.Node.InstanceID))
+	s.found([]string{m.Node.InstanceID})
+	s.sendAllReports(sess)
+	s.mu.Unlock()
+	s.observe(m.Confirm, began)
+	go func() { _ = s.run(ctx, sess) }()
+}
+
+// missingNeighbors returns the relays to link with: all others of the own
+// failure domain, the next domain along the ring, and a random one.
+func (s *Spreader) missingNeighbors(key string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	linked := make(map[string]bool)
+	foreign := 0
+	for _, sess := range s.sessions {
+		if sess.role != roleNeighbor {
+			continue
+		}
+		linked[sess.node.PeerAddress] = true
+		if sess.dialed && sess.domain != s.Domain {
+			foreign++
+		}
+	}
+	var missing, others []string
+	for _, o := range s.ringAfter(key) {
+		switch {
+		case o.addr == s.PeerAddress || linked[o.addr]:
+		case o.domain == s.Domain:
+			missing = append(missing, o.addr)
+		default:
+			others = append(others, o.addr)
+		}
+	}
+	// Without a link the first in the ring stays first; all else is random.
+	keep := min(1, max(0, foreignNeighbors-1-foreign))
+	if rest := others[min(keep, len(others)):]; len(rest) > 1 {
+		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	}
+	missing = append(missing, others[:min(len(others), max(0, foreignNeighbors-foreign))]...)
+	if foreign == 0 {
+		// The known relays may all be gone: any member leads to one.
+		members := s.someMembers(false)
+		missing = append(missing, members[:min(len(members), 1)]...)
+	}
+	return missing
+}
+
+// ringAfter returns the known slots in the order of their keys, starting behind
+// the key. The caller holds mu.
+func (s *Spreader) ringAfter(key string) []slot {
+	ring := slices.Clone(s.slots)
+	slices.SortFunc(ring, func(a, b slot) int { return cmp.Compare(a.key, b.key) })
+	i, _ := slices.BinarySearchFunc(ring, key, func(o slot, k string) int { return cmp.Compare(o.key, k) })
+	return append(ring[i:], ring[:i]...)
+}
--- /dev/null
+++ b/spreader/relay.go
@@ -0,0 +1,277 @@
+package spreader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const (
+	// revokeTimeout bounds the handing back of a lease.
+	revokeTimeout = time.Second
+	// leavePoll is the time between two looks at what is still to be sent.
+	leavePoll = 10 * time.Millisecond
+)
+
+func slotKey(domain string, n int) string { return fmt.Sprintf("%s%s/%d", relayPrefix, domain, n) }
+
+func slotDomain(key string) (string, bool) {
+	domain, _, ok := strings.Cut(strings.TrimPrefix(key, relayPrefix), "/")
+	return domain, ok
+}
+
+// ownSlots returns all slots of the own failure domain, vacant ones included.
+func (s *Spreader) ownSlots(slots []slot) []slot {
+	own := make([]slot, s.cfg.Slots)
+	for n := range own {
+		own[n] = slot{key: slotKey(s.Domain, n), domain: s.Domain}
+		for _, o := range slots {
+			if o.key == own[n].key {
+				own[n] = o
+			}
+		}
+	}
+	return own
+}
+
+// takeSlot takes a relay slot and serves it until another daemon has it.
+func (s *Spreader) takeSlot(ctx context.Context, free slot) {
+	lease, err := s.Store.Grant(ctx, s.cfg.LeaseTTL)
+	if err != nil {
+		s.Counters.StoreFailures.Add(1)
+		return
+	}
+	if _, err := s.Store.CompareAndSwap(ctx, free.key, []byte(s.PeerAddress), free.revision, lease); err != nil {
+		var conflict *storer.ConflictError
+		if errors.As(err, &conflict) {
+			s.revoke(ctx, lease)
+		}
+		return
+	}
+	s.Counters.LeasesTaken.Add(1)
+	s.Log.Info("relay slot taken", zap.String("slot", free.key))
+	s.relay(ctx, free.key, lease)
+	s.Log.Info("relay slot left", zap.String("slot", free.key))
+}
+
+func (s *Spreader) revoke(ctx context.Context, lease storer.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+	defer cancel()
+	_ = s.Store.Revoke(ctx, lease)
+}
+
+// relay watches the head and keeps the links to other relays while this daemon
+// holds the slot. An unreachable store does not end the duty.
+func (s *Spreader) relay(ctx context.Context, key string, lease storer.LeaseID) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.setRelaying(true)
+	defer s.setRelaying(false)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watchHead(ctx) })
+	wg.Go(func() { s.keepNeighbors(ctx, key) })
+	s.keepLease(ctx, key, lease)
+	cancel()
+	wg.Wait()
+}
+
+func (s *Spreader) setRelaying(relaying bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relaying = relaying
+}
+
+// keepLease renews the lease, and returns once another daemon holds the slot.
+func (s *Spreader) keepLease(ctx context.Context, key string, lease storer.LeaseID) {
+	for sleep(ctx, s.cfg.LeaseTTL/3) {
+		err := s.Store.Renew(ctx, lease)
+		var missing *storer.NotFoundError
+		if errors.As(err, &missing) {
+			s.Counters.LeasesLost.Add(1)
+			if lease, err = s.retake(ctx, key); errors.Is(err, errSlotTaken) {
+				return
+			}
+		}
+		if err != nil {
+			s.Counters.StoreFailures.Add(1)
+			continue
+		}
+		if s.isTaken(key) {
+			break
+		}
+	}
+	s.revoke(ctx, lease)
+}
+
+var errSlotTaken = errors.New("another daemon holds the relay slot")
+
+// retake takes the slot again under a new lease, if nobody else has it.
+func (s *Spreader) retake(ctx context.Context, key string) (storer.LeaseID, error) {
+	slots, err := s.readSlots(ctx)
+	if err != nil {
+		return 0, err
+	}
+	free := slot{key: key}
+	for _, o := range slots {
+		if o.key == key {
+			free = o
+		}
+	}
+	if free.addr != "" && free.addr != s.PeerAddress {
+		return 0, errSlotTaken
+	}
+	lease, err := s.Store.Grant(ctx, s.cfg.LeaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := s.Store.CompareAndSwap(ctx, key, []byte(s.PeerAddress), free.revision, lease); err != nil {
+		return lease, err
+	}
+	s.Counters.LeasesTaken.Add(1)
+	return lease, nil
+}
+
+// isTaken says whether another daemon held the slot when the slots were last
+// read.
+func (s *Spreader) isTaken(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.slots {
+		if o.key == key {
+			return o.addr != s.PeerAddress
+		}
+	}
+	return false
+}
+
+// watchHead follows the head until ctx ends.
+func (s *Spreader) watchHead(ctx context.Context) {
+	var after storer.Revision
+	var head acceptor.Head
+	for ctx.Err() == nil {
+		began := time.Now()
+		item, err := s.Store.Watch(ctx, acceptor.HeadKey, after, s.cfg.WatchWait)
+		var unchanged *storer.NotFoundError
+		if errors.As(err, &unchanged) {
+			s.confirm(head.Version, began)
+			continue
+		}
+		if err == nil {
+			head, err = s.takeItem(ctx, item, began)
+		}
+		if err != nil {
+			s.Counters.StoreFailures.Add(1)
+			sleep(ctx, around(s.cfg.LeaseTTL/6))
+			continue
+		}
+		after = item.Revision
+	}
+}
+
+// pollHead reads the head at intervals until ctx ends.
+func (s *Spreader) pollHead(ctx context.Context) {
+	wait := jitter(s.cfg.PollInterval)
+	for sleep(ctx, wait) {
+		began := time.Now()
+		item, err := s.Store.Get(ctx, acceptor.HeadKey)
+		if err == nil {
+			_, err = s.takeItem(ctx, item, began)
+		}
+		if err != nil {
+			s.Counters.StoreFailures.Add(1)
+		}
+		wait = s.cfg.PollInterval
+	}
+}
+
+// takeItem takes in the head as the store answered it to a call that began at
+// the time.
+func (s *Spreader) takeItem(ctx context.Context, item storer.Item, began time.Time) (acceptor.Head, error) {
+	head, err := acceptor.DecodeHead(item.Value)
+	if err != nil {
+		s.Counters.Malformed.Add(1)
+		return acceptor.Head{}, err
+	}
+	if err := s.takeHead(ctx, head); err != nil {
+		return acceptor.Head{}, err
+	}
+	s.confirm(head.Version, began)
+	return head, nil
+}
+
+// takeAppointment leaves the parent in order to take a vacant relay slot.
+func (s *Spreader) takeAppointment(sess *session, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sess != s.parent {
+		return
+	}
+	s.appointed = key
+	sess.left = true
+	sess.close()
+}
+
+func (s *Spreader) takeAppointed() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := s.appointed
+	s.appointed = ""
+	return key
+}
+
+// appoint asks a child of the own failure domain to take a vacant slot.
+func (s *Spreader) appoint(own []slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range own {
+		if o.addr != "" {
+			continue
+		}
+		for _, sess := range s.sessions {
+			if sess.role == roleChild && sess.domain == s.Domain {
+				sess.add(&messenger.Appoint{Slot: o.key})
+				return
+			}
+		}
+	}
+}
+
+// Leave ends this daemon's part in an orderly way: its record is marked gone at
+// once, and ctx bounds the wait until the sessions have sent that on. Run is to
+// be ended after it.
+func (s *Spreader) Leave(ctx context.Context) {
+	s.init()
+	s.mu.Lock()
+	s.leaving = true
+	own := s.own
+	s.mu.Unlock()
+	if own.InstanceID == "" {
+		return
+	}
+	own.State = tracker.StateGone
+	s.announceOwn(own)
+	for s.hasUnsent() && sleep(ctx, leavePoll) {
+	}
+}
+
+// hasUnsent says whether a session still has records to send.
+func (s *Spreader) hasUnsent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sess := range s.sessions {
+		if records, _, ok := s.Table.Since(sess.cursor, sess.id, 1); ok && len(records) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -1,35 +1,30 @@
 // Package spreader carries configuration and membership between daemons.
 //
 // A few daemons of each failure domain hold relay leases in the platform's
-// key-value service and watch the head; the others are fed by them.
+// key-value service and watch the head. They are the roots of trees of bounded
+// fan-out, which all other daemons join. Relays of different failure domains
+// are linked as neighbors. Leases and the tree are for thrift only: safety
+// rests on versions, which only go up. See docs/design/spreading.md.
 package spreader
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
-	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
-	"bambooweir.example/bambooweir/versioner"
 )
 
-const (
-	relayPrefix = "relay/"
-	leaseTTL    = 10 * time.Second
-	watchWait   = 20 * time.Second
-	retryWait   = 500 * time.Millisecond
-)
-
-// Spreader is one daemon's part in the spreading. All exported fields must be
-// set before Run.
+// Spreader is one daemon's part in the spreading. The exported fields must be
+// set before the first method is called; Settings and HTTP may stay zero.
 type Spreader struct {
 	InstanceID  string
 	Domain      string
@@ -38,204 +33,97 @@
 	Applier     *applier.Applier
 	Table       *tracker.Table
 	Log         *zap.Logger
+	Settings    Settings
+	// HTTP opens links; nil means the default client.
+	HTTP     *http.Client
+	Counters Counters
+
+	prepare   sync.Once
+	cfg       Settings
+	admission *rate.Limiter
+	history   history
+
+	// configMu orders the changes of the configuration. It is taken before mu.
+	configMu sync.Mutex
+	// pending is the newest document that a fresh daemon holds and does not
+	// trust yet. It is guarded by configMu.
+	pending held
+
+	mu       sync.Mutex
+	sessions map[tracker.Source]*session
+	lastID   tracker.Source
+	parent   *session
+	// path leads from the root to this daemon, which is not included.
+	path        []messenger.Node
+	confirmed   confirmation
+	unconfirmed bool
+	refusal     refusal
+	// behindSince is when this daemon learned of a version that it lacks, or 0.
+	behindSince time.Time
+	own         tracker.Record
+	leaving     bool
+	relaying    bool
+	appointed   string
+	slots       []slot
+	lost        []*loss
+	unreached   map[string]suspicion
+	reports     map[string]*rootReport
+	epoch       uint64
+	reportSeq   uint64
+	fleet       messenger.Tally
+}
 
-	mu    sync.Mutex
-	peers map[*messenger.Link]struct{}
+func (s *Spreader) init() {
+	s.prepare.Do(func() {
+		s.cfg = s.Settings.withDefaults()
+		s.admission = rate.NewLimiter(joinsPerSecond, joinBurst)
+		s.sessions = make(map[tracker.Source]*session)
+		s.reports = make(map[string]*rootReport)
+		s.epoch = uint64(time.Now().UnixNano())
+	})
 }
 
 // Run takes part in the spreading until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.join(ctx); err != nil {
-			s.Log.Debug("not joined", zap.Error(err))
-		}
-		wait := backoff.NewExponentialBackOff()
-		wait.InitialInterval = retryWait
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait.NextBackOff()):
-		}
+	s.init()
+	switch s.cfg.Mode {
+	case ModeWatch:
+		s.watchHead(ctx)
+	case ModePoll:
+		s.pollHead(ctx)
+	default:
+		var wg sync.WaitGroup
+		wg.Go(func() { s.freshen(ctx) })
+		wg.Go(func() { s.maintain(ctx) })
+		s.keepAttached(ctx)
+		wg.Wait()
 	}
 }
 
-// join becomes the relay of the failure domain, or follows the one there is.
-func (s *Spreader) join(ctx context.Context) error {
-	slot := relayPrefix + s.Domain
-	items, err := s.Store.List(ctx, relayPrefix)
-	if err != nil {
-		return err
-	}
-	own := ""
-	for _, item := range items {
-		if item.Key == slot {
-			own = string(item.Value)
-		}
-	}
-	if own != "" && own != s.PeerAddress {
-		return s.follow(ctx, own)
-	}
-	id, err := s.Store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return err
-	}
-	if _, err := s.Store.CompareAndSwap(ctx, slot, []byte(s.PeerAddress), 0, id); err != nil {
-		return err
-	}
-	s.Log.Info("relay lease taken", zap.String("slot", slot))
-	return s.relay(ctx, id, slot)
+// node names this daemon.
+func (s *Spreader) node() messenger.Node {
+	return messenger.Node{InstanceID: s.InstanceID, PeerAddress: s.PeerAddress}
 }
 
-// relay renews the lease and watches the head until either fails.
-func (s *Spreader) relay(ctx context.Context, id storer.LeaseID, slot string) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go s.renew(ctx, id, cancel)
-	go s.exchange(ctx, slot)
-	var after storer.Revision
-	for ctx.Err() == nil {
-		item, err := s.Store.Watch(ctx, acceptor.HeadKey, after, watchWait)
-		var unchanged *storer.NotFoundError
-		if errors.As(err, &unchanged) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		after = item.Revision
-		if err := s.take(ctx, item.Value); err != nil {
-			return err
-		}
+// sleep waits for d or until ctx ends, and says whether d has passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return context.Cause(ctx)
 }
 
-// exchange keeps a link to a relay of another failure domain.
-func (s *Spreader) exchange(ctx context.Context, slot string) {
-	for ctx.Err() == nil {
-		items, _ := s.Store.List(ctx, relayPrefix)
-		for _, item := range items {
-			if item.Key != slot {
-				_ = s.follow(ctx, string(item.Value))
-				break
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryWait):
-		}
-	}
-}
-
-func (s *Spreader) renew(ctx context.Context, id storer.LeaseID, cancel context.CancelCauseFunc) {
-	tick := time.NewTicker(leaseTTL / 3)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if err := s.Store.Renew(ctx, id); err != nil {
-			cancel(err)
-			return
-		}
-	}
-}
-
-func (s *Spreader) take(ctx context.Context, value []byte) error {
-	head, err := acceptor.DecodeHead(value)
-	if err != nil {
-		return err
-	}
-	doc, err := acceptor.ReadDocument(ctx, s.Store, head)
-	if err != nil {
-		return err
-	}
-	s.offer(ctx, doc, nil)
-	return nil
-}
-
-// offer puts a document in force and passes it on to all peers but from.
-func (s *Spreader) offer(ctx context.Context, doc *versioner.Document, from *messenger.Link) {
-	applied, err := s.Applier.Offer(doc)
-	if err != nil {
-		s.Log.Warn("version refused", zap.Uint64("version", uint64(doc.Version)), zap.Error(err))
-		return
-	}
-	if !applied {
-		return
+// jitter returns a random duration in [0, d).
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
 	}
-	s.Log.Info("version in force", zap.Uint64("version", uint64(doc.Version)))
-	s.broadcast(ctx, &messenger.State{Document: *doc}, from)
+	return rand.N(d)
 }
 
-// Announce takes in records and passes on those that are new.
-func (s *Spreader) Announce(ctx context.Context, records []tracker.Record) {
-	s.spread(ctx, records, nil)
-}
-
-func (s *Spreader) spread(ctx context.Context, records []tracker.Record, from *messenger.Link) {
-	changed := s.Table.Merge(records)
-	if len(changed) > 0 {
-		s.broadcast(ctx, &messenger.Members{Records: changed}, from)
-	}
-}
-
-func (s *Spreader) broadcast(ctx context.Context, m messenger.Message, from *messenger.Link) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for link := range s.peers {
-		if link != from {
-			_ = link.Send(ctx, m)
-		}
-	}
-}
-
-// follow keeps a control link to another daemon until it breaks.
-func (s *Spreader) follow(ctx context.Context, addr string) error {
-	link, err := messenger.Dial(ctx, addr, messenger.ControlPath)
-	if err != nil {
-		return err
-	}
-	return s.Serve(ctx, link)
-}
-
-// Serve exchanges messages over a control link until it ends.
-func (s *Spreader) Serve(ctx context.Context, link *messenger.Link) error {
-	defer link.Close()
-	s.mu.Lock()
-	if s.peers == nil {
-		s.peers = make(map[*messenger.Link]struct{})
-	}
-	s.peers[link] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.peers, link)
-		s.mu.Unlock()
-	}()
-	if err := s.greet(ctx, link); err != nil {
-		return err
-	}
-	for {
-		m, err := link.Receive(ctx)
-		if err != nil {
-			return err
-		}
-		switch m := m.(type) {
-		case *messenger.State:
-			s.offer(ctx, &m.Document, link)
-		case *messenger.Members:
-			s.spread(ctx, m.Records, link)
-		}
-	}
-}
-
-func (s *Spreader) greet(ctx context.Context, link *messenger.Link) error {
-	if snapshot := s.Applier.Current(); snapshot != nil {
-		if err := link.Send(ctx, &messenger.State{Document: *snapshot.Document}); err != nil {
-			return err
-		}
-	}
-	return link.Send(ctx, &messenger.Members{Records: s.Table.All()})
-}
+// around returns a random duration between half of d and one and a half of d.
+func around(d time.Duration) time.Duration { return d/2 + jitter(d) }
--- /dev/null
+++ b/spreader/tree_test.go
@@ -0,0 +1,91 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+func TestTreeConvergesAndReports(t *testing.T) {
+	f := newFleet(t)
+	f.accept()
+	f.grow(9, "mobile-bay", "selma-row", "quimperle")
+	f.waitConverged()
+	f.waitMembers(27)
+	f.waitRelays()
+	for range 5 {
+		f.accept()
+	}
+	f.waitConverged()
+	f.waitFor("every daemon's tally complete", func() (bool, string) {
+		for _, m := range f.members {
+			got := m.Convergence().Fleet.Counts
+			if len(got) != 1 || got[0] != (messenger.VersionCount{Version: f.accepted, Daemons: 27}) {
+				return false, fmt.Sprintf("%s: %v", m.InstanceID, got)
+			}
+		}
+		return true, ""
+	})
+	for _, m := range f.members {
+		if got := m.Convergence(); got.Children > f.settings.Fanout {
+			t.Errorf("%s: got %d children, want at most %d", m.InstanceID, got.Children, f.settings.Fanout)
+		}
+	}
+}
+
+func TestDrainAndDepartureReachEveryDaemon(t *testing.T) {
+	f := newFleet(t)
+	f.accept()
+	f.grow(6, "mobile-bay", "selma-row")
+	f.waitConverged()
+	f.waitMembers(12)
+	drained := f.members[3]
+	own, _ := drained.Table.Find(drained.InstanceID)
+	own.Sequence++
+	own.State = tracker.StateDraining
+	drained.Announce(t.Context(), []tracker.Record{own})
+	f.waitMembers(11)
+	killed := f.members[4]
+	killed.kill()
+	f.remove(killed)
+	f.waitMembers(10)
+	if got := f.members[0].Table.Departed("ledger-view"); len(got) != 1 || got[0].Record.InstanceID != killed.InstanceID {
+		t.Errorf("departed: got %v, want %s", got, killed.InstanceID)
+	}
+}
+
+func TestFalseDepartureIsRefuted(t *testing.T) {
+	f := newFleet(t)
+	f.accept()
+	f.grow(5, "mobile-bay")
+	f.waitConverged()
+	f.waitMembers(5)
+	victim, _ := f.members[0].Table.Find(f.members[4].InstanceID)
+	f.members[0].markGone([]tracker.Record{victim})
+	f.waitFor("the owner's refutation", func() (bool, string) {
+		got := f.members[4].Counters.RecordsRefuted.Value()
+		return got == 1, fmt.Sprint(got)
+	})
+	f.waitMembers(5)
+}
+
+func TestInvalidVersionIsRefusedWholeAndTheNextOneTaken(t *testing.T) {
+	f := newFleet(t)
+	f.accept()
+	f.grow(6, "mobile-bay")
+	f.waitConverged()
+	f.writeInvalid()
+	f.waitFor("the refusal in the tally", func() (bool, string) {
+		got := f.members[0].Convergence().Fleet
+		ok := len(got.Counts) == 1 && got.Counts[0].Version == 1 && len(got.Laggards) > 0
+		return ok, fmt.Sprintf("%+v", got)
+	})
+	f.accept()
+	if want := versioner.Version(3); f.accepted != want {
+		t.Fatalf("accepted: got %d, want %d", f.accepted, want)
+	}
+	f.waitConverged()
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -34,6 +34,8 @@
 //
 // Invariant: of two records with one InstanceID the one with the higher
 // Incarnation holds, and within an incarnation the one with the higher Sequence.
+// Where an owner and a daemon that lost it made the same sequence, the later
+// state holds, so that the owner learns of it and can refute.
 type Record struct {
 	InstanceID  string `cbor:"1,keyasint" json:"instance-id"`
 	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
@@ -47,5 +49,9 @@
 
 // Newer says whether r replaces other.
 func (r Record) Newer(other Record) bool {
-	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
+	return cmp.Or(
+		cmp.Compare(r.Incarnation, other.Incarnation),
+		cmp.Compare(r.Sequence, other.Sequence),
+		cmp.Compare(r.State, other.State),
+	) > 0
 }
