--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -28,8 +28,8 @@
 func TestMessagesSurviveEncoding(t *testing.T) {
 	messages := []Message{
 		sampleCall(), sampleAnswer(), &Cancel{ID: CallID{1}}, &Opening{InstanceID: "a", Incarnation: 1, Link: 2},
-		&Reattach{ID: CallID{1}, Link: 2, Incarnation: 3}, &Pending{ID: CallID{1}}, &Ping{Acks: []CallID{{1}}},
-		&Pong{Draining: true}, &KeyQuery{ID: CallID{1}, Key: KeyID{2}, Request: RequestDigest{3}, Asker: "a"},
+		&Reattach{ID: CallID{1}, Link: 2, Incarnation: 3}, &Pending{ID: CallID{1}}, &Probe{Acks: []CallID{{1}}},
+		&ProbeReply{Draining: true}, &KeyQuery{ID: CallID{1}, Key: KeyID{2}, Request: RequestDigest{3}, Asker: "a"},
 		&KeyHandover{ID: CallID{1}, Keys: []KeyRecord{{Key: KeyID{1}, Answer: sampleAnswer()}}, MemoryMS: 4},
 	}
 	for _, want := range messages {
@@ -45,7 +45,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	for _, m := range []Message{sampleCall(), sampleAnswer(), &Opening{InstanceID: "a"}, &KeyQuery{}, &Ping{Acks: []CallID{{1}}}} {
+	for _, m := range []Message{sampleCall(), sampleAnswer(), &Opening{InstanceID: "a"}, &KeyQuery{}, &Probe{Acks: []CallID{{1}}}} {
 		b, err := Encode(m)
 		if err != nil {
 			f.Fatal(err)
