--- a/executor/executor.go
+++ b/executor/executor.go
@@ -16,8 +16,8 @@
 	"bambooweir.example/bambooweir/messenger"
 )
 
-// MaxBodyBytes bounds the body of an answer that is not streamed.
-const MaxBodyBytes = 4 << 20
+// maxBufferedBytes bounds the bodies of all requests that are accepted and not answered.
+const maxBufferedBytes = 96 << 20
 
 // Causes of answers that are no answers of the target.
 const (
@@ -34,6 +34,7 @@
 	CauseCancelled      = "cancelled"
 	CauseDraining       = "draining"
 	CauseTableFull      = "call-table-full"
+	CauseBuffersFull    = "buffers-full"
 	CauseLinkEnded      = "link-ended"
 	CauseAnswerNotKept  = "answer-not-kept"
 	CauseForgotten      = "call-forgotten"
@@ -59,6 +60,8 @@
 	// Admit waits for a slot and returns its release, or the answer that refuses
 	// the call; nil admits every call.
 	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
+	// Service returns the service of the target; nil means that keys have no homes.
+	Service func() string
 	// Load returns the calls that run and wait at the target; nil tells none.
 	Load func() (running, waiting int)
 	// Reached is told of every call whether the target accepted a connection.
@@ -66,6 +69,7 @@
 	// HTTP reaches the target; nil means a transport of its own.
 	HTTP     http.RoundTripper
 	Calls    fencer.Fencer
+	Keyring  Keyring
 	Counters Counters
 
 	transportOnce sync.Once
@@ -73,6 +77,7 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	buffered atomic.Int64
 
 	mu      sync.Mutex
 	links   map[*servedLink]struct{}
@@ -93,10 +98,22 @@
 	x.inFlight.Add(1)
 	defer x.inFlight.Add(-1)
 	deadline := time.Now().Add(time.Duration(call.RemainingMS) * time.Millisecond)
+	caller := ctx
+	if call.IsKeyed() {
+		// The caller may come back for the answer under the same key.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return ctx.Err() == nil }}
-	return x.label(x.count(x.perform(ctx, r)))
+	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return caller.Err() == nil }}
+	return x.label(x.count(x.runOrRepeat(ctx, r)))
+}
+
+func (x *Executor) runOrRepeat(ctx context.Context, r *run) *messenger.Answer {
+	if r.call.IsKeyed() {
+		return x.performKeyed(ctx, r)
+	}
+	return x.perform(ctx, r)
 }
 
 // perform admits the call, begins it and asks the target.
