--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -90,7 +90,7 @@
 type Counters struct {
 	// Unauthenticated counts tokens that are missing or not known.
 	Unauthenticated expvar.Int
-	// Unauthorized counts changes that lack approvals.
+	// Unauthorized counts changes and plans that lack approvals.
 	Unauthorized expvar.Int
 }
 
