Listen for the second signal to stop from the start

Cause: the second signal was listened for only after the first had ended the context; one that came hard on the first was lost, and the stop went on for its whole limit. Ruled out: a drain that does not look at its second context; it selects on it. Change: one channel takes both signals.

--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	store := &storer.HTTPClient{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
-	cut, stop := afterNextSignal(c.Context())
+	cut, stop := onSecondSignal()
 	defer stop()
 	return daemon.New(cfg, store, log).Run(c.Context(), cut)
 }
@@ -48,19 +48,23 @@
 	return cfg.Build()
 }
 
-// afterNextSignal returns a context that ends at the first signal to stop that
-// comes after ctx has ended.
-func afterNextSignal(ctx context.Context) (context.Context, context.CancelFunc) {
-	next, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(ctx, func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+// onSecondSignal returns a context that ends at the second signal to stop. It
+// listens from the start, so that a second signal that comes hard on the first
+// is not missed.
+func onSecondSignal() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		defer cancel()
 		defer signal.Stop(signals)
-		select {
-		case <-signals:
-			cancel()
-		case <-next.Done():
+		for range cap(signals) {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
 		}
-	})
-	return next, cancel
+	}()
+	return ctx, cancel
 }
