Take deltas as the answer to a survey of peers

Cause: a fresh daemon that surveys peers tells each the version it holds already. Since the head carries several deltas, a peer can answer with the deltas from there, which the survey dropped: with the store down the daemon took version 1 of a stale peer although another peer had offered version 3. Ruled out: a digest mismatch (the state handler was not reached). Change: the survey takes whole documents and deltas alike.

--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -137,8 +137,14 @@
 		return
 	}
 	m, err := link.Receive(ctx)
-	if state, ok := m.(*messenger.State); err == nil && ok {
-		s.takeState(state, nil)
+	if err != nil {
+		return
+	}
+	switch m := m.(type) {
+	case *messenger.State:
+		s.takeState(m, nil)
+	case *messenger.Deltas:
+		s.takeDeltas(m.Deltas, nil)
 	}
 }
 
