--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -197,17 +197,18 @@
 }
 
 func TestWaitCountsDaemons(t *testing.T) {
+	counts := []operator.VersionCount{{Version: 2, Daemons: 4}, {Version: 3, Daemons: 5}, {Version: 4, Daemons: 1}}
 	for _, tt := range []struct {
 		name         string
-		in           convergence
+		in           operator.Status
 		reached, all int
 	}{
-		{"counts", convergence{Version: 3, DaemonsByVersion: []versionCount{{Version: 2, Daemons: 4}, {Version: 3, Daemons: 5}, {Version: 4, Daemons: 1}}}, 6, 10},
-		{"no counts, reached", convergence{Version: 3}, 1, 1},
-		{"no counts, behind", convergence{Version: 2}, 0, 1},
+		{"counts", operator.Status{Version: 3, Spread: operator.Spread{DaemonsByVersion: counts}}, 6, 10},
+		{"no counts, reached", operator.Status{Version: 3}, 1, 1},
+		{"no counts, behind", operator.Status{Version: 2}, 0, 1},
 	} {
-		if reached, all := tt.in.reached(3); reached != tt.reached || all != tt.all {
-			t.Errorf("%s: got %d of %d, want %d of %d", tt.name, reached, all, tt.reached, tt.all)
+		if got, all := reached(&tt.in, 3); got != tt.reached || all != tt.all {
+			t.Errorf("%s: got %d of %d, want %d of %d", tt.name, got, all, tt.reached, tt.all)
 		}
 	}
 }
