--- a/applier/applier.go
+++ b/applier/applier.go
@@ -22,7 +22,11 @@
 	Digest   versioner.Digest
 	// Domain is the failure domain for which exceptions are resolved.
 	Domain string
-	routes []namedRoute
+
+	settings settings
+	policies map[policyKey]*Policy
+	shares   []Share
+	routes   *routeIndex
 }
 
 // Version returns the snapshot's version.
@@ -60,7 +64,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Snapshot{Document: doc, Digest: digest, Domain: domain, routes: sortRoutes(doc)}, nil
+	set := newSettings(doc, domain)
+	policies := newPolicies(doc, set)
+	return &Snapshot{
+		Document: doc, Digest: digest, Domain: domain, settings: set,
+		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies),
+	}, nil
 }
 
 // Applier holds the snapshot in force. The zero value holds none and works.
@@ -70,6 +79,7 @@
 
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	history []Applied
 }
 
 // Current returns the snapshot in force, or nil when there is none yet.
@@ -94,6 +104,7 @@
 		return false, err
 	}
 	a.current.Store(snapshot)
+	a.record(snapshot)
 	return true, nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,24 +3,23 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -34,6 +33,7 @@
 	table     *tracker.Table
 	spreader  *spreader.Spreader
 	announcer *announcer.Announcer
+	limiter   *limiter.Limiter
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
 	surface   *operator.Surface
@@ -44,7 +44,7 @@
 	d := &Daemon{cfg: cfg, log: log, applier: &applier.Applier{Domain: cfg.FailureDomain}, table: new(tracker.Table)}
 	d.spreader = &spreader.Spreader{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
-		Store: store, Applier: d.applier, Table: d.table, Log: log,
+		Store: store, Applier: d.applier, Table: d.table, Log: log, Settings: spreadSettings(cfg),
 	}
 	d.announcer = &announcer.Announcer{
 		Self: tracker.Record{
@@ -55,27 +55,42 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.executor = &executor.Executor{Target: d.announcer.Target}
-	d.forwarder = &forwarder.Forwarder{Applier: d.applier, Table: d.table, Domain: cfg.FailureDomain}
+	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service}
+	d.executor = &executor.Executor{
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
+		Target: d.announcer.Target, Draining: d.announcer.Draining,
+		Admit: d.admit, Load: d.load, Reached: d.reached,
+	}
+	d.forwarder = &forwarder.Forwarder{
+		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
+		InstanceID: cfg.InstanceID, Local: d.executor.Run,
+	}
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
-		Acceptor: &acceptor.Acceptor{Store: store},
+		Acceptor: newAcceptor(cfg, store),
 	}
+	d.publish()
 	return d
 }
 
-// Run serves until ctx ends.
-func (d *Daemon) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, d.cfg.CallerAddress, d.forwarder) })
-	g.Go(func() error { return serve(ctx, d.cfg.PeerAddress, d.peerHandler(ctx)) })
-	g.Go(func() error { return serve(ctx, d.cfg.OperatorAddress, d.operatorHandler()) })
-	g.Go(func() error {
-		d.spreader.Run(ctx)
-		return nil
-	})
-	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
-	return g.Wait()
+func spreadSettings(cfg *loader.Daemon) spreader.Settings {
+	return spreader.Settings{
+		Mode: spreader.Mode(cfg.SpreadMode), Fanout: cfg.SpreadFanout,
+		Coalesce:     loader.Milliseconds(cfg.SpreadCoalesceMS),
+		Heartbeat:    loader.Milliseconds(cfg.SpreadHeartbeatMS),
+		PollInterval: loader.Milliseconds(cfg.SpreadPollMS),
+		LeaseTTL:     loader.Milliseconds(cfg.RelayLeaseMS),
+		FreshFor:     loader.Milliseconds(cfg.FreshnessMS),
+		Seeds:        loader.SplitList(cfg.PeerSeeds),
+	}
+}
+
+func newAcceptor(cfg *loader.Daemon, store storer.Client) *acceptor.Acceptor {
+	return &acceptor.Acceptor{
+		Store: store, Policy: &authorizer.Authorizer{BootstrapSHA256: cfg.BootstrapTokenSHA256},
+		Timeout: loader.Milliseconds(cfg.ChangeTimeoutMS), RecentBytes: cfg.HeadBytes,
+		HistoryVersions: cfg.HistoryVersions,
+	}
 }
 
 // peerHandler accepts the links of other daemons.
@@ -97,20 +112,6 @@
 	}
 }
 
-func serve(ctx context.Context, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errorx.Decorate(err, "listening")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errorx.Decorate(err, "serving %s", addr)
-	}
-	return nil
-}
-
 // operatorHandler is the HTTP surface of operators and of the target.
 func (d *Daemon) operatorHandler() http.Handler {
 	e := echo.New()
--- /dev/null
+++ b/forwarder/dispatch.go
@@ -0,0 +1,223 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/retrier"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+const (
+	// maxHarmed bounds the further attempts of an idempotent call after attempts
+	// that ended without an answer: the call itself may be what kills its targets.
+	maxHarmed = 1
+
+	reattachFirstWait = 20 * time.Millisecond
+	reattachMaxWait   = 300 * time.Millisecond
+	// reattachRefused bounds the time in which a daemon that accepts no link is asked again.
+	reattachRefused = 3 * time.Second
+	// finalWait is how long after its deadline a call waits for the answer to its Cancel.
+	finalWait = 250 * time.Millisecond
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	call     messenger.Call
+	policy   *applier.Policy
+	deadline time.Time
+	retries  retrier.Call
+
+	// mu guards what follows, since two attempts may run side by side.
+	mu       sync.Mutex
+	tried    picker.Tried
+	attempts uint16
+	harmed   int
+	// undecided is the answer of an attempt that may have run.
+	undecided *messenger.Answer
+}
+
+// dispatch makes attempts until the call has an outcome that may be told.
+//
+// Invariants: a further attempt of a call that isn't idempotent is made only
+// after the one before it is proved never to begin. A call of which any attempt
+// may have run is never told not to have run.
+func (f *Forwarder) dispatch(ctx context.Context, x *exchange) *messenger.Answer {
+	for {
+		answer, ok := retrier.Hedge(ctx, &x.retries, func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
+			answer := f.attempt(ctx, x, marked)
+			return answer, answer.Outcome == messenger.OutcomeAnswered
+		})
+		if ok {
+			return answer
+		}
+		failure, again := failureOf(&x.call, answer)
+		if !again || x.harmedTooOften() || !x.retries.Retry(ctx, failure) {
+			return x.conclude(answer)
+		}
+		f.Counters.Redispatched.Add(1)
+	}
+}
+
+func (x *exchange) harmedTooOften() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.harmed > maxHarmed
+}
+
+// conclude returns what the caller is told when the last attempt brought no answer.
+func (x *exchange) conclude(last *messenger.Answer) *messenger.Answer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.undecided != nil {
+		return x.undecided
+	}
+	return last
+}
+
+// take notes an attempt at the target and returns its call.
+func (x *exchange) take(choice picker.Choice, marked bool) *messenger.Call {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	call := x.call
+	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
+	x.attempts++
+	x.tried.Add(choice)
+	if marked {
+		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: "retry"})
+	}
+	return &call
+}
+
+// note takes in the end of an attempt.
+func (x *exchange) note(answer *messenger.Answer) {
+	if answer.Outcome != messenger.OutcomeUnknown {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.undecided = answer
+	x.harmed++
+}
+
+func (x *exchange) snapshot() picker.Tried {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tried
+}
+
+// attempt chooses a target and brings the call to it.
+func (f *Forwarder) attempt(ctx context.Context, x *exchange, marked bool) *messenger.Answer {
+	choice, ok := f.Picker.Pick(x.policy, x.snapshot())
+	if !ok {
+		answer := messenger.NotRun(x.call.ID, causeNoTarget)
+		answer.RetryAfterMS = unavailableRetryMS
+		return answer
+	}
+	call := x.take(choice, marked)
+	answer := f.try(ctx, call, choice.Record, x.deadline)
+	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
+		f.Counters.Damaged.Add(1)
+		answer = messenger.Unknown(call.ID, causeDamaged)
+	}
+	choice.Done(resultOf(answer))
+	x.note(answer)
+	return answer
+}
+
+// IsDraining says whether the target's daemon has said on a call link that it
+// takes no new calls.
+func (f *Forwarder) IsDraining(r tracker.Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining[r.InstanceID] >= r.Incarnation && r.Incarnation > 0
+}
+
+func (f *Forwarder) markDraining(instanceID string, incarnation uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining == nil {
+		f.draining = make(map[string]uint64)
+	}
+	f.draining[instanceID] = max(f.draining[instanceID], incarnation)
+}
+
+func (f *Forwarder) try(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
+	call.RemainingMS = time.Until(deadline).Milliseconds()
+	if call.RemainingMS <= 0 {
+		return messenger.NotRun(call.ID, causeDeadline)
+	}
+	if f.Local != nil && target.InstanceID == f.InstanceID {
+		return f.Local(ctx, call)
+	}
+	if f.IsDraining(target) {
+		return messenger.NotRun(call.ID, causeDraining)
+	}
+	link, err := f.link(ctx, target)
+	if err != nil {
+		if ctx.Err() != nil {
+			return messenger.NotRun(call.ID, causeDeadline)
+		}
+		return messenger.NotRun(call.ID, causeUnreachable)
+	}
+	call.RemainingMS = time.Until(deadline).Milliseconds()
+	answer, err := link.ask(ctx, call.ID, call)
+	var unsent *notSentError
+	switch {
+	case err == nil:
+		return answer
+	case errors.As(err, &unsent):
+		return messenger.NotRun(call.ID, causeUnreachable)
+	case ctx.Err() != nil:
+		return ended(ctx, call.ID)
+	case call.Idempotent:
+		return messenger.Unknown(call.ID, causeLinkLost)
+	}
+	f.Counters.Reattached.Add(1)
+	return f.reattach(ctx, call.ID, target, link)
+}
+
+// ended returns the answer of a call whose context ended before it was known.
+func ended(ctx context.Context, id messenger.CallID) *messenger.Answer {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return messenger.Unknown(id, causeDeadline)
+	}
+	return messenger.Unknown(id, causeCancelled)
+}
+
+// reattach asks over new links what became of a call whose link was lost.
+func (f *Forwarder) reattach(ctx context.Context, id messenger.CallID, target tracker.Record, old *callLink) *messenger.Answer {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = reattachFirstWait
+	wait.MaxInterval = reattachMaxWait
+	refusedUntil := time.Now().Add(reattachRefused)
+	for ctx.Err() == nil {
+		link, err := f.link(ctx, target)
+		switch {
+		case err != nil && time.Now().After(refusedUntil) && isRefused(err):
+			return messenger.Unknown(id, causeLost)
+		case err == nil && !link.sameProcess(old):
+			return messenger.Unknown(id, causeRestarted)
+		case err == nil:
+			answer, err := link.ask(ctx, id, &messenger.Reattach{ID: id, Link: old.opening.Link, Incarnation: old.opening.Incarnation})
+			if err == nil {
+				return answer
+			}
+			refusedUntil = time.Now().Add(reattachRefused)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+	return ended(ctx, id)
+}
--- /dev/null
+++ b/launcher/attributes_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package launcher
+
+import "syscall"
+
+func processAttributes() *syscall.SysProcAttr { return nil }
+
+func awaitSuspended(int) {}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -23,22 +23,27 @@
 	KindDeltas  Kind = 3
 	KindMembers Kind = 4
 
-	KindWelcome       Kind = 5
-	KindRedirect      Kind = 6
-	KindBusy          Kind = 7
-	KindPath          Kind = 8
-	KindPing          Kind = 9
-	KindPong          Kind = 10
-	KindPull          Kind = 11
-	KindRefused       Kind = 12
-	KindMemberDigests Kind = 13
-	KindSubtree       Kind = 14
-	KindReports       Kind = 15
-	KindAppoint       Kind = 16
+	KindWelcome         Kind = 5
+	KindRedirect        Kind = 6
+	KindBusy            Kind = 7
+	KindPath            Kind = 8
+	KindHeartbeat       Kind = 9
+	KindHeartbeatAnswer Kind = 10
+	KindPull            Kind = 11
+	KindRefused         Kind = 12
+	KindMemberDigests   Kind = 13
+	KindSubtree         Kind = 14
+	KindReports         Kind = 15
+	KindAppoint         Kind = 16
+	KindCall            Kind = 32
+	KindAnswer          Kind = 33
+	KindCancel          Kind = 34
 
-	KindCall   Kind = 32
-	KindAnswer Kind = 33
-	KindCancel Kind = 34
+	KindOpening  Kind = 35
+	KindReattach Kind = 36
+	KindPending  Kind = 37
+	KindPing     Kind = 38
+	KindPong     Kind = 39
 )
 
 // Message is one typed message of the inner protocol.
@@ -101,10 +106,10 @@
 		return new(Busy)
 	case KindPath:
 		return new(Path)
-	case KindPing:
-		return new(Ping)
-	case KindPong:
-		return new(Pong)
+	case KindHeartbeat:
+		return new(Heartbeat)
+	case KindHeartbeatAnswer:
+		return new(HeartbeatAnswer)
 	case KindPull:
 		return new(Pull)
 	case KindRefused:
@@ -123,6 +128,16 @@
 		return new(Answer)
 	case KindCancel:
 		return new(Cancel)
+	case KindOpening:
+		return new(Opening)
+	case KindReattach:
+		return new(Reattach)
+	case KindPending:
+		return new(Pending)
+	case KindPing:
+		return new(Ping)
+	case KindPong:
+		return new(Pong)
 	default:
 		return nil
 	}
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,8 +79,13 @@
 }
 
 // freshen brings a fresh daemon to its first version when its peers do not.
-// It returns once a version is in force.
+// It returns once a version is in force. It does not begin before the daemon
+// looked for relays: one that serves is one that others can reach.
 func (s *Spreader) freshen(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.looked:
+	}
 	wait := s.cfg.Heartbeat/4 + jitter(s.cfg.JoinJitter)
 	for sleep(ctx, wait) && s.Applier.Current() == nil {
 		s.askForHead(ctx)
@@ -113,14 +119,16 @@
 	if len(addrs) > maxSurvey {
 		addrs = addrs[:maxSurvey]
 	}
+	var wg sync.WaitGroup
 	for _, addr := range addrs {
-		s.ask(ctx, addr)
+		wg.Go(func() { s.ask(ctx, addr) })
 	}
+	wg.Wait()
 }
 
 // ask fetches one peer's document if it is newer than what is held.
 func (s *Spreader) ask(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.SilentAfter)
 	defer cancel()
 	began := time.Now()
 	link, reply, err := s.greet(ctx, addr, messenger.PurposeSurvey)
@@ -137,8 +145,14 @@
 		return
 	}
 	m, err := link.Receive(ctx)
-	if state, ok := m.(*messenger.State); err == nil && ok {
-		s.takeState(state, nil)
+	if err != nil {
+		return
+	}
+	switch m := m.(type) {
+	case *messenger.State:
+		s.takeState(m, nil)
+	case *messenger.Deltas:
+		s.takeDeltas(m.Deltas, nil)
 	}
 }
 
--- a/spreader/heartbeat.go
+++ b/spreader/heartbeat.go
@@ -26,7 +26,7 @@
 		clear(sess.pings)
 	}
 	sess.pings[sess.sequence] = sess.lastPing
-	ping := &messenger.Ping{Sequence: sess.sequence, Position: position, Members: members}
+	ping := &messenger.Heartbeat{Sequence: sess.sequence, Position: position, Members: members}
 	if sess.role == roleParent {
 		tally := s.subtreeTally()
 		ping.Subtree = &tally
@@ -45,12 +45,12 @@
 
 // takePing answers a ping at once: the answer's confirmation is younger than
 // the ping.
-func (s *Spreader) takePing(sess *session, m *messenger.Ping) {
+func (s *Spreader) takePing(sess *session, m *messenger.Heartbeat) {
 	position, members := s.position(), s.Table.Digest()
 	s.reconcile(sess, m.Position)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pong := &messenger.Pong{Sequence: m.Sequence, Position: position, Members: members, Confirm: s.age()}
+	pong := &messenger.HeartbeatAnswer{Sequence: m.Sequence, Position: position, Members: members, Confirm: s.age()}
 	if sess.role == roleChild {
 		fleet := s.fleetTally()
 		pong.Fleet = &fleet
@@ -69,7 +69,7 @@
 	}
 }
 
-func (s *Spreader) takePong(sess *session, m *messenger.Pong) {
+func (s *Spreader) takePong(sess *session, m *messenger.HeartbeatAnswer) {
 	s.reconcile(sess, m.Position)
 	s.mu.Lock()
 	sent, ok := sess.pings[m.Sequence]
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -172,9 +172,9 @@
 // handle takes in one message of a session.
 func (s *Spreader) handle(ctx context.Context, sess *session, m messenger.Message) {
 	switch m := m.(type) {
-	case *messenger.Ping:
+	case *messenger.Heartbeat:
 		s.takePing(sess, m)
-	case *messenger.Pong:
+	case *messenger.HeartbeatAnswer:
 		s.takePong(sess, m)
 	case *messenger.State:
 		s.noteRemote(sess, messenger.Position{Version: m.Document.Version, Digest: m.Digest})
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -14,6 +14,8 @@
 	StateReady State = iota + 1
 	StateDraining
 	StateGone
+	// StateWarming is a cold start: the target takes no calls yet.
+	StateWarming
 )
 
 // String returns the state's name.
@@ -25,6 +27,8 @@
 		return "draining"
 	case StateGone:
 		return "gone"
+	case StateWarming:
+		return "warming"
 	default:
 		return "unknown"
 	}
@@ -45,6 +49,9 @@
 	// PeerAddress is where the target's daemon accepts links.
 	PeerAddress string `cbor:"6,keyasint" json:"peer-address"`
 	State       State  `cbor:"7,keyasint" json:"state"`
+	// Epoch is the run of the target as it announced it; another value means
+	// that the target was started anew.
+	Epoch uint64 `cbor:"20,keyasint,omitempty" json:"epoch,omitempty"`
 }
 
 // Newer says whether r replaces other.
