--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +43,7 @@
 func (r *Recorder) PollDaemon(ctx context.Context, name, operatorURL string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+"/v1/applied", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL+operator.AppliedPath, nil)
 	if err != nil {
 		return
 	}
@@ -51,7 +52,7 @@
 		return
 	}
 	defer res.Body.Close()
-	var answer operator.HistoryAnswer
+	var answer operator.AppliedAnswer
 	if json.NewDecoder(res.Body).Decode(&answer) == nil {
 		r.addApplied(name, answer.Applied)
 	}
@@ -165,10 +166,12 @@
 	return nil
 }
 
-// AddEvents records the events of a target, in their order.
+// AddEvents records all events of a target, in their order, in place of those
+// recorded before.
 func (r *Recorder) AddEvents(name string, events []faketarget.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.records.Targets = slices.DeleteFunc(r.records.Targets, func(t Target) bool { return t.Name == name })
 	target := Target{Name: name}
 	for _, e := range events {
 		switch e.Kind {
--- a/cmd/plan.go
+++ b/cmd/plan.go
@@ -43,7 +43,9 @@
 	if err != nil {
 		return err
 	}
+	stop := progress(c, "waiting for "+p.daemonURL)
 	b, err := p.do(c.Context(), http.MethodPost, operator.PlanPath, p.header(), body)
+	stop()
 	if err != nil {
 		return edits.locate(withStatus(err))
 	}
@@ -57,7 +59,8 @@
 		err = printPlan(c, answer.Plan)
 	}
 	if err == nil && answer.Refusal != nil {
-		return withStatus(&problemError{problem: *answer.Refusal})
+		refusal := &problemError{problem: *answer.Refusal}
+		return &statusError{status: refusal.status(), err: fmt.Errorf("apply would fail: %w", refusal)}
 	}
 	return err
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/publisher"
 )
 
@@ -12,9 +13,16 @@
 	m.Set("forwarder", publisher.Counters(&d.forwarder.Counters))
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
+	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
+	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
+	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
 	m.Set("spreader", publisher.Counters(&d.spreader.Counters))
 	m.Set("acceptor", publisher.Counters(&d.surface.Acceptor.Counters))
+	if policy, ok := d.surface.Acceptor.Policy.(*authorizer.Authorizer); ok {
+		m.Set("authorizer", publisher.Counters(&policy.Counters))
+	}
+	m.Set("operator", publisher.Counters(&d.surface.Counters))
 	m.Set("version", expvar.Func(d.versionInForce))
 	publisher.Publish(d.cfg.InstanceID, m)
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -35,15 +35,17 @@
 	KindSubtree         Kind = 14
 	KindReports         Kind = 15
 	KindAppoint         Kind = 16
-	KindCall            Kind = 32
-	KindAnswer          Kind = 33
-	KindCancel          Kind = 34
 
-	KindOpening  Kind = 35
-	KindReattach Kind = 36
-	KindPending  Kind = 37
-	KindPing     Kind = 38
-	KindPong     Kind = 39
+	KindCall        Kind = 32
+	KindAnswer      Kind = 33
+	KindCancel      Kind = 34
+	KindOpening     Kind = 35
+	KindReattach    Kind = 36
+	KindPending     Kind = 37
+	KindProbe       Kind = 38
+	KindProbeReply  Kind = 39
+	KindKeyQuery    Kind = 40
+	KindKeyHandover Kind = 41
 )
 
 // Message is one typed message of the inner protocol.
@@ -134,10 +136,14 @@
 		return new(Reattach)
 	case KindPending:
 		return new(Pending)
-	case KindPing:
-		return new(Ping)
-	case KindPong:
-		return new(Pong)
+	case KindProbe:
+		return new(Probe)
+	case KindProbeReply:
+		return new(ProbeReply)
+	case KindKeyQuery:
+		return new(KeyQuery)
+	case KindKeyHandover:
+		return new(KeyHandover)
 	default:
 		return nil
 	}
--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -13,6 +13,8 @@
 
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/faulter"
+	"bambooweir.example/bambooweir/launcher"
+	"bambooweir.example/bambooweir/operator"
 )
 
 func (s *scenario) store(*testscript.TestScript, []string) error {
@@ -33,7 +35,18 @@
 	}
 	ts.Setenv(args[0]+"_url", d.OperatorURL)
 	go s.recorder.WatchDaemon(s.ctx, d.Name, d.OperatorURL)
-	return nil
+	return s.awaitHealth(d)
+}
+
+// awaitHealth waits until a daemon serves.
+func (s *scenario) awaitHealth(d launcher.Daemon) error {
+	return await(func() error {
+		answer := fetch(s.ctx, http.MethodGet, d.OperatorURL+operator.HealthPath, "")
+		if !strings.HasPrefix(answer, "204") {
+			return fmt.Errorf("%s: %s", d.Name, answer)
+		}
+		return nil
+	})
 }
 
 func (s *scenario) target(_ *testscript.TestScript, args []string) error {
@@ -99,6 +112,15 @@
 			return err
 		}
 	}
+	for _, name := range args {
+		d, err := s.fleet.Daemon(name)
+		if err != nil {
+			continue
+		}
+		if err := s.awaitHealth(d); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
