--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,7 +44,7 @@
 	d := &Daemon{cfg: cfg, log: log, applier: &applier.Applier{Domain: cfg.FailureDomain}, table: new(tracker.Table)}
 	d.spreader = &spreader.Spreader{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
-		Store: store, Applier: d.applier, Table: d.table, Log: log,
+		Store: store, Applier: d.applier, Table: d.table, Log: log, Settings: spreadSettings(cfg),
 	}
 	d.announcer = &announcer.Announcer{
 		Self: tracker.Record{
@@ -73,6 +73,7 @@
 	d.surface = &operator.Surface{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store), Choices: d.forwarder.Picker.Targets,
+		Spread: d.spread,
 	}
 	d.publish()
 	return d
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -111,6 +111,7 @@
 			acknowledged := d.executor.Calls.Len() == 0 || now.Sub(quiet) > acknowledgeWait
 			if acknowledged && now.Sub(start) > min(leaveWait, limit/2) {
 				d.leave(cut)
+				d.flush(serving)
 				d.log.Info("stopped, nothing was cut")
 				return nil
 			}
@@ -118,6 +119,13 @@
 	}
 }
 
+// flush waits until the departure has been sent on.
+func (d *Daemon) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeWait)
+	defer cancel()
+	d.spreader.Flush(ctx)
+}
+
 // cutShort reports what is in flight when the stop has to end.
 func (d *Daemon) cutShort() error {
 	err := &CutError{Entered: d.forwarder.InFlight(), Running: d.executor.InFlight()}
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -104,8 +104,8 @@
 	Laggards []Laggard `cbor:"2,keyasint,omitempty"`
 }
 
-// Ping is the heartbeat of a session and closes what a push lost.
-type Ping struct {
+// Heartbeat proves that a session lives and closes what a push lost.
+type Heartbeat struct {
 	Sequence uint64   `cbor:"1,keyasint"`
 	Position Position `cbor:"2,keyasint"`
 	Members  uint64   `cbor:"3,keyasint"`
@@ -113,8 +113,8 @@
 	Subtree *Tally `cbor:"4,keyasint,omitempty"`
 }
 
-// Pong answers a Ping at once.
-type Pong struct {
+// HeartbeatAnswer answers a Heartbeat at once.
+type HeartbeatAnswer struct {
 	Sequence uint64        `cbor:"1,keyasint"`
 	Position Position      `cbor:"2,keyasint"`
 	Members  uint64        `cbor:"3,keyasint"`
@@ -211,10 +211,10 @@
 func (*Path) Kind() Kind { return KindPath }
 
 // Kind implements Message.
-func (*Ping) Kind() Kind { return KindPing }
+func (*Heartbeat) Kind() Kind { return KindHeartbeat }
 
 // Kind implements Message.
-func (*Pong) Kind() Kind { return KindPong }
+func (*HeartbeatAnswer) Kind() Kind { return KindHeartbeatAnswer }
 
 // Kind implements Message.
 func (*State) Kind() Kind { return KindState }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -23,18 +23,18 @@
 	KindDeltas  Kind = 3
 	KindMembers Kind = 4
 
-	KindWelcome       Kind = 5
-	KindRedirect      Kind = 6
-	KindBusy          Kind = 7
-	KindPath          Kind = 8
-	KindPing          Kind = 9
-	KindPong          Kind = 10
-	KindPull          Kind = 11
-	KindRefused       Kind = 12
-	KindMemberDigests Kind = 13
-	KindSubtree       Kind = 14
-	KindReports       Kind = 15
-	KindAppoint       Kind = 16
+	KindWelcome         Kind = 5
+	KindRedirect        Kind = 6
+	KindBusy            Kind = 7
+	KindPath            Kind = 8
+	KindHeartbeat       Kind = 9
+	KindHeartbeatAnswer Kind = 10
+	KindPull            Kind = 11
+	KindRefused         Kind = 12
+	KindMemberDigests   Kind = 13
+	KindSubtree         Kind = 14
+	KindReports         Kind = 15
+	KindAppoint         Kind = 16
 
 	KindCall        Kind = 32
 	KindAnswer      Kind = 33
@@ -108,10 +108,10 @@
 		return new(Busy)
 	case KindPath:
 		return new(Path)
-	case KindPing:
-		return new(Ping)
-	case KindPong:
-		return new(Pong)
+	case KindHeartbeat:
+		return new(Heartbeat)
+	case KindHeartbeatAnswer:
+		return new(HeartbeatAnswer)
 	case KindPull:
 		return new(Pull)
 	case KindRefused:
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -13,14 +13,13 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/storer"
-	"bambooweir.example/bambooweir/tracker"
 )
 
 const (
 	// revokeTimeout bounds the handing back of a lease.
 	revokeTimeout = time.Second
-	// leavePoll is the time between two looks at what is still to be sent.
-	leavePoll = 10 * time.Millisecond
+	// flushPoll is the time between two looks at what is still to be sent.
+	flushPoll = 10 * time.Millisecond
 )
 
 func slotKey(domain string, n int) string { return fmt.Sprintf("%s%s/%d", relayPrefix, domain, n) }
@@ -44,24 +43,28 @@
 	return own
 }
 
-// takeSlot takes a relay slot and serves it until another daemon has it.
-func (s *Spreader) takeSlot(ctx context.Context, free slot) {
+// takeSlot takes a relay slot and serves it until another daemon has it. It
+// returns false when another daemon took it first.
+func (s *Spreader) takeSlot(ctx context.Context, free slot) bool {
 	lease, err := s.Store.Grant(ctx, s.cfg.LeaseTTL)
 	if err != nil {
 		s.Counters.StoreFailures.Add(1)
-		return
+		return true
 	}
 	if _, err := s.Store.CompareAndSwap(ctx, free.key, []byte(s.PeerAddress), free.revision, lease); err != nil {
 		var conflict *storer.ConflictError
 		if errors.As(err, &conflict) {
 			s.revoke(ctx, lease)
+			return false
 		}
-		return
+		s.Counters.StoreFailures.Add(1)
+		return true
 	}
 	s.Counters.LeasesTaken.Add(1)
 	s.Log.Info("relay slot taken", zap.String("slot", free.key))
 	s.relay(ctx, free.key, lease)
 	s.Log.Info("relay slot left", zap.String("slot", free.key))
+	return true
 }
 
 func (s *Spreader) revoke(ctx context.Context, lease storer.LeaseID) {
@@ -246,21 +249,11 @@
 	}
 }
 
-// Leave ends this daemon's part in an orderly way: its record is marked gone at
-// once, and ctx bounds the wait until the sessions have sent that on. Run is to
-// be ended after it.
-func (s *Spreader) Leave(ctx context.Context) {
+// Flush waits until the sessions have sent the records that they have, or ctx
+// ends. A daemon that leaves calls it after its last announcement.
+func (s *Spreader) Flush(ctx context.Context) {
 	s.init()
-	s.mu.Lock()
-	s.leaving = true
-	own := s.own
-	s.mu.Unlock()
-	if own.InstanceID == "" {
-		return
-	}
-	own.State = tracker.StateGone
-	s.announceOwn(own)
-	for s.hasUnsent() && sleep(ctx, leavePoll) {
+	for s.hasUnsent() && sleep(ctx, flushPoll) {
 	}
 }
 
