--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -178,11 +178,11 @@
 // Slots returns the slots that the target announced, 0 for none.
 func (a *Announcer) Slots() int { return a.Current().Slots }
 
-// Reached notes that the target took a call; no check is needed for a while.
+// Reached notes that the target answered a call; no check is needed for a while.
 func (a *Announcer) Reached() { a.reached.Store(time.Now().UnixNano()) }
 
-// Unreachable notes that the target did not accept a connection. It is checked
-// at once, and a second refusal makes its record gone.
+// Unreachable notes that the target did not answer a call. It is checked at
+// once; if that fails too, its record is gone.
 func (a *Announcer) Unreachable() {
 	a.reached.Store(0)
 	select {
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -174,6 +175,35 @@
 	})
 }
 
+func TestCheckSeesClosedConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		closes bool
+	}{{"closed at once", true}, {"kept open", false}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+				if tt.closes {
+					_ = conn.Close()
+				} else {
+					defer conn.Close()
+				}
+			}
+		}()
+		var a Announcer
+		if err := a.dial(t.Context(), l.Addr().String()); (err != nil) != tt.closes {
+			t.Errorf("%s: got error %v, want one: %v", tt.name, err, tt.closes)
+		}
+		_ = l.Close()
+		if err := a.dial(t.Context(), l.Addr().String()); err == nil {
+			t.Errorf("%s: after the listener closed: got no error", tt.name)
+		}
+	}
+}
+
 func TestCallsSpareChecks(t *testing.T) {
 	watch(t, func(t *testing.T, r *recorder) {
 		for range 20 {
--- a/announcer/check.go
+++ b/announcer/check.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -13,6 +17,9 @@
 	// connection is opened to it.
 	checkInterval = time.Second
 	checkTimeout  = 500 * time.Millisecond
+	// closeWait is how long a connection must stay open to count as accepted by
+	// the target: what stands between may accept it in the target's place.
+	closeWait = 100 * time.Millisecond
 	// maxMissed is the number of checks in a row that must fail for the target
 	// to be gone; a call that could not reach it counts as one.
 	maxMissed = 2
@@ -69,7 +76,19 @@
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	defer conn.Close()
+	return staysOpen(conn)
+}
+
+func staysOpen(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(closeWait)); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return errorx.Decorate(err, "connection was closed at once")
 }
 
 // mark books whether the target that made the announcement has vanished, unless
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -33,9 +33,9 @@
 	return load.Running, load.Waiting
 }
 
-// reached notes whether the target accepted a connection.
-func (d *Daemon) reached(accepted bool) {
-	if accepted {
+// reached notes whether the target began to answer a call.
+func (d *Daemon) reached(answered bool) {
+	if answered {
 		d.announcer.Reached()
 		return
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -61,8 +61,9 @@
 	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
 	// Load returns the calls that run and wait at the target; nil tells none.
 	Load func() (running, waiting int)
-	// Reached is told of every call whether the target accepted a connection.
-	Reached func(accepted bool)
+	// Reached is told of every call whether the target began to answer; calls
+	// that were cancelled or ran out of time say nothing.
+	Reached func(answered bool)
 	// HTTP reaches the target; nil means a transport of its own.
 	HTTP     http.RoundTripper
 	Calls    fencer.Fencer
--- a/executor/target.go
+++ b/executor/target.go
@@ -95,12 +95,11 @@
 func (x *Executor) ask(req *http.Request, r *run) *messenger.Answer {
 	id := r.call.ID
 	res, err := x.roundTripper().RoundTrip(req)
-	refused := err != nil && neverDialed(err)
-	if x.Reached != nil {
-		x.Reached(!refused)
+	if x.Reached != nil && (err == nil || req.Context().Err() == nil) {
+		x.Reached(err == nil)
 	}
 	if err != nil {
-		if refused {
+		if neverDialed(err) {
 			return messenger.NotRun(id, CauseUnreachable)
 		}
 		return messenger.Unknown(id, failureCause(req.Context(), CauseTargetFailed))
