--- a/executor/serve.go
+++ b/executor/serve.go
@@ -72,9 +72,13 @@
 		x.cancel(m.ID)
 	case *messenger.Reattach:
 		x.reattach(ctx, l, m)
-	case *messenger.Ping:
+	case *messenger.KeyQuery:
+		go x.answerQuery(ctx, l, m)
+	case *messenger.KeyHandover:
+		go x.takeOver(ctx, l, m)
+	case *messenger.Probe:
 		x.Calls.Acknowledge(m.Acks)
-		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: x.isDraining()}) }()
+		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: x.isDraining()}) }()
 	default:
 		x.Counters.Malformed.Add(1)
 	}
@@ -82,9 +86,17 @@
 
 func (x *Executor) accept(ctx context.Context, l *servedLink, call *messenger.Call) {
 	late := l.delay(call.SentUS)
+	if x.buffered.Add(int64(len(call.Body))) > maxBufferedBytes {
+		x.buffered.Add(-int64(len(call.Body)))
+		go x.send(ctx, l, messenger.NotRun(call.ID, CauseBuffersFull))
+		return
+	}
 	err := x.Calls.Accept(call.ID, l.number, call.Sequence)
 	var full *fencer.FullError
 	var ended *fencer.LinkEndedError
+	if err != nil {
+		x.buffered.Add(-int64(len(call.Body)))
+	}
 	switch {
 	case errors.As(err, &full):
 		go x.send(ctx, l, messenger.NotRun(call.ID, CauseTableFull))
@@ -114,6 +126,7 @@
 // serveCall runs a call that was accepted from a link, and answers it.
 func (x *Executor) serveCall(ctx context.Context, l *servedLink, call *messenger.Call, deadline time.Time) {
 	defer x.inFlight.Add(-1)
+	defer x.buffered.Add(-int64(len(call.Body)))
 	runCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{
@@ -126,7 +139,7 @@
 	}
 	x.running[call.ID] = r
 	x.mu.Unlock()
-	answer := x.label(x.count(x.perform(runCtx, r)))
+	answer := x.label(x.count(x.runOrRepeat(runCtx, r)))
 	x.mu.Lock()
 	delete(x.running, call.ID)
 	x.mu.Unlock()
@@ -210,7 +223,7 @@
 	}
 	x.mu.Unlock()
 	for _, l := range links {
-		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: true}) }()
+		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: true}) }()
 	}
 }
 
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -85,7 +85,7 @@
 				l.forwarder.markDraining(l.opening.InstanceID, l.opening.Incarnation)
 			}
 			l.deliver(m)
-		case *messenger.Pong:
+		case *messenger.ProbeReply:
 			if m.Draining {
 				l.forwarder.markDraining(l.opening.InstanceID, l.opening.Incarnation)
 			}
@@ -203,7 +203,7 @@
 // flush sends the acknowledgements that wait.
 func (l *callLink) flush() {
 	if acks := l.takeAcks(); len(acks) > 0 {
-		_ = l.conn.Send(context.Background(), &messenger.Ping{Acks: acks})
+		_ = l.conn.Send(context.Background(), &messenger.Probe{Acks: acks})
 	}
 }
 
@@ -244,6 +244,6 @@
 	}
 	l.mu.Unlock()
 	if silent >= suspectAfter {
-		_ = l.conn.Send(context.Background(), &messenger.Ping{Acks: l.takeAcks()})
+		_ = l.conn.Send(context.Background(), &messenger.Probe{Acks: l.takeAcks()})
 	}
 }
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -16,11 +16,14 @@
 	CallPath    = "/v1/calls"
 )
 
+// MaxBodyBytes bounds the body of a request and of an answer.
+const MaxBodyBytes = 16 << 20
+
 // MaxMessageBytes bounds one message on a link.
-const MaxMessageBytes = 8 << 20
+const MaxMessageBytes = MaxBodyBytes + 1<<20
 
 // maxQueuedBytes bounds what waits on a link to be written.
-const maxQueuedBytes = 4 * MaxMessageBytes
+const maxQueuedBytes = 2 * MaxMessageBytes
 
 // Conn is what a link does; tests put failures in its place.
 type Conn interface {
@@ -69,7 +72,12 @@
 
 // Dial opens a link to the daemon at addr ("127.0.0.1:7101").
 func Dial(ctx context.Context, addr, path string) (*Link, error) {
-	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	return DialWith(ctx, nil, addr, path)
+}
+
+// DialWith is Dial by an HTTP client of the caller's; nil means the default.
+func DialWith(ctx context.Context, client *http.Client, addr, path string) (*Link, error) {
+	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled, HTTPClient: client}
 	conn, _, err := websocket.Dial(ctx, "ws://"+addr+path, opts) //nolint:bodyclose // the library owns the body
 	if err != nil {
 		return nil, &DialError{Address: addr, Cause: err}
--- a/operator/changes_test.go
+++ b/operator/changes_test.go
@@ -1,12 +1,14 @@
 package operator_test
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/labstack/echo/v4"
 
@@ -58,6 +60,17 @@
 	}
 }
 
+func refused(s *operator.Surface) *expvar.Int   { return &s.Acceptor.Counters.Refused }
+func malformed(s *operator.Surface) *expvar.Int { return &s.Counters.Malformed }
+
+func unauthenticated(s *operator.Surface) *expvar.Int {
+	return &s.Acceptor.Policy.(*authorizer.Authorizer).Counters.Unauthenticated
+}
+
+func unauthorized(s *operator.Surface) *expvar.Int {
+	return &s.Acceptor.Policy.(*authorizer.Authorizer).Counters.Unauthorized
+}
+
 func TestChangeProblems(t *testing.T) {
 	const slots = "[service.ledger-view]\npartner = \"magnolia\"\nslots = 2\n"
 	auth := []string{"Authorization", "Bearer magnolia", operator.HeaderChangeID, "x"}
@@ -66,18 +79,18 @@
 		headers    []string
 		status     int
 		cause      operator.Cause
-		counter    string
+		counter    func(*operator.Surface) *expvar.Int
 	}{
-		{"no change id", slots, auth[:2], http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
-		{"malformed file", "a = ", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
-		{"malformed base", slots, append(auth, operator.HeaderChangeBase, "-1"), http.StatusBadRequest, operator.CauseMalformed, "changes-malformed"},
-		{"file too large", strings.Repeat("#", decoder.MaxFileBytes+1), auth, http.StatusRequestEntityTooLarge, operator.CauseTooLarge, "changes-malformed"},
-		{"invalid", "[service.x]\npartner = \"nobody\"\n", auth, http.StatusUnprocessableEntity, operator.CauseInvalid, "changes-refused"},
-		{"no token", slots, auth[2:], http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
-		{"unknown token", slots, append([]string{"Authorization", "Bearer x"}, auth[2:]...), http.StatusUnauthorized, operator.CauseUnauthenticated, "changes-unauthenticated"},
-		{"another's entry", slots, append([]string{"Authorization", "Bearer regie"}, auth[2:]...), http.StatusForbidden, operator.CauseUnauthorized, "changes-unauthorized"},
-		{"deleted nothing", "delete = [\"route.x\"]", auth, http.StatusBadRequest, operator.CauseMalformed, "changes-refused"},
-		{"reused id", slots, append(auth[:2:2], operator.HeaderChangeID, "first"), http.StatusUnprocessableEntity, operator.CauseReusedID, "changes-refused"},
+		{"no change id", slots, auth[:2], http.StatusBadRequest, operator.CauseMalformed, refused},
+		{"malformed file", "a = ", auth, http.StatusBadRequest, operator.CauseMalformed, malformed},
+		{"malformed base", slots, append(auth, operator.HeaderChangeBase, "-1"), http.StatusBadRequest, operator.CauseMalformed, malformed},
+		{"file too large", strings.Repeat("#", decoder.MaxFileBytes+1), auth, http.StatusRequestEntityTooLarge, operator.CauseTooLarge, malformed},
+		{"invalid", "[service.x]\npartner = \"nobody\"\n", auth, http.StatusUnprocessableEntity, operator.CauseInvalid, refused},
+		{"no token", slots, auth[2:], http.StatusUnauthorized, operator.CauseUnauthenticated, unauthenticated},
+		{"unknown token", slots, append([]string{"Authorization", "Bearer x"}, auth[2:]...), http.StatusUnauthorized, operator.CauseUnauthenticated, unauthenticated},
+		{"another's entry", slots, append([]string{"Authorization", "Bearer regie"}, auth[2:]...), http.StatusForbidden, operator.CauseUnauthorized, unauthorized},
+		{"deleted nothing", "delete = [\"route.x\"]", auth, http.StatusBadRequest, operator.CauseMalformed, refused},
+		{"reused id", slots, append(auth[:2:2], operator.HeaderChangeID, "first"), http.StatusUnprocessableEntity, operator.CauseReusedID, refused},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, h := newSurface(new(fakestorer.Store))
@@ -93,10 +106,8 @@
 			if got, want := w.Header().Get("Content-Type"), "application/problem+json"; got != want {
 				t.Errorf("content type: got %s, want %s", got, want)
 			}
-			metrics := new(expvar.Map)
-			s.PublishChanges(metrics)
-			if got := metrics.Get(tt.counter).String(); got != "1" {
-				t.Errorf("counter %s: got %s, want 1", tt.counter, got)
+			if got := tt.counter(s).Value(); got != 1 {
+				t.Errorf("counter: got %d, want 1", got)
 			}
 		})
 	}
@@ -145,3 +156,33 @@
 		}
 	}
 }
+
+// stuckStore answers nothing until the request ends.
+type stuckStore struct{ fakestorer.Store }
+
+func (*stuckStore) Get(ctx context.Context, key string) (storer.Item, error) {
+	<-ctx.Done()
+	return storer.Item{}, &storer.UnavailableError{Op: key, Cause: ctx.Err()}
+}
+
+func TestRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, h := newSurface(new(stuckStore))
+		codes := make(chan string, 100)
+		for range cap(codes) {
+			go func() {
+				w := send(h, http.MethodPost, operator.PlanPath, "[partner.magnolia]")
+				var p operator.Problem
+				_ = json.Unmarshal(w.Body.Bytes(), &p)
+				codes <- string(p.Cause) + " " + w.Header().Get("Retry-After")
+			}()
+		}
+		got := make(map[string]int)
+		for range cap(codes) {
+			got[<-codes]++
+		}
+		if got["busy 1"] != 92 || got["store-unavailable 1"] != 8 {
+			t.Errorf("got %v, want 92 busy and 8 that were let in", got)
+		}
+	})
+}
