--- a/executor/target.go
+++ b/executor/target.go
@@ -21,9 +21,9 @@
 	readBufferBytes = 16 << 10
 )
 
-// newTransport returns the transport to the target. It follows no redirect,
+// NewTransport returns the transport to the target. It follows no redirect,
 // adds no header, and asks for no compression of its own.
-func newTransport() *http.Transport {
+func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -40,7 +40,7 @@
 	if x.HTTP != nil {
 		return x.HTTP
 	}
-	x.transportOnce.Do(func() { x.transport = newTransport() })
+	x.transportOnce.Do(func() { x.transport = NewTransport() })
 	return x.transport
 }
 
@@ -143,7 +143,7 @@
 	}
 	chunked := len(res.TransferEncoding) > 0
 	switch {
-	case res.ContentLength > MaxBodyBytes:
+	case res.ContentLength > messenger.MaxBodyBytes:
 		return nil, CauseTooLarge
 	case res.ContentLength >= 0:
 		body = make([]byte, res.ContentLength)
@@ -154,11 +154,11 @@
 		// The end of the connection ends the body, so a cut can't be told from the end.
 		return nil, CauseUnbounded
 	default:
-		read, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1))
+		read, err := io.ReadAll(io.LimitReader(res.Body, messenger.MaxBodyBytes+1))
 		if err != nil {
 			return nil, CauseCutShort
 		}
-		if len(read) > MaxBodyBytes {
+		if len(read) > messenger.MaxBodyBytes {
 			return nil, CauseTooLarge
 		}
 		body = read
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -18,9 +19,9 @@
 )
 
 const (
-	// maxHarmed bounds the further attempts of an idempotent call after attempts
-	// that ended without an answer: the call itself may be what kills its targets.
-	maxHarmed = 1
+	// defaultMaxHarmed is the number of attempts without an answer after which an
+	// idempotent call is given up.
+	defaultMaxHarmed = 2
 
 	reattachFirstWait = 20 * time.Millisecond
 	reattachMaxWait   = 300 * time.Millisecond
@@ -52,6 +53,9 @@
 // after the one before it is proved never to begin. A call of which any attempt
 // may have run is never told not to have run.
 func (f *Forwarder) dispatch(ctx context.Context, x *exchange) *messenger.Answer {
+	if x.call.IsKeyed() {
+		return f.dispatchKeyed(ctx, x)
+	}
 	for {
 		answer, ok := retrier.Hedge(ctx, &x.retries, func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
 			answer := f.attempt(ctx, x, marked)
@@ -61,17 +65,18 @@
 			return answer
 		}
 		failure, again := failureOf(&x.call, answer)
-		if !again || x.harmedTooOften() || !x.retries.Retry(ctx, failure) {
+		if !again || x.isHarmful(f.MaxHarmed) || !x.retries.Retry(ctx, failure) {
 			return x.conclude(answer)
 		}
 		f.Counters.Redispatched.Add(1)
 	}
 }
 
-func (x *exchange) harmedTooOften() bool {
+// isHarmful says whether the call may itself be what its targets die of.
+func (x *exchange) isHarmful(limit int) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.harmed > maxHarmed
+	return limit >= 0 && x.harmed >= cmp.Or(limit, defaultMaxHarmed)
 }
 
 // conclude returns what the caller is told when the last attempt brought no answer.
@@ -162,7 +167,7 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining)
 	}
-	link, err := f.link(ctx, target)
+	link, err := f.link(ctx, target, laneOf(call))
 	if err != nil {
 		if ctx.Err() != nil {
 			return messenger.NotRun(call.ID, causeDeadline)
@@ -183,7 +188,7 @@
 		return messenger.Unknown(call.ID, causeLinkLost)
 	}
 	f.Counters.Reattached.Add(1)
-	return f.reattach(ctx, call.ID, target, link)
+	return f.reattach(ctx, call, target, link)
 }
 
 // ended returns the answer of a call whose context ended before it was known.
@@ -195,13 +200,14 @@
 }
 
 // reattach asks over new links what became of a call whose link was lost.
-func (f *Forwarder) reattach(ctx context.Context, id messenger.CallID, target tracker.Record, old *callLink) *messenger.Answer {
+func (f *Forwarder) reattach(ctx context.Context, call *messenger.Call, target tracker.Record, old *callLink) *messenger.Answer {
+	id := call.ID
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = reattachFirstWait
 	wait.MaxInterval = reattachMaxWait
 	refusedUntil := time.Now().Add(reattachRefused)
 	for ctx.Err() == nil {
-		link, err := f.link(ctx, target)
+		link, err := f.link(ctx, target, laneOf(call))
 		switch {
 		case err != nil && time.Now().After(refusedUntil) && isRefused(err):
 			return messenger.Unknown(id, causeLost)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,7 +14,7 @@
 )
 
 // Surface is the operators' view of one daemon. The fields must be set, but for
-// Spread and Choices.
+// Spread, Choices and Counters.
 type Surface struct {
 	InstanceID string
 	Domain     string
@@ -24,19 +24,19 @@
 	// Spread tells the daemon's place in the spreading; nil tells nothing.
 	Spread func() Spread
 	// Choices tells how the daemon sees each target; nil tells nothing.
-	Choices func() []picker.TargetView
-
-	malformed expvar.Int
+	Choices  func() []picker.TargetView
+	Counters Counters
 }
 
 // Register adds the surface's resources to the router.
 func (s *Surface) Register(e *echo.Echo) {
+	gate := newGate()
 	e.GET(StatusPath, s.status)
-	e.POST(ChangesPath, s.change)
-	e.POST(PlanPath, s.plan)
-	e.GET(ConfigurationPath, s.configuration)
-	e.GET(HistoryPath, s.history)
-	e.GET(ExceptionsPath, s.exceptions)
+	e.POST(ChangesPath, s.change, gate)
+	e.POST(PlanPath, s.plan, gate)
+	e.GET(ConfigurationPath, s.configuration, gate)
+	e.GET(HistoryPath, s.history, gate)
+	e.GET(ExceptionsPath, s.exceptions, gate)
 	e.GET(AppliedPath, s.applied)
 	e.GET(HealthPath, s.health)
 	e.GET(ReadinessPath, s.readiness)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -38,6 +38,8 @@
 //
 // Invariant: of two records with one InstanceID the one with the higher
 // Incarnation holds, and within an incarnation the one with the higher Sequence.
+// Where an owner and a daemon that lost it made the same sequence, the later
+// state holds, so that the owner learns of it and can refute.
 type Record struct {
 	InstanceID  string `cbor:"1,keyasint" json:"instance-id"`
 	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
@@ -50,9 +52,16 @@
 	// Epoch is the run of the target as it announced it; another value means
 	// that the target was started anew.
 	Epoch uint64 `cbor:"20,keyasint,omitempty" json:"epoch,omitempty"`
+	// HandedOver says, of a target that is gone, that its daemon gave its
+	// idempotency keys to others before it left.
+	HandedOver bool `cbor:"21,keyasint,omitempty" json:"handed-over,omitempty"`
 }
 
 // Newer says whether r replaces other.
 func (r Record) Newer(other Record) bool {
-	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Sequence, other.Sequence)) > 0
+	return cmp.Or(
+		cmp.Compare(r.Incarnation, other.Incarnation),
+		cmp.Compare(r.Sequence, other.Sequence),
+		cmp.Compare(r.State, other.State),
+	) > 0
 }
