Find out lost key holders by the answers to queries

The target's daemon had been killed and restarted within the time that its peers take to hear of it: they vouched that nothing was lost.

A query now names the asker's process and an answer the one that vouches, and answers carry the members that the voucher knows, so that memory is never taken over without the view that belongs to it. After the answers the rule on lost processes is applied again. A giver tells its heirs when all have taken their keys, since its last record may be overtaken by its successor's.

--- a/executor/keys.go
+++ b/executor/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	Service(name string) []tracker.Record
 	Draining(name string) []tracker.Record
 	Departed(name string) []tracker.Departure
+	Find(id string) (tracker.Record, bool)
+	Merge(records []tracker.Record) []tracker.Record
 }
 
 // Keyring is an executor's part in the idempotency keys of its service. With
@@ -64,6 +67,8 @@
 	// zero means Joined.
 	memory time.Time
 	beat   time.Time
+	// clean holds, by instance, the newest incarnation that has handed over its keys.
+	clean map[string]uint64
 }
 
 func (k *Keyring) retention() time.Duration {
@@ -116,17 +121,58 @@
 	return joined, max(joined, now.Sub(k.memory))
 }
 
-// extend takes in how far back another daemon knows that no keys were lost.
-func (k *Keyring) extend(memory time.Duration) {
+// extend takes in what another daemon vouches for, unless a member of which it
+// knows has been replaced since without its knowledge.
+func (x *Executor) extend(m *messenger.KeyMemory) {
+	k := &x.Keyring
+	if m == nil || k.Peers == nil || x.knowsOfLoss(m.Members) {
+		return
+	}
+	k.Peers.Merge(m.Members)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
 	k.update(now)
-	if from := now.Add(-memory); k.memory.IsZero() || from.Before(k.memory) {
+	if from := now.Add(-time.Duration(m.MS) * time.Millisecond); k.memory.IsZero() || from.Before(k.memory) {
 		k.memory = from
 	}
 }
 
+// knowsOfLoss says whether one of the processes has been replaced by another
+// and handed nothing over.
+func (x *Executor) knowsOfLoss(members []tracker.Record) bool {
+	for _, r := range members {
+		newest := x.Incarnation
+		if r.InstanceID != x.InstanceID {
+			now, _ := x.Keyring.Peers.Find(r.InstanceID)
+			newest = now.Incarnation
+		}
+		if r.Incarnation < newest && !x.Keyring.isClean(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// isClean says whether the process has handed over its keys.
+func (k *Keyring) isClean(r tracker.Record) bool {
+	if r.HandedOver {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.clean[r.InstanceID] == r.Incarnation
+}
+
+func (k *Keyring) markClean(instance string, incarnation uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.clean == nil {
+		k.clean = make(map[string]uint64)
+	}
+	k.clean[instance] = incarnation
+}
+
 // performKeyed runs a call with an idempotency key, or returns what is known of
 // an earlier call with the key.
 func (x *Executor) performKeyed(ctx context.Context, r *run) *messenger.Answer {
@@ -203,9 +249,9 @@
 	if k.Peers == nil {
 		return nil
 	}
-	service, retention := call.Service, k.retention()
+	service := call.Service
 	joined, _ := k.ages()
-	young := joined < retention
+	young := joined < k.retention()
 	ready := k.Peers.Service(service)
 	own := messenger.Rank(key, x.InstanceID)
 	for _, r := range ready {
@@ -215,30 +261,49 @@
 	}
 	asked := others(x.InstanceID, ready, k.Peers.Draining(service))
 	ask := young || len(k.Peers.Draining(service)) > 0
-	for _, d := range k.Peers.Departed(service) {
-		if time.Since(d.At) > retention || d.Record.HandedOver {
-			continue
-		}
-		if d.Returned {
-			ask = true
-			continue
-		}
-		if young || d.Record.InstanceID == x.InstanceID || messenger.Rank(key, d.Record.InstanceID) > own {
-			answer := messenger.Unknown(call.ID, CauseKeyHomeLost)
-			answer.RetryAfterMS = (retention - time.Since(d.At)).Milliseconds()
-			return answer
-		}
+	if refusal := x.lostHome(call, key, young); refusal != nil {
+		return refusal
 	}
+	ask = ask || k.hasReturned(service)
 	for _, p := range call.KeyPeers {
 		if _, ok := asked[p.InstanceID]; !ok && p.InstanceID != x.InstanceID && !k.hasLeft(service, p.InstanceID) {
-			asked[p.InstanceID] = tracker.Record{InstanceID: p.InstanceID, PeerAddress: p.PeerAddress}
+			asked[p.InstanceID] = tracker.Record{InstanceID: p.InstanceID, PeerAddress: p.PeerAddress, Incarnation: p.Incarnation}
 			ask = true
 		}
 	}
 	if !ask {
 		return nil
 	}
-	return x.askAll(ctx, call, asked, &messenger.KeyQuery{Key: key, Request: request, Asker: x.InstanceID})
+	query := &messenger.KeyQuery{Key: key, Request: request, Asker: x.InstanceID, Incarnation: x.Incarnation}
+	if refusal := x.askAll(ctx, call, asked, query); refusal != nil {
+		return refusal
+	}
+	// The answers may have told of losses.
+	return x.lostHome(call, key, young)
+}
+
+// lostHome returns nil unless a process was lost that may have run the key.
+func (x *Executor) lostHome(call *messenger.Call, key messenger.KeyID, young bool) *messenger.Answer {
+	k := &x.Keyring
+	own := messenger.Rank(key, x.InstanceID)
+	for _, d := range k.Peers.Departed(call.Service) {
+		if d.Returned || time.Since(d.At) > k.retention() || k.isClean(d.Record) {
+			continue
+		}
+		if young || d.Record.InstanceID == x.InstanceID || messenger.Rank(key, d.Record.InstanceID) > own {
+			answer := messenger.Unknown(call.ID, CauseKeyHomeLost)
+			answer.RetryAfterMS = (k.retention() - time.Since(d.At)).Milliseconds()
+			return answer
+		}
+	}
+	return nil
+}
+
+// hasReturned says whether a target came back that was held to be gone.
+func (k *Keyring) hasReturned(service string) bool {
+	return slices.ContainsFunc(k.Peers.Departed(service), func(d tracker.Departure) bool {
+		return d.Returned && time.Since(d.At) <= k.retention()
+	})
 }
 
 func others(self string, sets ...[]tracker.Record) map[string]tracker.Record {
@@ -264,8 +329,11 @@
 			query := *q
 			query.ID = messenger.NewCallID()
 			answer, err := k.Ask(ctx, r, query.ID, &query)
-			if err != nil {
+			switch {
+			case err != nil:
 				answer = messenger.Unknown(call.ID, CauseKeyPeer)
+			case answer.Memory != nil && answer.Memory.Incarnation != r.Incarnation && !k.isClean(r):
+				answer = messenger.Unknown(call.ID, CauseKeyHomeLost)
 			}
 			answers <- answer
 			return nil
@@ -276,7 +344,7 @@
 	for answer := range answers {
 		switch {
 		case answer.Outcome == messenger.OutcomeNotRun && answer.Cause == CauseKeyUnseen:
-			k.extend(time.Duration(answer.MemoryMS) * time.Millisecond)
+			x.extend(answer.Memory)
 		case answer.Outcome == messenger.OutcomeAnswered:
 			again := *answer
 			again.ID = call.ID
@@ -319,25 +387,41 @@
 			continue
 		}
 		unseen := messenger.NotRun(q.ID, CauseKeyUnseen)
-		unseen.MemoryMS = x.vouch().Milliseconds()
+		unseen.Memory = x.vouch()
+		if x.replacesLost(q) {
+			unseen.Memory.MS = 0
+		}
 		return unseen
 	}
 }
 
+// replacesLost says whether the asker's process has taken the place of one that
+// handed nothing over, which the asker can't know itself.
+func (x *Executor) replacesLost(q *messenger.KeyQuery) bool {
+	k := &x.Keyring
+	if k.Peers == nil {
+		return false
+	}
+	old, ok := k.Peers.Find(q.Asker)
+	return ok && old.Incarnation < q.Incarnation && !k.isClean(old)
+}
+
 // vouch returns how far back this daemon knows that no keys of its service were
 // lost by any daemon.
-func (x *Executor) vouch() time.Duration {
+func (x *Executor) vouch() *messenger.KeyMemory {
 	k := &x.Keyring
 	_, memory := k.ages()
 	if k.Peers == nil || x.Service == nil {
-		return memory
+		return &messenger.KeyMemory{MS: memory.Milliseconds(), Incarnation: x.Incarnation}
 	}
-	for _, d := range k.Peers.Departed(x.Service()) {
-		if !d.Record.HandedOver {
+	service := x.Service()
+	members := slices.Concat(k.Peers.Service(service), k.Peers.Draining(service))
+	for _, d := range k.Peers.Departed(service) {
+		if !k.isClean(d.Record) {
 			memory = min(memory, time.Since(d.At))
 		}
 	}
-	return memory
+	return &messenger.KeyMemory{MS: memory.Milliseconds(), Members: members, Incarnation: x.Incarnation}
 }
 
 // HandOver gives the keys to the daemons that are their homes without this one.
@@ -363,11 +447,30 @@
 		}
 		batches[best] = append(batches[best], r)
 	}
-	g, ctx := errgroup.WithContext(ctx)
+	var g errgroup.Group
 	for id, heir := range heirs {
 		g.Go(func() error { return x.give(ctx, heir, batches[id]) })
 	}
-	return g.Wait()
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	for _, heir := range heirs {
+		g.Go(func() error {
+			m := x.newHandover(nil)
+			m.Done = true
+			_, err := x.Keyring.Ask(ctx, heir, m.ID, m)
+			return err
+		})
+	}
+	// The record that follows says the same to whom this doesn't reach.
+	_ = g.Wait()
+	return nil
+}
+
+func (x *Executor) newHandover(records []messenger.KeyRecord) *messenger.KeyHandover {
+	return &messenger.KeyHandover{
+		ID: messenger.NewCallID(), Keys: records, Memory: *x.vouch(), Giver: x.InstanceID, Incarnation: x.Incarnation,
+	}
 }
 
 // give hands records to one heir, in messages of bounded size.
@@ -378,7 +481,7 @@
 			bytes += len(records[n].Answer.Body)
 			n++
 		}
-		m := &messenger.KeyHandover{ID: messenger.NewCallID(), Keys: records[:n], MemoryMS: x.vouch().Milliseconds()}
+		m := x.newHandover(records[:n])
 		answer, err := x.Keyring.Ask(ctx, heir, m.ID, m)
 		if err != nil {
 			return err
@@ -404,7 +507,10 @@
 	if err := x.Keyring.Keys.Take(m.Keys); err != nil {
 		answer = messenger.NotRun(m.ID, CauseKeyTableFull)
 	} else {
-		x.Keyring.extend(time.Duration(m.MemoryMS) * time.Millisecond)
+		if m.Done {
+			x.Keyring.markClean(m.Giver, m.Incarnation)
+		}
+		x.extend(&m.Memory)
 	}
 	x.send(ctx, l, answer)
 }
--- a/forwarder/home.go
+++ b/forwarder/home.go
@@ -67,7 +67,9 @@
 	}
 	call := x.take(picker.Choice{}, false)
 	for _, r := range targets {
-		call.KeyPeers = append(call.KeyPeers, messenger.KeyPeer{InstanceID: r.InstanceID, PeerAddress: r.PeerAddress})
+		call.KeyPeers = append(call.KeyPeers, messenger.KeyPeer{
+			InstanceID: r.InstanceID, PeerAddress: r.PeerAddress, Incarnation: r.Incarnation,
+		})
 	}
 	answer := f.try(ctx, call, home, x.deadline)
 	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
--- a/forwarder/keys_test.go
+++ b/forwarder/keys_test.go
@@ -185,6 +185,58 @@
 	})
 }
 
+// A home that was restarted asks others that haven't heard of it yet: they see
+// by its query that its predecessor was lost.
+func TestRestartThatNobodyHasSeen(t *testing.T) {
+	inMesh(t, three, func(t *testing.T, m *mesh) {
+		home := m.home()
+		wantTold(t, m.post("k", "1"), "200", "ran 1")
+		stale := new(tracker.Table)
+		stale.Merge(m.table.All())
+		for _, f := range m.targets {
+			if f != home {
+				f.executor.Keyring.Peers = stale
+			}
+		}
+		home.kill()
+		time.Sleep(time.Second)
+		home.remembers = 0
+		home.start()
+		fresh := new(tracker.Table)
+		fresh.Merge(m.table.Service("payout-desk"))
+		home.executor.Keyring.Peers = fresh
+		wantTold(t, m.post("k", "1"), "502", "unknown", "key-memory-young")
+		wantAllRuns(t, m, 1)
+	})
+}
+
+// A daemon that holds the key of a home that left is lost, and the home, which is
+// back, has not heard of it: the holder's successor answers its query.
+func TestLostHolderIsFoundOutByItsSuccessor(t *testing.T) {
+	inMesh(t, three, func(t *testing.T, m *mesh) {
+		home := m.home()
+		wantTold(t, m.post("k", "1"), "200", "ran 1")
+		if err := home.leave(m.ctx); err != nil {
+			t.Fatal(err)
+		}
+		holder := m.home()
+		time.Sleep(time.Second)
+		home.remembers = 0
+		home.start()
+		for _, f := range m.targets {
+			stale := new(tracker.Table)
+			stale.Merge(m.table.All())
+			f.executor.Keyring.Peers = stale
+		}
+		holder.kill()
+		time.Sleep(time.Second)
+		holder.remembers = 0
+		holder.start()
+		wantTold(t, m.post("k", "1"), "502", "unknown", "key-home-lost")
+		wantAllRuns(t, m, 1)
+	})
+}
+
 type keyStep struct {
 	kind, target, key, ms int
 }
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -98,9 +98,8 @@
 	Waiting int `cbor:"11,keyasint,omitempty"`
 	// Told says that Running and Waiting are set.
 	Told bool `cbor:"12,keyasint,omitempty"`
-	// MemoryMS answers a KeyQuery: how far back the daemon knows that no keys of
-	// the service were lost, in milliseconds.
-	MemoryMS int64 `cbor:"13,keyasint,omitempty"`
+	// Memory answers a KeyQuery of which the daemon knows nothing.
+	Memory *KeyMemory `cbor:"13,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
--- a/messenger/keys.go
+++ b/messenger/keys.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bambooweir.example/bambooweir/tracker"
 )
 
 // KeyID identifies an idempotency key within its service and partner.
@@ -18,6 +20,7 @@
 	_           struct{} `cbor:",toarray"`
 	InstanceID  string
 	PeerAddress string
+	Incarnation uint64
 }
 
 // KeyRecord is what is known of one idempotency key.
@@ -37,18 +40,34 @@
 	ID      CallID        `cbor:"1,keyasint"`
 	Key     KeyID         `cbor:"2,keyasint"`
 	Request RequestDigest `cbor:"3,keyasint"`
-	// Asker is the instance that is about to run the key.
-	Asker string `cbor:"4,keyasint"`
+	// Asker is the instance that is about to run the key, Incarnation its process.
+	Asker       string `cbor:"4,keyasint"`
+	Incarnation uint64 `cbor:"5,keyasint"`
+}
+
+// KeyMemory is what a daemon vouches for. Who takes it over must know the
+// members too, so that it notices the loss of one of them.
+type KeyMemory struct {
+	// MS is how far back the daemon knows that no keys of the service were lost,
+	// in milliseconds.
+	MS int64 `cbor:"1,keyasint"`
+	// Members are the service's targets as the daemon knows them.
+	Members []tracker.Record `cbor:"2,keyasint,omitempty"`
+	// Incarnation is the process that vouches.
+	Incarnation uint64 `cbor:"3,keyasint"`
 }
 
 // KeyHandover gives keys to the daemon that is their home next. It is answered
 // by an Answer with OutcomeAnswered once they are taken.
 type KeyHandover struct {
-	ID   CallID      `cbor:"1,keyasint"`
-	Keys []KeyRecord `cbor:"2,keyasint,omitempty"`
-	// MemoryMS is how far back the giver knows that no keys of the service were
-	// lost, in milliseconds.
-	MemoryMS int64 `cbor:"3,keyasint"`
+	ID     CallID      `cbor:"1,keyasint"`
+	Keys   []KeyRecord `cbor:"2,keyasint,omitempty"`
+	Memory KeyMemory   `cbor:"3,keyasint"`
+	// Giver is the instance that leaves, Incarnation its process.
+	Giver       string `cbor:"4,keyasint"`
+	Incarnation uint64 `cbor:"5,keyasint"`
+	// Done says that all heirs have taken their keys.
+	Done bool `cbor:"6,keyasint,omitempty"`
 }
 
 // NewCallID returns an id that no other call has.
