--- a/executor/serve.go
+++ b/executor/serve.go
@@ -76,9 +76,9 @@
 		go x.answerQuery(ctx, l, m)
 	case *messenger.KeyHandover:
 		go x.takeOver(ctx, l, m)
-	case *messenger.Ping:
+	case *messenger.Probe:
 		x.Calls.Acknowledge(m.Acks)
-		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: x.isDraining()}) }()
+		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: x.isDraining()}) }()
 	default:
 		x.Counters.Malformed.Add(1)
 	}
@@ -223,7 +223,7 @@
 	}
 	x.mu.Unlock()
 	for _, l := range links {
-		go func() { _ = l.conn.Send(ctx, &messenger.Pong{Draining: true}) }()
+		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: true}) }()
 	}
 }
 
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -45,9 +45,12 @@
 	BodyDigest uint64 `cbor:"15,keyasint,omitempty"`
 	// Acks lists calls whose answers the entry daemon has received.
 	Acks []CallID `cbor:"16,keyasint,omitempty"`
+	// CallingPartner is the partner whose share the call uses, if that is not
+	// Partner.
+	CallingPartner string `cbor:"17,keyasint,omitempty"`
 	// KeyPeers lists the service's targets as the entry daemon knows them, for a
 	// call with an idempotency key.
-	KeyPeers []KeyPeer `cbor:"17,keyasint,omitempty"`
+	KeyPeers []KeyPeer `cbor:"18,keyasint,omitempty"`
 }
 
 // IsKeyed says whether the call runs at the home of its idempotency key.
--- a/messenger/reattach.go
+++ b/messenger/reattach.go
@@ -27,14 +27,14 @@
 	ID CallID `cbor:"1,keyasint"`
 }
 
-// Ping asks for a Pong.
-type Ping struct {
+// Probe asks for a ProbeReply.
+type Probe struct {
 	// Acks lists calls whose answers the entry daemon has received.
 	Acks []CallID `cbor:"1,keyasint,omitempty"`
 }
 
-// Pong answers a Ping.
-type Pong struct {
+// ProbeReply answers a Probe.
+type ProbeReply struct {
 	Draining bool `cbor:"1,keyasint,omitempty"`
 }
 
@@ -48,7 +48,7 @@
 func (*Pending) Kind() Kind { return KindPending }
 
 // Kind implements Message.
-func (*Ping) Kind() Kind { return KindPing }
+func (*Probe) Kind() Kind { return KindProbe }
 
 // Kind implements Message.
-func (*Pong) Kind() Kind { return KindPong }
+func (*ProbeReply) Kind() Kind { return KindProbeReply }
