--- a/loader/loader.go
+++ b/loader/loader.go
@@ -31,6 +31,14 @@
 	ChangeTimeoutMS      int    `toml:"change-timeout-ms"`
 	HeadBytes            int    `toml:"head-bytes"`
 	HistoryVersions      int    `toml:"history-versions"`
+	SpreadMode           string `toml:"spread-mode"`
+	SpreadFanout         int    `toml:"spread-fanout"`
+	SpreadCoalesceMS     int    `toml:"spread-coalesce-ms"`
+	SpreadHeartbeatMS    int    `toml:"spread-heartbeat-ms"`
+	SpreadPollMS         int    `toml:"spread-poll-ms"`
+	RelayLeaseMS         int    `toml:"relay-lease-ms"`
+	FreshnessMS          int    `toml:"freshness-ms"`
+	PeerSeeds            string `toml:"peer-seeds"`
 }
 
 // Milliseconds returns the duration of a setting whose name ends in -ms.
