Tell a request that was never sent by its connection

A deadline that passed while the connection was refused was told as an unknown outcome (seen once in TestExitStatuses/unreachable under load). The trace of the request now says whether it had a connection.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -7,10 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -124,10 +125,13 @@
 	}
 	// A connection of its own is not tied to one that has gone silent.
 	req.Close = true
+	var connected atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	res, err := c.http.Do(req)
 	if err != nil {
-		var op *net.OpError
-		return nil, &unansweredError{cause: err, sent: !errors.As(err, &op) || op.Op != "dial"}
+		return nil, &unansweredError{cause: err, sent: connected.Load()}
 	}
 	defer res.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
