--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -151,6 +151,22 @@
 	})
 }
 
+func TestNewIncarnationForgetsTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"mobile-bay": 2})
+		f.until(t, "mobile-bay-0").Done(Result{Outcome: Draining})
+		f.fail(t, "mobile-bay-1", Failed, 5)
+		for _, id := range []string{"mobile-bay-0", "mobile-bay-1"} {
+			restarted := record(id, "mobile-bay")
+			restarted.Incarnation = 2
+			f.Table.Merge([]tracker.Record{restarted})
+			if got := f.use(id); got != "in-use" {
+				t.Errorf("%s after a restart of its daemon: got %s, want in-use", id, got)
+			}
+		}
+	})
+}
+
 func TestSlowStartGrowsWithAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(map[string]int{"mobile-bay": 4})
