--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -214,13 +215,27 @@
 	f.waitFor(fmt.Sprintf("%d targets known everywhere", want), func() (bool, string) {
 		for _, m := range members {
 			if got := len(m.Table.Service("ledger-view")); got != want {
-				return false, fmt.Sprintf("%s knows %d", m.InstanceID, got)
+				return false, fmt.Sprintf("%s knows %d: %s", m.InstanceID, got, f.differences(m))
 			}
 		}
 		return true, ""
 	})
 }
 
+// differences names the records of living daemons that m does not hold as they
+// do themselves.
+func (f *fleet) differences(m *member) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%+v", m.Convergence())
+	for _, other := range f.members {
+		want, _ := other.Table.Find(other.InstanceID)
+		if got, _ := m.Table.Find(other.InstanceID); got != want {
+			fmt.Fprintf(&b, "\n got %+v\nwant %+v, %+v", got, want, other.Convergence())
+		}
+	}
+	return b.String()
+}
+
 func (f *fleet) relays() []*member {
 	var relays []*member
 	for _, m := range f.members {
--- a/spreader/network_test.go
+++ b/spreader/network_test.go
@@ -29,6 +29,10 @@
 		c := &conn{Conn: inner, from: from, to: to, thaw: closedChan(), closed: make(chan struct{}), network: n}
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		if n.blocked != nil && n.blocked(from, to) {
+			_ = inner.Close()
+			return nil, syscall.EHOSTUNREACH
+		}
 		if n.conns == nil {
 			n.conns = make(map[*conn]struct{})
 		}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -38,7 +38,10 @@
 	HTTP     *http.Client
 	Counters Counters
 
-	prepare   sync.Once
+	prepare sync.Once
+	// looked is closed when this daemon has first tried to read the relay slots.
+	looked    chan struct{}
+	lookOnce  sync.Once
 	cfg       Settings
 	admission *rate.Limiter
 	history   history
@@ -61,7 +64,6 @@
 	// behindSince is when this daemon learned of a version that it lacks, or 0.
 	behindSince time.Time
 	own         tracker.Record
-	leaving     bool
 	relaying    bool
 	appointed   string
 	slots       []slot
@@ -78,6 +80,7 @@
 		s.cfg = s.Settings.withDefaults()
 		s.admission = rate.NewLimiter(joinsPerSecond, joinBurst)
 		s.sessions = make(map[tracker.Source]*session)
+		s.looked = make(chan struct{})
 		s.reports = make(map[string]*rootReport)
 		s.epoch = uint64(time.Now().UnixNano())
 	})
