Forget the retry budgets of routes that are gone

Budgets of deleted routes stayed for the life of a daemon. Seen failing: a dropped route kept its empty budget.

--- a/applier/routes.go
+++ b/applier/routes.go
@@ -127,6 +127,12 @@
 	return s.routes.anyHost.find(path, method)
 }
 
+// HasRoute says whether the configuration names the route.
+func (s *Snapshot) HasRoute(name string) bool {
+	_, ok := s.Document.Find(versioner.Key{Kind: versioner.KindRoute, Name: name})
+	return ok
+}
+
 // Match returns the route of a request and its name, or false.
 func (s *Snapshot) Match(host, path, method string) (string, *versioner.Route, bool) {
 	r := s.Route(host, path, method)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -72,6 +72,8 @@
 	MaxHarmed int
 	Counters  Counters
 
+	// budgeted is the snapshot whose routes have retry budgets.
+	budgeted atomic.Pointer[applier.Snapshot]
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	buffered atomic.Int64
@@ -96,6 +98,7 @@
 		f.refuse(w, r, causeNoConfiguration)
 		return
 	}
+	f.dropBudgets(snapshot)
 	route := snapshot.Route(r.Host, r.URL.Path, r.Method)
 	if route == nil {
 		f.refuse(w, r, causeNoRoute)
@@ -120,6 +123,13 @@
 	f.answer(w, r, f.dispatch(ctx, x))
 }
 
+// dropBudgets forgets the retry budgets of routes that a new snapshot lacks.
+func (f *Forwarder) dropBudgets(s *applier.Snapshot) {
+	if old := f.budgeted.Load(); old != s && f.budgeted.CompareAndSwap(old, s) {
+		go f.Retrier.Keep(s.HasRoute)
+	}
+}
+
 // newExchange reads the request, or returns the cause for which it is refused.
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, matched *applier.Route) (x *exchange, cause string) {
 	route, policy := matched.Config, matched.Policy
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+func TestKeepDropsBudgetsOfOtherRoutes(t *testing.T) {
+	var r Retrier
+	policy := &applier.Policy{Idempotent: true, MaxRetries: 9, QueueLength: 1}
+	exhaust := func(route string) int {
+		c, n := r.Begin(route, policy, nil), 0
+		for c.allow() {
+			n++
+		}
+		return n
+	}
+	exhaust("kept")
+	exhaust("dropped")
+	r.Keep(func(route string) bool { return route == "kept" })
+	if got := exhaust("kept"); got != 0 {
+		t.Errorf("route that is kept: got %d retries, want an empty budget", got)
+	}
+	if got := exhaust("dropped"); got != 3 {
+		t.Errorf("route that was dropped: got %d retries, want those of a new budget", got)
+	}
+}
+
 // chain is a service that calls the next one and fails when that one fails.
 type chain struct {
 	retrier Retrier
