--- a/measurer/calls.go
+++ b/measurer/calls.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -99,8 +100,34 @@
 	ScansLost   int   `json:"scans-not-answered"`
 }
 
+// check says what is wrong with the plan before anything is measured.
+func (p CallsPlan) check() error {
+	for _, run := range p.Runs {
+		if !slices.Contains([]string{RunLatency, RunOverload, RunSlowTarget}, run) {
+			return fmt.Errorf("runs: want latency, overload or slow-target, got %q", run)
+		}
+	}
+	for _, class := range p.Classes {
+		if !slices.Contains(callClasses, class) {
+			return fmt.Errorf("class: want one of %s, got %q", strings.Join(callClasses, ", "), class)
+		}
+	}
+	for _, rate := range p.Rates {
+		if rate <= 0 {
+			return fmt.Errorf("rate: want calls a second above 0, got %d", rate)
+		}
+	}
+	if p.Duration <= 0 || p.Size < 0 || p.ChangesPerSecond < 0 {
+		return fmt.Errorf("want a duration above 0, and no negative size or changes; got %v, %d and %v", p.Duration, p.Size, p.ChangesPerSecond)
+	}
+	return nil
+}
+
 // MeasureCalls runs the parts of the plan one after the other.
 func MeasureCalls(ctx context.Context, p CallsPlan) (*CallsReport, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
 	report := &CallsReport{Seed: p.Seed, Machine: thisMachine()}
 	for _, run := range p.Runs {
 		var err error
@@ -111,8 +138,6 @@
 			report.Overload, err = p.overload(ctx)
 		case RunSlowTarget:
 			report.SlowTarget, err = p.slowTarget(ctx)
-		default:
-			err = fmt.Errorf("unknown run %q", run)
 		}
 		if err != nil {
 			return nil, err
--- a/measurer/calls_test.go
+++ b/measurer/calls_test.go
@@ -33,7 +33,24 @@
 	if err := report.WriteTable(&table); err != nil || !strings.Contains(table.String(), "seed 1;") {
 		t.Errorf("table: got %q, %v, want the seed", table.String(), err)
 	}
-	if _, err := MeasureCalls(t.Context(), CallsPlan{Runs: []string{"other"}}); err == nil {
-		t.Error("unknown run: got no error")
+}
+
+func TestMeasureCallsChecksThePlanFirst(t *testing.T) {
+	valid := CallsPlan{Duration: time.Second}
+	for _, tt := range []struct {
+		name string
+		plan func(*CallsPlan)
+		want string
+	}{
+		{"run", func(p *CallsPlan) { p.Runs = []string{RunLatency, "other"} }, "runs:"},
+		{"class", func(p *CallsPlan) { p.Classes = []string{"other"} }, "class:"},
+		{"rate", func(p *CallsPlan) { p.Rates = []int{0} }, "rate:"},
+		{"duration", func(p *CallsPlan) { p.Duration = 0 }, "duration"},
+	} {
+		p := valid
+		tt.plan(&p)
+		if _, err := MeasureCalls(t.Context(), p); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: got error %v, want one of %q", tt.name, err, tt.want)
+		}
 	}
 }
