Carry on who has handed over its keys, so that planned stops cost none

With the tree's new membership a process's last record, which says that it handed over its keys, may be overtaken by the first of its successor. Heirs are told when all keys are taken, and what a daemon vouches for includes the processes that left like that; a new daemon asks before it applies the rule on lost processes.

The rolling restart in paused time fails without the giver's last message, with the last record left out. The keyring is split by concern: what is known, clearance of a key, handover.

--- /dev/null
+++ b/executor/keyring.go
@@ -0,0 +1,173 @@
+package executor
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"bambooweir.example/bambooweir/fencer"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// Peers is what an Executor knows of the other targets of its service.
+type Peers interface {
+	// Service, Draining and Departed are those of tracker.Table.
+	Service(name string) []tracker.Record
+	Draining(name string) []tracker.Record
+	Departed(name string) []tracker.Departure
+	Find(id string) (tracker.Record, bool)
+	Merge(records []tracker.Record) []tracker.Record
+}
+
+// Keyring is an executor's part in the idempotency keys of its service. With
+// Peers nil, the daemon answers for its own memory only.
+//
+// Invariant: a new key runs only if this daemon is its home in its own view and
+// in that of the entry daemon, no process that may have run the key was lost
+// within the retention, and every other target that may have run it has
+// answered that it did not and will not.
+type Keyring struct {
+	Peers Peers
+	// Ask brings a KeyQuery or KeyHandover to another target's daemon.
+	Ask func(ctx context.Context, to tracker.Record, id messenger.CallID, m messenger.Message) (*messenger.Answer, error)
+	// Retention returns how long keys are remembered; nil means two minutes.
+	Retention func() time.Duration
+	// Joined is since when other daemons have taken this one for the home of its
+	// keys without a break; zero means the first use.
+	Joined time.Time
+	Keys   fencer.Keys
+
+	mu sync.Mutex
+	// memory is since when no keys of the service were lost, as others vouch;
+	// zero means Joined.
+	memory time.Time
+	beat   time.Time
+	// clean holds the processes that have handed over their keys, and when this
+	// daemon learned it.
+	clean map[messenger.Process]time.Time
+}
+
+func (k *Keyring) retention() time.Duration {
+	if k.Retention == nil {
+		return defaultRetention
+	}
+	return k.Retention()
+}
+
+// Run notices when this process was frozen, until ctx ends. What others took
+// it to have lost meanwhile it must ask for.
+func (k *Keyring) Run(ctx context.Context) {
+	tick := time.NewTicker(beatInterval)
+	defer tick.Stop()
+	k.mu.Lock()
+	k.beat = time.Now()
+	k.mu.Unlock()
+	for {
+		k.ages()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// update notices a freeze. The caller holds mu.
+func (k *Keyring) update(now time.Time) {
+	if k.Joined.IsZero() || !k.beat.IsZero() && now.Sub(k.beat) > frozenAfter {
+		k.Joined = now
+		k.memory = time.Time{}
+	}
+	if !k.beat.IsZero() {
+		k.beat = now
+	}
+}
+
+// ages returns for how long this daemon has been a home, and how far back it
+// knows that no keys of the service were lost.
+func (k *Keyring) ages() (joined, memory time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.update(now)
+	joined = now.Sub(k.Joined)
+	if k.memory.IsZero() {
+		return joined, joined
+	}
+	return joined, max(joined, now.Sub(k.memory))
+}
+
+// extend takes in what another daemon vouches for, unless a member of which it
+// knows has been replaced since without its knowledge.
+func (x *Executor) extend(m *messenger.KeyMemory) {
+	k := &x.Keyring
+	if m == nil || k.Peers == nil {
+		return
+	}
+	k.markClean(m.Clean...)
+	if x.knowsOfLoss(m.Members) {
+		return
+	}
+	k.Peers.Merge(m.Members)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.update(now)
+	if from := now.Add(-time.Duration(m.MS) * time.Millisecond); k.memory.IsZero() || from.Before(k.memory) {
+		k.memory = from
+	}
+}
+
+// knowsOfLoss says whether one of the processes has been replaced by another
+// and handed nothing over.
+func (x *Executor) knowsOfLoss(members []tracker.Record) bool {
+	for _, r := range members {
+		newest := x.Incarnation
+		if r.InstanceID != x.InstanceID {
+			now, _ := x.Keyring.Peers.Find(r.InstanceID)
+			newest = now.Incarnation
+		}
+		if r.Incarnation < newest && !x.Keyring.isClean(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// isClean says whether the process has handed over its keys.
+func (k *Keyring) isClean(r tracker.Record) bool {
+	if r.HandedOver {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.clean[messenger.Process{InstanceID: r.InstanceID, Incarnation: r.Incarnation}]
+	return ok
+}
+
+// markClean notes processes that have handed over their keys, and forgets those
+// for which that doesn't matter any more.
+func (k *Keyring) markClean(processes ...messenger.Process) {
+	retention := k.retention()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.clean == nil {
+		k.clean = make(map[messenger.Process]time.Time)
+	}
+	maps.DeleteFunc(k.clean, func(_ messenger.Process, at time.Time) bool { return time.Since(at) > 2*retention })
+	for _, p := range processes {
+		if _, ok := k.clean[p]; !ok {
+			k.clean[p] = time.Now()
+		}
+	}
+}
+
+// cleanProcesses returns the processes that have handed over their keys.
+func (k *Keyring) cleanProcesses() []messenger.Process {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Keys(k.clean))
+}
--- a/forwarder/keys_test.go
+++ b/forwarder/keys_test.go
@@ -116,25 +116,33 @@
 // Every target is replaced within the retention: keys are answered from memory,
 // and new ones run.
 func TestRollingRestartKeepsKeys(t *testing.T) {
-	inMesh(t, three, func(t *testing.T, m *mesh) {
-		for n := range 10 {
-			wantTold(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200")
+	for _, overtaken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("overtaken=%v", overtaken), func(t *testing.T) {
+			inMesh(t, three, func(t *testing.T, m *mesh) { rollingRestart(t, m, overtaken) })
+		})
+	}
+}
+
+func rollingRestart(t *testing.T, m *mesh, overtaken bool) {
+	t.Helper()
+	for n := range 10 {
+		wantTold(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200")
+	}
+	for round, name := range three {
+		f := m.targets[name]
+		f.overtaken = overtaken
+		if err := f.leave(m.ctx); err != nil {
+			t.Fatal(err)
 		}
-		for round, name := range three {
-			f := m.targets[name]
-			if err := f.leave(m.ctx); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(time.Second)
-			f.remembers = 0
-			f.start()
-			for n := range 10 {
-				wantTold(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200", fmt.Sprint("ran ", n))
-			}
-			wantTold(t, m.post(fmt.Sprint("new", round), "new"), "200", "ran new")
+		time.Sleep(time.Second)
+		f.remembers = 0
+		f.start()
+		for n := range 10 {
+			wantTold(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200", fmt.Sprint("ran ", n))
 		}
-		wantAllRuns(t, m, 13)
-	})
+		wantTold(t, m.post(fmt.Sprint("new", round), "new"), "200", "ran new")
+	}
+	wantAllRuns(t, m, 13)
 }
 
 // A service that nobody remembers takes keys only when earlier ones have expired.
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -58,6 +58,9 @@
 	sequence uint64
 	// remembers is how far back the process knows its service's keys at its start.
 	remembers time.Duration
+	// overtaken says that the last record of a process doesn't spread, since that
+	// of its successor is newer.
+	overtaken bool
 	// runs holds the bodies of the requests that ran.
 	runs []string
 	// work is what the target does with a request; nil answers it.
@@ -145,7 +148,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	err := f.executor.HandOver(ctx)
-	f.announce(tracker.StateGone, err == nil)
+	if !f.overtaken {
+		f.announce(tracker.StateGone, err == nil)
+	}
 	f.kill()
 	return err
 }
--- a/messenger/keys.go
+++ b/messenger/keys.go
@@ -45,6 +45,13 @@
 	Incarnation uint64 `cbor:"5,keyasint"`
 }
 
+// Process is one process of an instance.
+type Process struct {
+	_           struct{} `cbor:",toarray"`
+	InstanceID  string
+	Incarnation uint64
+}
+
 // KeyMemory is what a daemon vouches for. Who takes it over must know the
 // members too, so that it notices the loss of one of them.
 type KeyMemory struct {
@@ -55,6 +62,8 @@
 	Members []tracker.Record `cbor:"2,keyasint,omitempty"`
 	// Incarnation is the process that vouches.
 	Incarnation uint64 `cbor:"3,keyasint"`
+	// Clean lists processes that left and handed over all their keys.
+	Clean []Process `cbor:"4,keyasint,omitempty"`
 }
 
 // KeyHandover gives keys to the daemon that is their home next. It is answered
