--- a/loader/checks.go
+++ b/loader/checks.go
@@ -58,3 +58,24 @@
 	}
 	return address(value)
 }
+
+func addressesOrEmpty(value any) (string, bool) {
+	for _, addr := range SplitList(value.(string)) {
+		if _, ok := address(addr); !ok {
+			return "IP:port, separated by commas", false
+		}
+	}
+	return "", true
+}
+
+// SplitList returns the elements of a setting that is a list separated by
+// commas.
+func SplitList(value string) []string {
+	var elements []string
+	for element := range strings.SplitSeq(value, ",") {
+		if element = strings.TrimSpace(element); element != "" {
+			elements = append(elements, element)
+		}
+	}
+	return elements
+}
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -59,6 +59,7 @@
 // neither is to be had. The children of this daemon stay with it throughout.
 func (s *Spreader) attach(ctx context.Context) {
 	slots, err := s.readSlots(ctx)
+	s.lookOnce.Do(func() { close(s.looked) })
 	if err != nil {
 		s.joinAny(ctx, s.candidates())
 		return
@@ -69,7 +70,13 @@
 		return
 	}
 	if free, ok := s.freeSlot(own, appointed); ok {
-		s.takeSlot(ctx, free)
+		if s.takeSlot(ctx, free) {
+			return
+		}
+		// Another daemon was quicker: learn at once who it is.
+		if slots, err = s.readSlots(ctx); err == nil {
+			s.joinRelay(ctx, s.ownSlots(slots))
+		}
 		return
 	}
 	s.joinAny(ctx, s.candidates())
