--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -7,6 +7,7 @@
 package messenger
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -65,13 +66,34 @@
 // Unwrap returns the cause.
 func (e *MalformedError) Unwrap() error { return e.Cause }
 
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// headRoom is the room that a message usually needs beside a body, in bytes.
+const headRoom = 320
+
 // Encode returns the bytes of a message.
 func Encode(m Message) ([]byte, error) {
-	b, err := cbor.Marshal(m)
-	if err != nil {
+	room := headRoom
+	switch m := m.(type) {
+	case *Call:
+		room += len(m.Body)
+	case *Answer:
+		room += len(m.Body)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, room))
+	buf.WriteByte(byte(m.Kind()))
+	if err := encoding.MarshalToBuffer(m, buf); err != nil {
 		return nil, errorx.Decorate(err, "encoding message of kind %d", m.Kind())
 	}
-	return append([]byte{byte(m.Kind())}, b...), nil
+	return buf.Bytes(), nil
 }
 
 // Decode reads a message, or fails with a *MalformedError.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -96,7 +96,9 @@
 }
 
 func BenchmarkEncode(b *testing.B) {
-	for name, m := range map[string]Message{"call": sampleCall(), "answer": sampleAnswer()} {
+	photograph := sampleAnswer()
+	photograph.Body = make([]byte, 1<<20)
+	for name, m := range map[string]Message{"call": sampleCall(), "answer": sampleAnswer(), "photograph": photograph} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
