Close call links that have no calls

An entry daemon kept every link that it ever opened; towards 4,900 daemons that is its memory. A link without calls is closed after a minute, and a call that meets a link on its way out takes another, instead of counting the target as unreachable. The test fails when links are never taken to be idle.

--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -167,15 +167,13 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining)
 	}
-	link, err := f.link(ctx, target, laneOf(call))
-	if err != nil {
-		if ctx.Err() != nil {
-			return messenger.NotRun(call.ID, causeDeadline)
-		}
+	link, answer, err := f.send(ctx, call, target, deadline)
+	if link == nil && ctx.Err() != nil {
+		return messenger.NotRun(call.ID, causeDeadline)
+	}
+	if link == nil {
 		return messenger.NotRun(call.ID, causeUnreachable)
 	}
-	call.RemainingMS = time.Until(deadline).Milliseconds()
-	answer, err := link.ask(ctx, call.ID, call)
 	var unsent *notSentError
 	switch {
 	case err == nil:
@@ -191,6 +189,24 @@
 	return f.reattach(ctx, call, target, link)
 }
 
+// send asks over a link to the target's daemon, and over another if the first
+// was closed before it took the call. The link is nil when there was none.
+func (f *Forwarder) send(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) (*callLink, *messenger.Answer, error) {
+	for first := true; ; first = false {
+		link, err := f.link(ctx, target, laneOf(call))
+		if err != nil {
+			return nil, nil, err
+		}
+		call.RemainingMS = time.Until(deadline).Milliseconds()
+		answer, err := link.ask(ctx, call.ID, call)
+		var unsent *notSentError
+		if !first || !errors.As(err, &unsent) || ctx.Err() != nil {
+			return link, answer, err
+		}
+		f.peer(target.PeerAddress, laneOf(call)).remove(link)
+	}
+}
+
 // ended returns the answer of a call whose context ended before it was known.
 func ended(ctx context.Context, id messenger.CallID) *messenger.Answer {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -17,6 +17,8 @@
 	suspectAfter = time.Second
 	// giveUpAfter is how long it may bring nothing before it is given up.
 	giveUpAfter = 2 * time.Second
+	// idleAfter is how long a link without calls is kept open.
+	idleAfter = time.Minute
 	// maxAcks bounds the acknowledgements that wait for a message to go with.
 	maxAcks = 256
 )
@@ -226,8 +228,15 @@
 		return
 	}
 	if len(l.waiting) == 0 {
+		idle := !l.watching
+		l.closed = idle
 		l.watching = false
+		l.arm(idleAfter)
 		l.mu.Unlock()
+		if idle {
+			l.fail()
+			return
+		}
 		l.flush()
 		return
 	}
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -337,3 +337,21 @@
 		wantRuns(t, m.targets["a"])
 	})
 }
+
+func TestIdleLinkIsClosed(t *testing.T) {
+	inMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
+		wantTold(t, m.call(m.ctx, "/postings", "1"), "200")
+		time.Sleep(idleAfter / 2)
+		wantTold(t, m.call(m.ctx, "/postings", "2"), "200")
+		time.Sleep(idleAfter - time.Second)
+		if got := m.forwarder.Counters.LinksLost.Value(); got != 0 {
+			t.Errorf("links closed while in use: got %d, want 0", got)
+		}
+		time.Sleep(idleAfter)
+		synctest.Wait()
+		if got := m.forwarder.Counters.LinksLost.Value(); got != 1 {
+			t.Errorf("links closed when idle: got %d, want 1", got)
+		}
+		wantTold(t, m.call(m.ctx, "/postings", "3"), "200", "ran 3")
+	})
+}
