Label copies of answers, since repeats of a key share them

The race detector found the target's daemon writing its load into an answer that a repeat of the same key was reading. go test -race ./forwarder failed on it and passes now; a close in the state machine's test is ordered as well.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -151,14 +151,16 @@
 	return x.ask(req, r)
 }
 
-// label tells on the answer what the entry daemon chooses targets by.
+// label returns the answer with what the entry daemon chooses targets by. The
+// answer itself may be shared with repeats of its call.
 func (x *Executor) label(answer *messenger.Answer) *messenger.Answer {
-	answer.Draining = answer.Draining || x.isDraining()
+	labeled := *answer
+	labeled.Draining = answer.Draining || x.isDraining()
 	if x.Load != nil {
-		answer.Running, answer.Waiting = x.Load()
-		answer.Told = true
+		labeled.Running, labeled.Waiting = x.Load()
+		labeled.Told = true
 	}
-	return answer
+	return &labeled
 }
 
 func (x *Executor) isDraining() bool {
--- a/forwarder/keys_model_test.go
+++ b/forwarder/keys_model_test.go
@@ -148,6 +148,7 @@
 		synctest.Wait()
 	}
 	time.Sleep(time.Minute)
+	synctest.Wait()
 	close(answers)
 	return m.judgeKeys(answers)
 }
