--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,7 +42,10 @@
 	Path       string
 	// Key is the call's Idempotency-Key; "" sends none.
 	Key string
-	// BodyBytes pads the body, which starts with ID.
+	// Content is what the body starts with; "" means ID. A call that is repeated
+	// with its key keeps the Content of the first, and has an ID that starts with it.
+	Content string
+	// BodyBytes pads the body.
 	BodyBytes int
 }
 
@@ -54,7 +58,8 @@
 	Cause string
 	// Whole says that the answer ended with what the call sent.
 	Whole bool
-	// Own says that the answer carried the call's ID.
+	// Own says that the answer carried the call's ID, or that of the first call
+	// with its key.
 	Own             bool
 	Begun, Finished time.Time
 }
@@ -100,8 +105,9 @@
 }
 
 func requestBody(call Call) []byte {
-	pad := max(0, call.BodyBytes-len(call.ID))
-	return append([]byte(call.ID), strings.Repeat("#", pad)...)
+	content := cmp.Or(call.Content, call.ID)
+	pad := max(0, call.BodyBytes-len(content))
+	return append([]byte(content), strings.Repeat("#", pad)...)
 }
 
 func failure(err error) Outcome {
@@ -120,6 +126,7 @@
 		return
 	}
 	told.Outcome = Answered
-	told.Own = h.Get(faketarget.CallIDHeader) == told.Call.ID
+	ran := h.Get(faketarget.CallIDHeader)
+	told.Own = ran == told.Call.ID || told.Call.Content != "" && strings.HasPrefix(ran, told.Call.Content)
 	told.Whole = bytes.HasSuffix(answer, body)
 }
--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -205,6 +205,20 @@
 	return counts
 }
 
+// Causes returns the number of calls told not-run or unknown, by the outcome and
+// cause as "outcome/cause".
+func (r *Recorder) Causes() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int)
+	for _, told := range r.records.Told {
+		if told.Outcome == caller.NotRun || told.Outcome == caller.Unknown {
+			counts[string(told.Outcome)+"/"+told.Cause]++
+		}
+	}
+	return counts
+}
+
 func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -58,7 +58,7 @@
 	}
 	w := c.OutOrStdout()
 	fmt.Fprintf(w, "seed:       %d\nduration:   %s\n", result.Seed, result.Duration.Round(time.Millisecond))
-	fmt.Fprintf(w, "calls:      %v\nchanges:    %v\nfaults:     %v\n", result.Calls, result.Changes, result.Faults)
+	fmt.Fprintf(w, "calls:      %v\ncauses:     %v\nchanges:    %v\nfaults:     %v\n", result.Calls, result.Causes, result.Changes, result.Faults)
 	fmt.Fprintf(w, "settled in: %s\nviolations: %d\n", result.Settled.Round(time.Millisecond), len(result.Violations))
 	for _, line := range checker.Summarize(result.Violations) {
 		fmt.Fprintln(w, "  "+line)
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -10,6 +10,7 @@
 
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/faulter"
+	"bambooweir.example/bambooweir/operator"
 )
 
 // limit is the longest time that a demonstration takes.
@@ -92,7 +93,12 @@
 }
 
 // findRelay returns an instance whose daemon relays for its failure domain.
-func (d *demonstration) findRelay(context.Context) *instance {
+func (d *demonstration) findRelay(ctx context.Context) *instance {
+	for _, i := range d.fleet.instances {
+		if status, err := readStatus(ctx, i); err == nil && status.Role == operator.RoleRelay {
+			return i
+		}
+	}
 	return d.fleet.instances[len(d.fleet.instances)-1]
 }
 
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -84,11 +84,13 @@
 }
 
 // wholeStore stands for all links to the store at once.
-func wholeStore(*soak) []string { return []string{"*:store"} }
+func wholeStore(*soak) []string { return []string{allStoreLinks} }
+
+const allStoreLinks = "*:store"
 
 func (s *soak) onLink(name string, do func(*faulter.Proxy)) error {
 	names := []string{name}
-	if name == "*:store" {
+	if name == allStoreLinks {
 		names = storeLinks(s)
 	}
 	for _, name := range names {
@@ -101,31 +103,69 @@
 	return nil
 }
 
-// injectFaults begins and ends one drawn fault after the other until faulty ends.
+// injectFaults begins and ends one drawn fault after the other until faulty
+// ends. Several may run at once; no two hit the same process or link.
 func (s *soak) injectFaults(ctx, faulty context.Context, random *rand.Rand) error {
 	kinds := faults()
 	for pause(faulty, time.Duration(random.Int64N(int64(longestPause)))) == nil {
 		f := kinds[random.IntN(len(kinds))]
-		victims := drawVictims(random, f.pick(s))
+		drawn := drawVictims(random, f.pick(s))
 		hold := time.Duration(random.Int64N(int64(longestFault)))
+		victims := s.claim(drawn)
+		if len(victims) == 0 {
+			continue
+		}
 		s.say("%s: %s for %s", f.name, strings.Join(victims, " "), hold.Round(time.Millisecond))
-		s.result.Faults[f.name]++
-		for _, victim := range victims {
-			s.pollBefore(ctx, victim)
-			if err := f.begin(s, victim); err != nil {
-				return err
-			}
+		err := s.inject(ctx, f, victims, hold)
+		s.release(victims)
+		if err != nil {
+			return err
 		}
-		_ = pause(ctx, hold)
-		for _, victim := range victims {
-			if err := f.end(s, victim); err != nil {
-				return err
-			}
+	}
+	return nil
+}
+
+func (s *soak) inject(ctx context.Context, f fault, victims []string, hold time.Duration) error {
+	s.mu.Lock()
+	s.result.Faults[f.name]++
+	s.mu.Unlock()
+	for _, victim := range victims {
+		s.pollBefore(ctx, victim)
+		if err := f.begin(s, victim); err != nil {
+			return err
+		}
+	}
+	_ = pause(ctx, hold)
+	for _, victim := range victims {
+		if err := f.end(s, victim); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// claim returns those of the names that no other fault hits.
+func (s *soak) claim(names []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var claimed []string
+	for _, name := range names {
+		if !s.claimed[name] {
+			s.claimed[name] = true
+			claimed = append(claimed, name)
+		}
+	}
+	return claimed
+}
+
+func (s *soak) release(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		delete(s.claimed, name)
+	}
+}
+
 // pollBefore records what a daemon has put in force before it may forget it.
 func (s *soak) pollBefore(ctx context.Context, victim string) {
 	if d, err := s.fleet.Daemon(victim); err == nil {
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -14,7 +14,11 @@
 	"bambooweir.example/bambooweir/versioner"
 )
 
-const configuration = `[partner.magnolia]
+// The retention of keys is longer than a caller goes on repeating a posting.
+const configuration = `[fleet]
+key-retention-ms = 20000
+
+[partner.magnolia]
 share-percent = 50
 
 [service.ledger-view]
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -12,7 +12,7 @@
 
 const (
 	callInterval   = 5 * time.Millisecond
-	callTimeout    = 15 * time.Second
+	callTimeout    = 6 * time.Second
 	changeInterval = 400 * time.Millisecond
 	changeTimeout  = 20 * time.Second
 	maxBodyBytes   = 64 << 10
@@ -51,11 +51,12 @@
 
 func (s *soak) doCall(ctx context.Context, call caller.Call, repeats []string) {
 	told := s.callOnce(ctx, call)
+	call.Content = call.ID
 	for i, entry := range repeats {
 		if told.Outcome == caller.Answered {
 			return
 		}
-		call.ID = fmt.Sprintf("%s-again-%d", call.ID, i)
+		call.ID = fmt.Sprintf("%s-again-%d", call.Content, i)
 		call.Entry = entry
 		told = s.callOnce(ctx, call)
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/launcher"
@@ -17,6 +19,8 @@
 
 const (
 	defaultDaemons = 9
+	// faultsTogether is the number of faults that may run at once.
+	faultsTogether = 2
 	// settleBound is the time in which the fleet must converge once all faults
 	// have ended.
 	settleBound  = 60 * time.Second
@@ -38,6 +42,7 @@
 	Seed       uint64                       `json:"seed"`
 	Duration   time.Duration                `json:"duration-ns"`
 	Calls      map[caller.Outcome]int       `json:"calls"`
+	Causes     map[string]int               `json:"causes"`
 	Changes    map[caller.ChangeOutcome]int `json:"changes"`
 	Faults     map[string]int               `json:"faults"`
 	Settled    time.Duration                `json:"settled-ns"`
@@ -56,13 +61,15 @@
 
 	mu     sync.Mutex
 	result Result
+	// claimed holds the processes and links that a fault hits now.
+	claimed map[string]bool
 }
 
 // Run runs a soak and writes each fault to log.
 func Run(ctx context.Context, cfg Config, log io.Writer) (*Result, error) {
 	s := &soak{
 		cfg: cfg, log: log, start: time.Now(), fleet: launcher.New(cfg.Program, cfg.Dir),
-		recorder: new(checker.Recorder), caller: caller.New(),
+		recorder: new(checker.Recorder), caller: caller.New(), claimed: make(map[string]bool),
 		result: Result{
 			Seed: cfg.Seed, Calls: make(map[caller.Outcome]int),
 			Changes: make(map[caller.ChangeOutcome]int), Faults: make(map[string]int),
@@ -82,7 +89,11 @@
 	s.wg.Add(2)
 	go s.makeCalls(ctx, faulty, s.random(1))
 	go s.makeChanges(ctx, faulty, s.random(2))
-	if err := s.injectFaults(ctx, faulty, s.random(3)); err != nil {
+	var injectors errgroup.Group
+	for n := range uint64(faultsTogether) {
+		injectors.Go(func() error { return s.injectFaults(ctx, faulty, s.random(3+n)) })
+	}
+	if err := injectors.Wait(); err != nil {
 		return nil, err
 	}
 	s.wg.Wait()
@@ -109,7 +120,7 @@
 		s.recorder.PollDaemon(ctx, d.Name, d.OperatorURL)
 	}
 	s.result.Duration = time.Since(s.start)
-	s.result.Calls = s.recorder.Counts()
+	s.result.Calls, s.result.Causes = s.recorder.Counts(), s.recorder.Causes()
 	s.result.Violations = append(s.recorder.Check(), late...)
 	return &s.result, nil
 }
