--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -82,9 +82,9 @@
 // refute answers a record of this daemon that another one made.
 func (s *Spreader) refute(r tracker.Record) {
 	s.mu.Lock()
-	own, leaving := s.own, s.leaving
+	own := s.own
 	s.mu.Unlock()
-	if leaving || own.Incarnation != r.Incarnation || own.Sequence > r.Sequence {
+	if own.Incarnation != r.Incarnation || own.Sequence > r.Sequence {
 		return
 	}
 	s.Counters.RecordsRefuted.Add(1)
@@ -129,11 +129,18 @@
 		theirs[d.Domain] = d.Digest
 	}
 	var records []tracker.Record
-	for domain, digest := range s.Table.Digests() {
+	ours := s.Table.Digests()
+	for domain, digest := range ours {
 		if theirs[domain] != digest {
 			records = append(records, s.Table.Domain(domain)...)
 		}
 	}
+	for domain := range theirs {
+		// A domain all of whose targets left has no digest, but tombstones.
+		if _, ok := ours[domain]; !ok {
+			records = append(records, s.Table.Domain(domain)...)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for chunk := range slices.Chunk(records, recordsPerMessage) {
@@ -265,7 +272,8 @@
 func (s *Spreader) markGone(records []tracker.Record) {
 	var gone []tracker.Record
 	for _, r := range records {
-		if known, ok := s.Table.Find(r.InstanceID); !ok || known != r {
+		known, ok := s.Table.Find(r.InstanceID)
+		if !ok || known != r || r.InstanceID == s.InstanceID {
 			continue
 		}
 		r.Sequence++
