--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -110,6 +110,7 @@
 		"wait-target":      command(2, -1, "wait-target TARGET STATE [DAEMON...]", (*scenario).waitTarget),
 		"wait-answer":      command(4, 4, "wait-answer DAEMON METHOD PATH REGEXP", (*scenario).waitAnswer),
 		"wait-url":         command(3, 3, "wait-url METHOD URL REGEXP", (*scenario).waitURL),
+		"relay-of":         command(2, 2, "relay-of DOMAIN VARIABLE", (*scenario).relayOf),
 		"wait-status":      command(2, -1, "wait-status REGEXP DAEMON...", (*scenario).waitStatus),
 		"wait-counter":     command(2, 2, "wait-counter DAEMON NAME{=,>=,<=}N", (*scenario).waitCounter),
 		"assert-counter":   command(2, 2, "assert-counter DAEMON NAME", (*scenario).assertCounter),
