--- a/spreader/exchange_test.go
+++ b/spreader/exchange_test.go
@@ -67,6 +67,7 @@
 		newest := s.versionInForce()
 		for range 40 {
 			i := rng.IntN(versions)
+			isGap := deltas[i].From > newest
 			s.takeDeltas(deltas[i:min(versions, i+1+rng.IntN(3))], sess)
 			now := s.versionInForce()
 			if now < newest {
@@ -77,6 +78,9 @@
 			if got, want := snapshot.Digest, docs[now].digest; now > 1 && got != want {
 				t.Fatalf("seed %d: digest of version %d: got %s, want %s", seed, now, got, want)
 			}
+			if got := len(sess.queue) > 0; isGap && !got {
+				t.Fatalf("seed %d: gap after version %d: got no pull", seed, now)
+			}
 			for _, m := range sess.queue {
 				if pull, ok := m.(*messenger.Pull); ok && pull.Position != docs[pull.Position.Version].position() {
 					t.Fatalf("seed %d: pull from %+v, which is no accepted version", seed, pull.Position)
--- a/spreader/failure_test.go
+++ b/spreader/failure_test.go
@@ -1,10 +1,12 @@
 package spreader
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/tracker"
 )
 
 // grown returns a fleet of three failure domains that has converged.
@@ -39,15 +41,33 @@
 	f.setStore(fakestorer.Fault{IsDown: true})
 	killed := f.killAll(f.relays())
 	f.pastLeases()
+	f.drain(f.members[0])
 	f.accept()
 	f.setStore(fakestorer.Fault{})
 	f.waitConverged()
-	f.waitMembers(12)
+	f.waitMembers(11)
 	for _, m := range killed {
 		f.restart(m)
 	}
 	f.waitConverged()
-	f.waitMembers(18)
+	f.waitMembers(17)
+}
+
+// drain announces a drain and waits until all daemons know of it.
+func (f *fleet) drain(m *member) {
+	f.t.Helper()
+	own, _ := m.Table.Find(m.InstanceID)
+	own.Sequence++
+	own.State = tracker.StateDraining
+	m.Announce(f.t.Context(), []tracker.Record{own})
+	f.waitFor("the drain of "+m.InstanceID, func() (bool, string) {
+		for _, other := range f.members {
+			if got, _ := other.Table.Find(m.InstanceID); got.State != tracker.StateDraining {
+				return false, fmt.Sprintf("%s: %+v", other.InstanceID, got)
+			}
+		}
+		return true, ""
+	})
 }
 
 func TestStoreSlowAndLosingAnswers(t *testing.T) {
--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -48,11 +49,15 @@
 	accepted versioner.Version
 	acceptor *acceptor.Acceptor
 	lives    int
+	// ip is a loopback address of the fleet's own, so that no other process takes
+	// the port of a daemon that is down.
+	ip string
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Parallel()
 	f := &fleet{t: t, store: new(fakestorer.Store), net: new(network), settings: fastSettings}
+	f.ip = fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(254), rand.IntN(256))
 	f.acceptor = &acceptor.Acceptor{Store: f.store}
 	t.Cleanup(func() {
 		for _, m := range f.members {
@@ -69,7 +74,7 @@
 func (f *fleet) grow(n int, domains ...string) {
 	for i := range n {
 		for _, d := range domains {
-			f.start(fmt.Sprintf("%s-%d", d, i), d, "127.0.0.1:0")
+			f.start(fmt.Sprintf("%s-%d", d, i), d, f.ip+":0")
 		}
 	}
 }
--- a/spreader/freshness_test.go
+++ b/spreader/freshness_test.go
@@ -100,7 +100,7 @@
 func TestFreshDaemonReadsTheStoreDespiteAStalePeer(t *testing.T) {
 	f, old := stale(t)
 	f.settings.Seeds = []string{old.PeerAddress}
-	m := f.start("mobile-bay-1", "mobile-bay", "127.0.0.1:0")
+	m := f.start("mobile-bay-1", "mobile-bay", f.ip+":0")
 	f.waitFor("a version in force", func() (bool, string) { return m.versionInForce() > 0, "none" })
 	if got := m.versionInForce(); got != f.accepted {
 		t.Errorf("first version in force: got %d, want %d", got, f.accepted)
@@ -111,13 +111,13 @@
 
 func TestFreshDaemonTakesTheHighestOfItsPeersWhenTheStoreIsDown(t *testing.T) {
 	f, old := stale(t)
-	newer := f.start("selma-row-0", "selma-row", "127.0.0.1:0")
+	newer := f.start("selma-row-0", "selma-row", f.ip+":0")
 	f.waitConverged(newer)
 	newer.gate.Set(fakestorer.Fault{IsDown: true})
 	time.Sleep(f.settings.FreshFor)
 	f.net.cut(func(from, to string) bool { return from == newer.PeerAddress || from == old.PeerAddress })
 	f.settings.Seeds = []string{old.PeerAddress, newer.PeerAddress}
-	m := f.startWith("quimperle-0", "quimperle", "127.0.0.1:0", fakestorer.Fault{IsDown: true})
+	m := f.startWith("quimperle-0", "quimperle", f.ip+":0", fakestorer.Fault{IsDown: true})
 	f.waitFor("a version in force", func() (bool, string) { return m.versionInForce() > 0, "none" })
 	if got := m.versionInForce(); got != f.accepted {
 		t.Errorf("first version in force: got %d, want %d", got, f.accepted)
@@ -135,7 +135,7 @@
 func TestFreshDaemonServesNothingWhenNobodyKnowsAVersion(t *testing.T) {
 	f := newFleet(t)
 	f.accept()
-	m := f.startWith("quimperle-0", "quimperle", "127.0.0.1:0", fakestorer.Fault{IsDown: true})
+	m := f.startWith("quimperle-0", "quimperle", f.ip+":0", fakestorer.Fault{IsDown: true})
 	f.waitFor("two surveys", func() (bool, string) {
 		got := m.Counters.Surveys.Value()
 		return got >= 2, fmt.Sprint(got)
--- a/spreader/tree_test.go
+++ b/spreader/tree_test.go
@@ -42,11 +42,7 @@
 	f.grow(6, "mobile-bay", "selma-row")
 	f.waitConverged()
 	f.waitMembers(12)
-	drained := f.members[3]
-	own, _ := drained.Table.Find(drained.InstanceID)
-	own.Sequence++
-	own.State = tracker.StateDraining
-	drained.Announce(t.Context(), []tracker.Record{own})
+	f.drain(f.members[3])
 	f.waitMembers(11)
 	killed := f.members[4]
 	killed.kill()
