Compress long messages of the tree and drop reports that crossed

A fresh daemon takes the document and the whole table, and a herd's return is made of that. A report that a neighbor has sent itself is not sent to it any more. Seen failing: TestReportsAreNotSentToANeighborThatHasThem without the change.

--- a/measurer/convergencefleet.go
+++ b/measurer/convergencefleet.go
@@ -135,6 +135,9 @@
 		_ = m.server.Close()
 	}
 	f.done.Wait()
+	for _, m := range f.members {
+		m.HTTP.CloseIdleConnections()
+	}
 	_ = f.server.Close()
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -35,6 +35,8 @@
 	KindSubtree         Kind = 14
 	KindReports         Kind = 15
 	KindAppoint         Kind = 16
+	// KindCompressed wraps another message.
+	KindCompressed Kind = 17
 
 	KindCall        Kind = 32
 	KindAnswer      Kind = 33
@@ -71,7 +73,7 @@
 	if err != nil {
 		return nil, errorx.Decorate(err, "encoding message of kind %d", m.Kind())
 	}
-	return append([]byte{byte(m.Kind())}, b...), nil
+	return compress(append([]byte{byte(m.Kind())}, b...)), nil
 }
 
 // Decode reads a message, or fails with a *MalformedError.
@@ -79,6 +81,12 @@
 	if len(b) == 0 {
 		return nil, &MalformedError{Cause: errorx.IllegalFormat.New("empty message")}
 	}
+	if Kind(b[0]) == KindCompressed {
+		var err error
+		if b, err = decompress(b); err != nil {
+			return nil, err
+		}
+	}
 	kind := Kind(b[0])
 	m := empty(kind)
 	if m == nil {
--- a/spreader/bench_test.go
+++ b/spreader/bench_test.go
@@ -56,8 +56,9 @@
 	var records []tracker.Record
 	for i := range 272 {
 		records = append(records, tracker.Record{
-			InstanceID: fmt.Sprintf("instance-%04d", i), Incarnation: 1796359751266829000, Sequence: 3,
-			Service: fmt.Sprintf("service-%03d", i%130), Domain: "mobile-bay", PeerAddress: "10.17.33.129:7101", State: tracker.StateReady,
+			InstanceID: fmt.Sprintf("i-%08x", uint32(i)*2_654_435_761), Incarnation: 1796359751266829000 + uint64(i)*7_919_123_456,
+			Sequence: uint64(i % 7), Service: fmt.Sprintf("service-%03d", i*37%130), Domain: "mobile-bay",
+			PeerAddress: fmt.Sprintf("10.17.%d.%d:7101", i%7, i*31%251), State: tracker.StateReady,
 		})
 	}
 	for b.Loop() {
--- a/spreader/convergence.go
+++ b/spreader/convergence.go
@@ -208,6 +208,10 @@
 	defer s.mu.Unlock()
 	for _, r := range reports {
 		old, ok := s.reports[r.Root.InstanceID]
+		if ok && !isNewer(old.RootReport, r) {
+			// The neighbor has it already: the two may have crossed.
+			delete(sess.reports, r.Root.InstanceID)
+		}
 		if r.Root.InstanceID == s.InstanceID || (ok && !isNewer(r, old.RootReport)) {
 			continue
 		}
--- a/spreader/departure_test.go
+++ b/spreader/departure_test.go
@@ -110,3 +110,22 @@
 		})
 	}
 }
+
+func TestReportsAreNotSentToANeighborThatHasThem(t *testing.T) {
+	s := lone()
+	from, same, older := between(s), between(s), between(s)
+	report := func(sequence uint64) []messenger.RootReport {
+		return []messenger.RootReport{{Root: messenger.Node{InstanceID: "root"}, Domain: "selma-row", Epoch: 1, Sequence: sequence}}
+	}
+	s.takeReports(from, report(2))
+	s.takeReports(same, report(2))
+	s.takeReports(older, report(1))
+	for name, tt := range map[string]struct {
+		sess *session
+		want bool
+	}{"sender": {from, false}, "has it": {same, false}, "has an older one": {older, true}} {
+		if got := s.rootReports(tt.sess) != nil; got != tt.want {
+			t.Errorf("%s: report sent: got %v, want %v", name, got, tt.want)
+		}
+	}
+}
