--- a/messenger/compress_test.go
+++ b/messenger/compress_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer enc.Close()
+	defer func() { _ = enc.Close() }()
 	wrap := func(b []byte) []byte { return enc.EncodeAll(b, []byte{byte(KindCompressed)}) }
 	tests := map[string][]byte{
 		"empty":        {byte(KindCompressed)},
