Audit a failure domain only with a link to each of its roots

A relay that loses the store alone loses its slot, and keeps its tree. The new holder would have found the daemons of that tree unreached and marked them gone until they refuted. It now links with every root of its domain that it hears of, and audits only when it has all links. Seen failing: the new case of the table test, before the change to seesAllRelays (the record was marked).

--- a/spreader/audit.go
+++ b/spreader/audit.go
@@ -49,7 +49,8 @@
 }
 
 // seesAllRelays says whether this daemon is linked with every other relay of
-// its failure domain. The caller holds mu.
+// its failure domain, one that lost its slot and still has a tree included. The
+// caller holds mu.
 func (s *Spreader) seesAllRelays() bool {
 	linked := map[string]bool{s.PeerAddress: true}
 	for _, sess := range s.sessions {
@@ -62,5 +63,22 @@
 			return false
 		}
 	}
+	for _, addr := range s.domainRoots() {
+		if !linked[addr] {
+			return false
+		}
+	}
 	return true
 }
+
+// domainRoots returns the addresses of the roots that are heard of in the own
+// failure domain. The caller holds mu.
+func (s *Spreader) domainRoots() []string {
+	var addrs []string
+	for id, r := range s.reports {
+		if r.Domain == s.Domain && id != s.InstanceID && len(r.Tally.Counts) > 0 {
+			addrs = append(addrs, r.Root.PeerAddress)
+		}
+	}
+	return addrs
+}
--- a/spreader/departure_test.go
+++ b/spreader/departure_test.go
@@ -46,17 +46,24 @@
 		name     string
 		relaying bool
 		slots    []slot
+		root     string
 		want     tracker.State
 	}{
-		{"relay", true, nil, tracker.StateGone},
-		{"no relay", false, nil, tracker.StateReady},
-		{"relay without a link to the other", true, []slot{{domain: "mobile-bay", addr: "127.0.0.1:1"}}, tracker.StateReady},
+		{"relay", true, nil, "", tracker.StateGone},
+		{"no relay", false, nil, "", tracker.StateReady},
+		{"relay without a link to the other", true, []slot{{domain: "mobile-bay", addr: "127.0.0.1:1"}}, "", tracker.StateReady},
+		{"relay without a link to a root that has no slot", true, nil, "mobile-bay", tracker.StateReady},
+		{"root of another domain", true, nil, "selma-row", tracker.StateGone},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := lone()
 				s.relaying, s.slots = tt.relaying, tt.slots
+				s.reports["root"] = &rootReport{RootReport: messenger.RootReport{
+					Domain: tt.root, Root: messenger.Node{InstanceID: "root", PeerAddress: "127.0.0.1:2"},
+					Tally: messenger.Tally{Counts: []messenger.VersionCount{{Version: 1, Daemons: 1}}},
+				}}
 				s.Table.Merge([]tracker.Record{ready("unreached", "mobile-bay"), ready("foreign", "selma-row")})
 				look := func() tracker.State {
 					s.markUnreached()
--- a/spreader/neighbor.go
+++ b/spreader/neighbor.go
@@ -96,6 +96,11 @@
 			others = append(others, o.addr)
 		}
 	}
+	for _, addr := range s.domainRoots() {
+		if !linked[addr] && !slices.Contains(missing, addr) {
+			missing = append(missing, addr)
+		}
+	}
 	// Without a link the first in the ring stays first; all else is random.
 	keep := min(1, max(0, foreignNeighbors-1-foreign))
 	if rest := others[min(keep, len(others)):]; len(rest) > 1 {
