--- a/cmd/measureconvergence.go
+++ b/cmd/measureconvergence.go
@@ -30,7 +30,7 @@
 	f.IntSliceVar(&m.plan.Daemons, "daemons", []int{32, 64, 128}, "fleet sizes, a list")
 	f.IntVar(&m.plan.Domains, "domains", 6, "failure domains")
 	f.IntVar(&m.plan.Changes, "changes", 40, "changes to accept, half of them in bursts")
-	f.IntSliceVar(&m.coalesceMS, "coalesce-ms", []int{100}, "coalescing windows of the tree, in milliseconds, a list")
+	f.IntSliceVar(&m.coalesceMS, "coalesce-ms", []int{25}, "coalescing windows of the tree, in milliseconds, a list")
 	f.DurationVar(&m.plan.Poll, "poll", 5*time.Second, "interval of mode poll")
 	f.DurationVar(&m.plan.Settle, "settle", 3*time.Second, "rest between the growth of a fleet and its measurement")
 	f.DurationVar(&m.plan.Idle, "idle", 10*time.Second, "length of the measurement without changes")
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -42,7 +42,7 @@
 		{Key: "history-versions", Default: 10_000, Doc: "versions that the audit trail holds", check: between(100, 1_000_000)},
 		{Key: "spread-mode", Default: "tree", Doc: "how versions reach this daemon: tree, or watch or poll, where each daemon asks the store itself; these two are for comparisons and carry no membership", check: oneOf("tree", "watch", "poll")},
 		{Key: "spread-fanout", Default: 16, Doc: "daemons that one daemon feeds", check: between(2, 64)},
-		{Key: "spread-coalesce-ms", Default: 100, Doc: "shortest time between two pushes on one session, in milliseconds", check: between(1, minuteMS)},
+		{Key: "spread-coalesce-ms", Default: 25, Doc: "shortest time between two pushes on one session, in milliseconds", check: between(1, minuteMS)},
 		{Key: "spread-heartbeat-ms", Default: 2000, Doc: "time between two heartbeats of a session, in milliseconds; a session on which nothing arrives for three of them is left", check: between(50, minuteMS)},
 		{Key: "spread-poll-ms", Default: 5000, Doc: "time between two reads of the head in the mode poll, in milliseconds", check: between(50, hourMS)},
 		{Key: "relay-lease-ms", Default: 6000, Doc: "life of a relay's lease that is not renewed, in milliseconds", check: between(300, minuteMS)},
--- a/measurer/convergence.go
+++ b/measurer/convergence.go
@@ -19,6 +19,9 @@
 const (
 	convergenceBound = 90 * time.Second
 	convergencePoll  = 20 * time.Millisecond
+	// memoryLooks and memoryWait bound the wait for memory to be given back.
+	memoryLooks = 10
+	memoryWait  = 200 * time.Millisecond
 	// burstShare is the share of changes that follow the one before at once.
 	burstShare = 0.5
 	// changeGap is the mean time between two changes that do not.
@@ -122,11 +125,22 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
+// memoryInUse returns the memory of heap and stacks once it has stopped falling:
+// a fleet that was stopped takes a while to go.
 func memoryInUse() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapInuse + m.StackInuse
+	var least uint64
+	for range memoryLooks {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		used := m.HeapInuse + m.StackInuse
+		if least != 0 && used > least-least/100 {
+			return min(used, least)
+		}
+		least = used
+		time.Sleep(memoryWait)
+	}
+	return least
 }
 
 // rates is what a fleet used over a time.
--- a/spreader/settings.go
+++ b/spreader/settings.go
@@ -56,7 +56,7 @@
 	s.Mode = cmp.Or(s.Mode, ModeTree)
 	s.Fanout = cmp.Or(s.Fanout, 16)
 	s.Slots = cmp.Or(s.Slots, 2)
-	s.Coalesce = cmp.Or(s.Coalesce, 100*time.Millisecond)
+	s.Coalesce = cmp.Or(s.Coalesce, 25*time.Millisecond)
 	s.Heartbeat = cmp.Or(s.Heartbeat, 2*time.Second)
 	s.SilentAfter = cmp.Or(s.SilentAfter, 3*s.Heartbeat)
 	s.LeaseTTL = cmp.Or(s.LeaseTTL, 6*time.Second)
