Let a relay with random links go back to the next domain of the ring

Cause: a relay that could not reach the next domain once kept two random links for good, and nothing held the graph of relays together but chance. Change: every tenth look or so it tries the next domain again. Seen failing: TestRelayWithRandomLinksGoesBackToTheRing with the attempt taken out (0 in 1000 looks).

--- a/spreader/neighbor.go
+++ b/spreader/neighbor.go
@@ -10,9 +10,14 @@
 	"bambooweir.example/bambooweir/messenger"
 )
 
-// foreignNeighbors is the number of links that a relay opens to relays of other
-// failure domains: one along the ring of domains and one at random.
-const foreignNeighbors = 2
+const (
+	// foreignNeighbors is the number of links that a relay opens to relays of
+	// other failure domains: one along the ring of domains and one at random.
+	foreignNeighbors = 2
+	// ringRetry is the mean number of looks at the neighbors between two attempts
+	// at the next domain of the ring by a relay that makes do with others.
+	ringRetry = 10
+)
 
 // keepNeighbors keeps the links to other relays until ctx ends.
 func (s *Spreader) keepNeighbors(ctx context.Context, key string) {
@@ -101,12 +106,16 @@
 			missing = append(missing, addr)
 		}
 	}
+	next := s.nextDomain(key)
 	// Without a link the first in the ring stays first; all else is random.
 	keep := min(1, max(0, foreignNeighbors-1-foreign))
 	if rest := others[min(keep, len(others)):]; len(rest) > 1 {
 		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	}
 	missing = append(missing, others[:min(len(others), max(0, foreignNeighbors-foreign))]...)
+	if foreign >= foreignNeighbors && slices.Contains(others, next) && rand.N(ringRetry) == 0 {
+		missing = append(missing, next)
+	}
 	if foreign == 0 {
 		// The known relays may all be gone: any member leads to one.
 		members := s.someMembers(false)
@@ -115,6 +124,18 @@
 	return missing
 }
 
+// nextDomain returns the address of the first slot along the ring that belongs
+// to another failure domain, or "". The links along the ring alone hold all
+// relays together. The caller holds mu.
+func (s *Spreader) nextDomain(key string) string {
+	for _, o := range s.ringAfter(key) {
+		if o.domain != s.Domain {
+			return o.addr
+		}
+	}
+	return ""
+}
+
 // ringAfter returns the known slots in the order of their keys, starting behind
 // the key. The caller holds mu.
 func (s *Spreader) ringAfter(key string) []slot {
