Measure the series that the capacity page rests on

Cause: the projection had no measured series. Ruled out: varying the fan-out to vary sessions; one fleet already holds daemons with one to many sessions, and each gives a point.

--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -5,6 +5,6 @@
 // newMeasureCommand groups the commands that measure the system.
 func newMeasureCommand() *cobra.Command {
 	c := &cobra.Command{Use: "measure", Short: "Measure the system in one process over real sockets"}
-	c.AddCommand(new(measureCallsCommand).command(), new(measureConvergenceCommand).command())
+	c.AddCommand(new(measureCallsCommand).command(), new(measureConvergenceCommand).command(), new(measureCapacityCommand).command())
 	return c
 }
--- a/measurer/convergence.go
+++ b/measurer/convergence.go
@@ -42,6 +42,8 @@
 	Settle time.Duration
 	// Idle is the length of the measurement without changes.
 	Idle time.Duration
+	// Fanout bounds the children of one daemon; 0 means the spreader's default.
+	Fanout int
 	// Targets and Services are the size of the table and of the configuration.
 	Targets, Services int
 	Seed              uint64
--- a/measurer/convergencefleet.go
+++ b/measurer/convergencefleet.go
@@ -68,7 +68,7 @@
 	}
 	records := otherTargets(plan, n)
 	for i := range n {
-		settings := spreader.Settings{Mode: f.mode, Coalesce: window, PollInterval: plan.Poll}
+		settings := spreader.Settings{Mode: f.mode, Coalesce: window, PollInterval: plan.Poll, Fanout: plan.Fanout}
 		if err := f.start(ctx, i, settings, records); err != nil {
 			f.stop()
 			return nil, err
--- a/projector/fit.go
+++ b/projector/fit.go
@@ -1,8 +1,12 @@
 package projector
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
+	"os"
+
+	"github.com/joomcode/errorx"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -105,3 +109,16 @@
 	e.HalfWidth = t * l.ResidualDeviation * math.Sqrt(1+1/n+d*d/l.sumSquaresX)
 	return e
 }
+
+// ReadSeries reads the series of a JSON file.
+func ReadSeries(path string) ([]Series, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errorx.Decorate(err, "reading series")
+	}
+	var series []Series
+	if err := json.Unmarshal(b, &series); err != nil {
+		return nil, errorx.Decorate(err, "decoding %s", path)
+	}
+	return series, nil
+}
--- a/projector/roles.go
+++ b/projector/roles.go
@@ -11,13 +11,12 @@
 //	memory               targets in the table         -> MB resident
 //	session-memory       sessions of one daemon       -> MB
 //	convergence-p99      tree levels below the store  -> s
-//	head-bytes           versions in the head's ring  -> B
+//	head-bytes           daemons                      -> B
 //	store-idle-writes    relay leases                 -> 1/s
 //	store-idle-reads     relay leases                 -> 1/s, a waiting watch as one
 //	store-change-reads   relay leases                 -> reads for each change
 //	store-change-writes  relay leases                 -> writes for each change
-//	entry-call-cpu       calls/s entered              -> us/s
-//	target-call-cpu      calls/s run at the target    -> us/s
+//	call-cpu             calls/s entered, and as many run -> us/s
 //	added-p99            calls/s of one daemon        -> ms
 //	full-transfer-bytes  targets in the table         -> B
 const (
@@ -35,8 +34,7 @@
 	SeriesStoreIdleReads    = "store-idle-reads"
 	SeriesStoreChangeReads  = "store-change-reads"
 	SeriesStoreChangeWrites = "store-change-writes"
-	SeriesEntryCallCPU      = "entry-call-cpu"
-	SeriesTargetCallCPU     = "target-call-cpu"
+	SeriesCallCPU           = "call-cpu"
 	SeriesAddedP99          = "added-p99"
 	SeriesFullTransferBytes = "full-transfer-bytes"
 )
@@ -136,7 +134,7 @@
 func (p *projection) topRelayRows() []Row {
 	sessions := p.size.FanOut + p.size.CrossLinks
 	rows := p.controlRows("top relay", sessions, "bounded fan-out and cross links")
-	watch := p.at(SeriesHeadBytes, 1).times(p.size.ChangesPerSecond())
+	watch := p.at(SeriesHeadBytes, float64(p.size.Daemons)).times(p.size.ChangesPerSecond())
 	rows[0].Estimate = plus(rows[0].Estimate, watch)
 	rows[0].Formula += " + changes/s x head-bytes"
 	return rows
@@ -146,14 +144,10 @@
 	rate := p.size.CallsPerDaemon()
 	return []Row{
 		{
-			Role: "entry daemon", Quantity: "processor time of calls", Unit: "% of a core",
-			Estimate: p.at(SeriesEntryCallCPU, rate).times(1.0 / microsecondsPerCorePoint),
-			Formula:  "entry-call-cpu at the mean rate of one daemon", Mechanism: "links kept open",
-		},
-		{
-			Role: "target's daemon", Quantity: "processor time of calls", Unit: "% of a core",
-			Estimate: p.at(SeriesTargetCallCPU, rate).times(1.0 / microsecondsPerCorePoint),
-			Formula:  "target-call-cpu at the mean rate of one daemon", Mechanism: "bounded table of recent calls",
+			Role: "entry and target's daemon", Quantity: "processor time of calls", Unit: "% of a core",
+			Estimate:  p.at(SeriesCallCPU, rate).times(1.0 / microsecondsPerCorePoint),
+			Formula:   "call-cpu at the mean rate of one daemon, which enters as many calls as it runs / 10,000",
+			Mechanism: "links kept open, bounded table of recent calls",
 		},
 		{
 			Role: "entry daemon", Quantity: "added time, 99 in 100", Unit: "ms",
@@ -203,6 +197,6 @@
 		SeriesSessionIdleCPU, SeriesChangeCPU, SeriesRecordCPU,
 		SeriesMemory, SeriesSessionMemory, SeriesConvergence, SeriesHeadBytes,
 		SeriesStoreIdleWrites, SeriesStoreIdleReads, SeriesStoreChangeReads, SeriesStoreChangeWrites,
-		SeriesEntryCallCPU, SeriesTargetCallCPU, SeriesAddedP99, SeriesFullTransferBytes,
+		SeriesCallCPU, SeriesAddedP99, SeriesFullTransferBytes,
 	}
 }
--- a/spreader/convergence.go
+++ b/spreader/convergence.go
@@ -32,6 +32,8 @@
 	// Depth is the number of daemons between the root, included, and this one.
 	Depth    int
 	Children int
+	// Sessions counts the links to parent, children and neighbors.
+	Sessions int
 }
 
 // rootReport is a report with the time at which it last changed hands.
@@ -56,6 +58,7 @@
 		c.Parent = s.parent.node
 	}
 	c.Children = s.children()
+	c.Sessions = len(s.sessions)
 	return c
 }
 
