Count daemons by their targets until their versions are heard of

Ruled out: waiting for a fixed time; it proves nothing. Change: each target that is not gone has a daemon beside it, which counts as one that has not reached the version until a report says so. Conclusion: the new case gave 1 of 1 before and gives 1 of 2 now.

--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -206,6 +206,9 @@
 		{"counts", operator.Status{Version: 3, Spread: operator.Spread{DaemonsByVersion: counts}}, 6, 10},
 		{"no counts, reached", operator.Status{Version: 3}, 1, 1},
 		{"no counts, behind", operator.Status{Version: 2}, 0, 1},
+		{"targets whose daemons were not heard of", operator.Status{Version: 3, Targets: []tracker.Record{
+			{InstanceID: "a", State: tracker.StateReady}, {InstanceID: "b", State: tracker.StateDraining}, {InstanceID: "c", State: tracker.StateGone},
+		}}, 1, 2},
 	} {
 		if got, all := reached(&tt.in, 3); got != tt.reached || all != tt.all {
 			t.Errorf("%s: got %d of %d, want %d of %d", tt.name, got, all, tt.reached, tt.all)
--- a/cmd/wait.go
+++ b/cmd/wait.go
@@ -9,13 +9,15 @@
 	"github.com/spf13/cobra"
 
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
 const waitInterval = 200 * time.Millisecond
 
 // reached returns how many daemons have the version or a newer one in force,
-// and how many there are. A daemon that knows only of itself counts nobody else.
+// and how many there are. Each target that is not gone has a daemon beside it,
+// also before that daemon's version was heard of.
 func reached(s *operator.Status, v versioner.Version) (reached, all int) {
 	counts := s.DaemonsByVersion
 	if len(counts) == 0 {
@@ -27,7 +29,18 @@
 			reached += n.Daemons
 		}
 	}
-	return reached, all
+	return reached, max(all, present(s.Targets))
+}
+
+// present counts the targets that are not gone.
+func present(targets []tracker.Record) int {
+	n := 0
+	for _, r := range targets {
+		if r.State != tracker.StateGone {
+			n++
+		}
+	}
+	return n
 }
 
 // behind lists the laggards below the version, one a line.
