Wait and announce in one place each

Cause: eight packages had their own wait that ends with a context, and the stand-in target and the measurement each had their own announcement client. Change: package sleeper; announcer.Send, which embedders use too. Ruled out: keeping boolean and error forms side by side. Conclusion: the tests of the twelve packages concerned pass; sleeper has tests on the paused clock.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -17,6 +17,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -112,7 +113,7 @@
 			return v, err
 		}
 		a.Counters.Retries.Add(1)
-		if sleep(ctx, wait.NextBackOff()) != nil {
+		if sleeper.Sleep(ctx, wait.NextBackOff()) != nil {
 			return 0, &ContentionError{Attempts: n + 1}
 		}
 	}
--- a/acceptor/commit.go
+++ b/acceptor/commit.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -106,7 +107,7 @@
 		if settled {
 			return v, nil
 		}
-		if failed := sleep(ctx, settleWait); failed != nil {
+		if failed := sleeper.Sleep(ctx, settleWait); failed != nil {
 			return 0, &UnknownOutcomeError{ChangeID: p.change.Audit.ChangeID, Cause: err}
 		}
 	}
@@ -166,16 +167,6 @@
 	return v, nil
 }
 
-// sleep waits, and fails when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 func (a *Acceptor) get(ctx context.Context, key string) (storer.Item, error) {
 	return retry(ctx, func() (storer.Item, error) { return a.Store.Get(ctx, key) })
 }
@@ -234,7 +225,7 @@
 		if !errors.As(err, &lost) {
 			return head, doc, err
 		}
-		if err := sleep(ctx, storeRetryWait); err != nil {
+		if err := sleeper.Sleep(ctx, storeRetryWait); err != nil {
 			return Head{}, nil, err
 		}
 	}
--- a/checker/recorder.go
+++ b/checker/recorder.go
@@ -16,6 +16,7 @@
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -35,7 +36,7 @@
 func (r *Recorder) WatchDaemon(ctx context.Context, name, operatorURL string) {
 	for ctx.Err() == nil {
 		r.PollDaemon(ctx, name, operatorURL)
-		pause(ctx)
+		_ = sleeper.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -81,7 +82,7 @@
 	for ctx.Err() == nil {
 		item, err := store.Watch(ctx, acceptor.HeadKey, after, time.Second)
 		if err != nil {
-			pause(ctx)
+			_ = sleeper.Sleep(ctx, pollInterval)
 			continue
 		}
 		after = item.Revision
@@ -218,10 +219,3 @@
 	}
 	return counts
 }
-
-func pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pollInterval):
-	}
-}
--- a/demonstrator/changes.go
+++ b/demonstrator/changes.go
@@ -10,6 +10,7 @@
 
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -50,7 +51,7 @@
 			if err == nil && status.Version >= c.version {
 				break
 			}
-			if pause(ctx) != nil {
+			if sleeper.Sleep(ctx, pollInterval) != nil {
 				return fmt.Errorf("%s has version %d after %s, want %d", i.settings.InstanceID, status.Version, convergenceBound, c.version)
 			}
 		}
@@ -73,12 +74,3 @@
 	err = json.NewDecoder(res.Body).Decode(&status)
 	return status, err
 }
-
-func pause(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(pollInterval):
-		return nil
-	}
-}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -11,6 +11,7 @@
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/faulter"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 // limit is the longest time that a demonstration takes.
@@ -79,7 +80,7 @@
 		if err == nil && len(status.Targets) == len(d.fleet.instances) {
 			return nil
 		}
-		if pause(ctx) != nil {
+		if sleeper.Sleep(ctx, pollInterval) != nil {
 			return fmt.Errorf("%s knows %d targets, want %d", i.settings.InstanceID, len(status.Targets), len(d.fleet.instances))
 		}
 	}
--- a/demonstrator/traffic.go
+++ b/demonstrator/traffic.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -85,7 +86,7 @@
 // await waits until n calls have come to their end.
 func (t *traffic) await(ctx context.Context, n int64) error {
 	for t.ended() < n {
-		if err := pause(ctx); err != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
 			return fmt.Errorf("%d calls ended, want %d", t.ended(), n)
 		}
 	}
--- a/fakestorer/gate.go
+++ b/fakestorer/gate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 )
 
@@ -65,14 +66,8 @@
 func pass[T any](ctx context.Context, g *Gate, op string, isWrite bool, call func(context.Context) (T, error)) (T, error) {
 	var none T
 	fault, changed := g.state()
-	if fault.Delay > 0 {
-		timer := time.NewTimer(fault.Delay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return none, &storer.UnavailableError{Op: op, Cause: ctx.Err()}
-		case <-timer.C:
-		}
+	if err := sleeper.Sleep(ctx, fault.Delay); err != nil {
+		return none, &storer.UnavailableError{Op: op, Cause: err}
 	}
 	if fault.IsDown {
 		return none, &storer.UnavailableError{Op: op, Cause: errFault}
--- a/faketarget/announce.go
+++ b/faketarget/announce.go
@@ -1,11 +1,8 @@
 package faketarget
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -52,24 +49,7 @@
 	t.mu.Lock()
 	state := t.stateLocked()
 	t.mu.Unlock()
-	b, err := json.Marshal(announcer.Announcement{
+	return announcer.Send(ctx, http.DefaultClient, t.DaemonURL, announcer.Announcement{
 		Service: t.Service, Address: cmp.Or(t.AnnouncedAddress, t.Address), State: state.String(),
 	})
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, t.DaemonURL+announcer.Path, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("announcement: status %d", res.StatusCode)
-	}
-	return nil
 }
--- a/loadgenerator/loadgenerator.go
+++ b/loadgenerator/loadgenerator.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -132,7 +134,7 @@
 		if s.Jitter != nil {
 			due = due.Add(time.Duration(s.Jitter.Float64() * float64(interval)))
 		}
-		if due.Sub(start) >= duration || !sleepUntil(ctx, due) {
+		if due.Sub(start) >= duration || sleeper.Sleep(ctx, time.Until(due)) != nil {
 			break
 		}
 		select {
@@ -149,18 +151,3 @@
 	}
 	wg.Wait()
 }
-
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/measurer/callfleet.go
+++ b/measurer/callfleet.go
@@ -22,6 +22,7 @@
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/loadgenerator"
+	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -220,24 +221,9 @@
 }
 
 func (f *callFleet) announce(ctx context.Context, n *callNode) error {
-	b, err := json.Marshal(announcer.Announcement{Service: n.service, Address: n.address, State: "ready"})
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+n.cfg.OperatorAddress+announcer.Path, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	res, err := f.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("announcement: status %d", res.StatusCode)
-	}
-	return nil
+	return announcer.Send(ctx, f.http, "http://"+n.cfg.OperatorAddress, announcer.Announcement{
+		Service: n.service, Address: n.address, State: tracker.StateReady.String(),
+	})
 }
 
 func (f *callFleet) entryURL(path string) string { return "http://" + f.entry.cfg.CallerAddress + path }
--- a/measurer/capacity.go
+++ b/measurer/capacity.go
@@ -9,6 +9,7 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/projector"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -126,7 +127,7 @@
 func (c *surveyor) runPhases(ctx context.Context, f *spreadFleet) (*phases, error) {
 	p := new(phases)
 	p.idle[0] = f.usage()
-	if err := wait(ctx, c.plan.Idle); err != nil {
+	if err := sleeper.Sleep(ctx, c.plan.Idle); err != nil {
 		return nil, err
 	}
 	p.idle[1] = f.usage()
@@ -157,11 +158,11 @@
 		if err := f.await(ctx, func() bool { return f.lowest() >= v }); err != nil {
 			return err
 		}
-		if err := wait(ctx, changeSpacing); err != nil {
+		if err := sleeper.Sleep(ctx, changeSpacing); err != nil {
 			return err
 		}
 	}
-	return wait(ctx, drainSpacing)
+	return sleeper.Sleep(ctx, drainSpacing)
 }
 
 // makeRecords lets targets that no daemon of the fleet serves announce
@@ -170,11 +171,11 @@
 	for i := range c.plan.Changes {
 		r := newRecord(fmt.Sprintf("guest-%04d", i), "elsewhere-00", "10.0.0.1:7101", i%max(1, c.plan.Services))
 		f.members[i%len(f.members)].Announce(ctx, []tracker.Record{r})
-		if err := wait(ctx, recordSpacing); err != nil {
+		if err := sleeper.Sleep(ctx, recordSpacing); err != nil {
 			return err
 		}
 	}
-	return wait(ctx, drainSpacing)
+	return sleeper.Sleep(ctx, drainSpacing)
 }
 
 // memberRate is one member's bytes a second between two readings.
--- a/measurer/capacityparts.go
+++ b/measurer/capacityparts.go
@@ -12,6 +12,7 @@
 	"bambooweir.example/bambooweir/loadgenerator"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/projector"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -84,7 +85,7 @@
 
 func (c *surveyor) addStore(ctx context.Context, f *spreadFleet, leases float64) error {
 	start, began := f.store.Counts(), f.usage()
-	if err := wait(ctx, 2*c.plan.Idle); err != nil {
+	if err := sleeper.Sleep(ctx, 2*c.plan.Idle); err != nil {
 		return err
 	}
 	rest, rested := f.store.Counts(), f.usage()
--- a/measurer/convergence.go
+++ b/measurer/convergence.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"bambooweir.example/bambooweir/acceptor"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -173,7 +174,7 @@
 		return nil, err
 	}
 	start := f.usage()
-	if err := wait(ctx, plan.Idle); err != nil {
+	if err := sleeper.Sleep(ctx, plan.Idle); err != nil {
 		return nil, err
 	}
 	quiet := f.usage()
@@ -210,17 +211,6 @@
 	r.P50MS, r.P99MS, r.MaxMS = at(0.5), at(0.99), at(1)
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // change runs the scripted change log, and returns the time of each acceptance
 // once the last version is in force everywhere.
 func (f *spreadFleet) change(ctx context.Context, plan ConvergencePlan) (map[versioner.Version]time.Time, error) {
@@ -230,7 +220,7 @@
 	for i := range plan.Changes {
 		if rng.Float64() >= burstShare {
 			gap := time.Duration(rng.ExpFloat64() * float64(changeGap))
-			if err := wait(ctx, min(gap, 4*changeGap)); err != nil {
+			if err := sleeper.Sleep(ctx, min(gap, 4*changeGap)); err != nil {
 				return nil, err
 			}
 		}
--- a/measurer/convergencefleet.go
+++ b/measurer/convergencefleet.go
@@ -16,6 +16,7 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -168,7 +169,7 @@
 		if time.Now().After(deadline) {
 			return errorx.TimeoutElapsed.New("fleet did not converge, lowest version %d", f.lowest())
 		}
-		if err := wait(ctx, convergencePoll); err != nil {
+		if err := sleeper.Sleep(ctx, convergencePoll); err != nil {
 			return err
 		}
 	}
@@ -180,7 +181,7 @@
 	if err := f.await(ctx, func() bool { return f.lowest() > 0 && f.isGrown() }); err != nil {
 		return err
 	}
-	return wait(ctx, rest)
+	return sleeper.Sleep(ctx, rest)
 }
 
 // isGrown says whether every daemon has a place and all tables are equal.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -17,6 +17,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 // AttemptHeader marks a call that is, or belongs to, a retry. Targets copy it
@@ -169,12 +170,5 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, wait) == nil
 }
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/faulter"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -107,7 +108,7 @@
 // ends. Several may run at once; no two hit the same process or link.
 func (s *soak) injectFaults(ctx, faulty context.Context, random *rand.Rand) error {
 	kinds := faults()
-	for pause(faulty, time.Duration(random.Int64N(int64(longestPause)))) == nil {
+	for sleeper.Sleep(faulty, time.Duration(random.Int64N(int64(longestPause)))) == nil {
 		f := kinds[random.IntN(len(kinds))]
 		drawn := drawVictims(random, f.pick(s))
 		hold := time.Duration(random.Int64N(int64(longestFault)))
@@ -135,7 +136,7 @@
 			return err
 		}
 	}
-	_ = pause(ctx, hold)
+	_ = sleeper.Sleep(ctx, hold)
 	for _, victim := range victims {
 		if err := f.end(s, victim); err != nil {
 			return err
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -10,6 +10,7 @@
 
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -67,7 +68,7 @@
 		if told.Outcome == caller.Accepted {
 			break
 		}
-		if pause(ctx, pollInterval) != nil {
+		if sleeper.Sleep(ctx, pollInterval) != nil {
 			return errors.New("first version: " + told.Cause)
 		}
 	}
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -21,7 +22,7 @@
 // makeCalls begins calls until faulty ends. The calls go on to their own end.
 func (s *soak) makeCalls(ctx, faulty context.Context, random *rand.Rand) {
 	defer s.wg.Done()
-	for n := 0; pause(faulty, callInterval) == nil; n++ {
+	for n := 0; sleeper.Sleep(faulty, callInterval) == nil; n++ {
 		call, repeats := s.drawCall(random, n)
 		s.wg.Add(1)
 		go func() {
@@ -78,7 +79,7 @@
 // makeChanges makes one change after the other, at random daemons.
 func (s *soak) makeChanges(ctx, faulty context.Context, random *rand.Rand) {
 	defer s.wg.Done()
-	for n := 0; pause(faulty, changeInterval) == nil; n++ {
+	for n := 0; sleeper.Sleep(faulty, changeInterval) == nil; n++ {
 		daemons := s.fleet.Daemons()
 		d := daemons[random.IntN(len(daemons))]
 		change := caller.Change{
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -15,6 +15,7 @@
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/launcher"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -140,7 +141,7 @@
 			if err == nil && got == s.recorder.Newest() {
 				break
 			}
-			if pause(ctx, pollInterval) != nil {
+			if sleeper.Sleep(ctx, pollInterval) != nil {
 				detail := fmt.Sprintf("version %d in force, want %d (%v)", got, s.recorder.Newest(), err)
 				late = append(late, checker.Violation{Invariant: InForceEverywhere, Subject: d.Name, Detail: detail})
 				break
@@ -149,12 +150,3 @@
 	}
 	return late
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -16,6 +16,7 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -126,7 +127,7 @@
 // checkMonotonic fails the test when the version in force goes down.
 func (f *fleet) checkMonotonic(ctx context.Context, m *member) {
 	var newest versioner.Version
-	for sleep(ctx, time.Millisecond) {
+	for sleeper.Sleep(ctx, time.Millisecond) == nil {
 		snapshot := m.Applier.Current()
 		if snapshot == nil {
 			continue
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -9,6 +9,7 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -87,7 +88,7 @@
 	case <-s.looked:
 	}
 	wait := s.cfg.Heartbeat/4 + jitter(s.cfg.JoinJitter)
-	for sleep(ctx, wait) && s.Applier.Current() == nil {
+	for sleeper.Sleep(ctx, wait) == nil && s.Applier.Current() == nil {
 		s.askForHead(ctx)
 		wait = around(s.cfg.Heartbeat)
 	}
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
 )
@@ -42,7 +43,7 @@
 	retry.MaxInterval = s.cfg.LeaseTTL
 	retry.Multiplier = 2
 	retry.Reset()
-	if !sleep(ctx, jitter(s.cfg.JoinJitter)) {
+	if sleeper.Sleep(ctx, jitter(s.cfg.JoinJitter)) != nil {
 		return
 	}
 	for ctx.Err() == nil {
@@ -51,7 +52,7 @@
 		if time.Since(began) > s.cfg.LeaseTTL {
 			retry.Reset()
 		}
-		sleep(ctx, retry.NextBackOff())
+		_ = sleeper.Sleep(ctx, retry.NextBackOff())
 	}
 }
 
@@ -212,7 +213,7 @@
 		case *messenger.Busy:
 			last = errorx.IllegalState.New("%s is busy: %s", next, m.Cause)
 			if m.Cause == causeAdmission {
-				sleep(ctx, min(time.Duration(m.RetryAfterMS)*time.Millisecond, s.cfg.LeaseTTL))
+				_ = sleeper.Sleep(ctx, min(time.Duration(m.RetryAfterMS)*time.Millisecond, s.cfg.LeaseTTL))
 				queue = append(queue, next)
 			}
 		}
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -226,7 +227,7 @@
 
 // maintain runs the upkeep until ctx ends.
 func (s *Spreader) maintain(ctx context.Context) {
-	for n := 0; sleep(ctx, s.cfg.Heartbeat/2); n++ {
+	for n := 0; sleeper.Sleep(ctx, s.cfg.Heartbeat/2) == nil; n++ {
 		s.markLost()
 		s.upkeepReports()
 		s.markSilentDomains()
--- a/spreader/neighbor.go
+++ b/spreader/neighbor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 )
 
 const (
@@ -32,7 +33,7 @@
 		for _, addr := range s.missingNeighbors(key) {
 			s.link(ctx, addr)
 		}
-		sleep(ctx, around(s.cfg.Heartbeat/2))
+		_ = sleeper.Sleep(ctx, around(s.cfg.Heartbeat/2))
 	}
 }
 
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -12,6 +12,7 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 )
 
@@ -96,7 +97,7 @@
 
 // keepLease renews the lease, and returns once another daemon holds the slot.
 func (s *Spreader) keepLease(ctx context.Context, key string, lease storer.LeaseID) {
-	for sleep(ctx, s.cfg.LeaseTTL/3) {
+	for sleeper.Sleep(ctx, s.cfg.LeaseTTL/3) == nil {
 		err := s.Store.Renew(ctx, lease)
 		var missing *storer.NotFoundError
 		if errors.As(err, &missing) {
@@ -174,7 +175,7 @@
 		}
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
-			sleep(ctx, around(s.cfg.LeaseTTL/6))
+			_ = sleeper.Sleep(ctx, around(s.cfg.LeaseTTL/6))
 			continue
 		}
 		after = item.Revision
@@ -184,7 +185,7 @@
 // pollHead reads the head at intervals until ctx ends.
 func (s *Spreader) pollHead(ctx context.Context) {
 	wait := jitter(s.cfg.PollInterval)
-	for sleep(ctx, wait) {
+	for sleeper.Sleep(ctx, wait) == nil {
 		began := time.Now()
 		item, err := s.Store.Get(ctx, acceptor.HeadKey)
 		if err == nil {
@@ -253,7 +254,7 @@
 // ends. A daemon that leaves calls it after its last announcement.
 func (s *Spreader) Flush(ctx context.Context) {
 	s.init()
-	for s.hasUnsent() && sleep(ctx, flushPoll) {
+	for s.hasUnsent() && sleeper.Sleep(ctx, flushPoll) == nil {
 	}
 }
 
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -108,18 +108,6 @@
 	return messenger.Node{InstanceID: s.InstanceID, PeerAddress: s.PeerAddress}
 }
 
-// sleep waits for d or until ctx ends, and says whether d has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // jitter returns a random duration in [0, d).
 func jitter(d time.Duration) time.Duration {
 	if d <= 0 {
