Bound the head's recent deltas at 2 KiB

Cause: each relay watches the head, and each change brought it 6 KiB of recent deltas, 8 KiB as the store sends them; the busiest relay moved over 10 KB a change. Ruled out: dropping the ring; a relay that skips a version would read the whole content each time. Change: head-bytes is 2048 by default.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -28,7 +28,7 @@
 	maxAuthorBytes         = 128
 	maxReasonBytes         = 1000
 	defaultTimeout         = 10 * time.Second
-	defaultRecentBytes     = 6 << 10
+	defaultRecentBytes     = 2 << 10
 	defaultHistoryVersions = 10_000
 )
 
@@ -65,7 +65,7 @@
 	Policy Policy
 	// Timeout bounds one call of Accept; 0 means ten seconds.
 	Timeout time.Duration
-	// RecentBytes bounds the deltas in the head, but the newest; 0 means 6 KiB.
+	// RecentBytes bounds the deltas in the head, but the newest; 0 means 2 KiB.
 	RecentBytes int
 	// HistoryVersions bounds the audit trail; 0 means 10,000 versions.
 	HistoryVersions int
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -38,7 +38,7 @@
 		{Key: "log-level", Default: "info", Doc: "least level that is logged: debug, info, warn or error", check: oneOf("debug", "info", "warn", "error")},
 		{Key: "bootstrap-token-sha256", Default: "", Doc: "SHA-256, in hexadecimal, of the token that makes changes until the first partner has a token; empty means that none is needed", check: sha256OrEmpty},
 		{Key: "change-timeout-ms", Default: 10_000, Doc: "longest time that the acceptance of a change may take, in milliseconds", check: between(100, 10*minuteMS)},
-		{Key: "head-bytes", Default: 6144, Doc: "bytes of recent changes that the head holds; the newest change always stays", check: between(1024, 262_144)},
+		{Key: "head-bytes", Default: 2048, Doc: "bytes of recent changes that the head holds; the newest change always stays", check: between(1024, 262_144)},
 		{Key: "history-versions", Default: 10_000, Doc: "versions that the audit trail holds", check: between(100, 1_000_000)},
 		{Key: "spread-mode", Default: "tree", Doc: "how versions reach this daemon: tree, or watch or poll, where each daemon asks the store itself; these two are for comparisons and carry no membership", check: oneOf("tree", "watch", "poll")},
 		{Key: "spread-fanout", Default: 16, Doc: "daemons that one daemon feeds", check: between(2, 64)},
