Count the bytes of control links on each daemon

Cause: control bytes are one of the two things that the users measure, and no daemon counted them; the demo could not tell them. Ruled out: counting at the listener, which calls share.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -33,3 +33,10 @@
 	}
 	return 0
 }
+
+// ControlBytes returns the bytes that the daemon sent and received over control
+// links.
+func (d *Daemon) ControlBytes() (sent, received int64) {
+	control := &d.spreader.Counters.Control
+	return control.SentBytes.Value(), control.ReceivedBytes.Value()
+}
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -43,7 +43,9 @@
 
 // fleet is the whole demonstration: store, daemons, targets.
 type fleet struct {
-	store     *fakestorer.Store
+	store *fakestorer.Store
+	// daemons holds each daemon that was started, those killed included.
+	daemons   []*daemon.Daemon
 	storeLink *faulter.Proxy
 	storeURL  string
 	recorder  *checker.Recorder
@@ -100,6 +102,7 @@
 	i.done = make(chan struct{})
 	store := &storer.HTTPClient{BaseURL: i.settings.StoreURL, Timeout: loader.Milliseconds(i.settings.StoreTimeoutMS)}
 	d := daemon.New(i.settings, store, zap.NewNop())
+	f.daemons = append(f.daemons, d)
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -23,6 +23,7 @@
 	d.reportCalls()
 	counts := d.fleet.store.Counts()
 	fmt.Fprintf(d.w, "\nStore calls: %d reads, %d writes, %d watches.\n", counts.Reads, counts.Writes, counts.Watches)
+	d.reportControl()
 	broken := d.fleet.recorder.Check()
 	for _, line := range checker.Summarize(broken) {
 		fmt.Fprintln(d.w, "BROKEN", line)
@@ -85,3 +86,16 @@
 	}
 	_ = tw.Flush()
 }
+
+// reportControl tells what the spreading cost, the restarted daemons included.
+func (d *demonstration) reportControl() {
+	var total, busiest int64
+	for _, daemon := range d.fleet.daemons {
+		sent, received := daemon.ControlBytes()
+		total += sent + received
+		busiest = max(busiest, sent+received)
+	}
+	seconds := time.Since(d.start).Seconds()
+	mean := float64(total) / float64(len(d.fleet.daemons)) / seconds
+	fmt.Fprintf(d.w, "Control bytes: %.0f B/s of a daemon in the mean, %.0f of the busiest.\n", mean, float64(busiest)/seconds)
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/coder/websocket"
 	"github.com/joomcode/errorx"
@@ -53,6 +53,11 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// Traffic counts the bytes of messages, without the framing of WebSocket and TCP.
+type Traffic struct {
+	SentBytes, ReceivedBytes expvar.Int
+}
+
 // Link is one WebSocket between two daemons. Send and Receive may be used at
 // the same time, Receive by one goroutine only.
 //
@@ -60,8 +65,9 @@
 // others add meanwhile, so that nobody waits for a lock that is held over a write.
 type Link struct {
 	conn *websocket.Conn
-	// Sent and Received count payload bytes after framing is taken off.
-	Sent, Received atomic.Int64
+	// Traffic counts the link's bytes; nil counts none. It is set before the
+	// first message.
+	Traffic *Traffic
 
 	mu          sync.Mutex
 	queue       [][]byte
@@ -155,7 +161,9 @@
 				l.fail(err)
 				break
 			}
-			l.Sent.Add(int64(len(b)))
+			if l.Traffic != nil {
+				l.Traffic.SentBytes.Add(int64(len(b)))
+			}
 			batch[i] = nil
 		}
 		done = batch
@@ -176,7 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l.Received.Add(int64(len(b)))
+	if l.Traffic != nil {
+		l.Traffic.ReceivedBytes.Add(int64(len(b)))
+	}
 	return Decode(b)
 }
 
--- a/spreader/counters.go
+++ b/spreader/counters.go
@@ -1,9 +1,17 @@
 package spreader
 
-import "expvar"
+import (
+	"expvar"
+
+	"bambooweir.example/bambooweir/messenger"
+)
 
 // Counters counts the events of one daemon's spreading.
 type Counters struct {
+	// Control counts the bytes of control links. What a relay reads from the
+	// store comes on top.
+	Control messenger.Traffic
+
 	VersionsApplied  expvar.Int
 	OlderRefused     expvar.Int
 	InvalidRefused   expvar.Int
--- a/spreader/serve.go
+++ b/spreader/serve.go
@@ -34,6 +34,7 @@
 func (s *Spreader) Serve(ctx context.Context, link *messenger.Link) error {
 	s.init()
 	defer link.Close()
+	link.Traffic = &s.Counters.Control
 	m, err := s.receive(ctx, link)
 	if err != nil {
 		return err
