--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -15,6 +15,7 @@
 	maxAnnouncementBytes = 4 << 10
 	maxNameLength        = 128
 	maxLimit             = 100_000
+	maxColdMS            = 3_600_000
 )
 
 // Announcement is what a target says of itself.
@@ -31,6 +32,12 @@
 	// Epoch is a number that grows with each start of the target, for example
 	// its start time. An announcement of an earlier epoch is refused.
 	Epoch uint64 `json:"epoch,omitempty"`
+	// RunID names one run of the target, if it has such a name.
+	RunID string `json:"run-id,omitempty"`
+	// Sequence grows with each announcement of one run; 0 orders none.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdMS is how much longer the target stays slow after its start, in milliseconds.
+	ColdMS int `json:"cold-ms,omitempty"`
 }
 
 // InvalidError reports an announcement that was not taken.
@@ -55,6 +62,19 @@
 	return fmt.Sprintf("announcement of epoch %d, but epoch %d has announced itself", e.Got, e.Newest)
 }
 
+// StaleError reports an announcement that a later one of the same run has
+// overtaken, or one of a run that has left or been replaced.
+type StaleError struct {
+	RunID string
+	// Sequence is that of the announcement.
+	Sequence uint64
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("announcement %d of run %q was overtaken", e.Sequence, e.RunID)
+}
+
 // decode reads an announcement, or fails with an *InvalidError.
 func decode(r io.Reader) (Announcement, error) {
 	var in Announcement
@@ -69,7 +89,7 @@
 	if err := unmarshalStrict(b, &in); err != nil {
 		return in, err
 	}
-	return in, in.validate()
+	return in, in.Validate()
 }
 
 func unmarshalStrict(b []byte, in *Announcement) error {
@@ -88,7 +108,8 @@
 	return nil
 }
 
-func (in Announcement) validate() error {
+// Validate fails with an *InvalidError when a field is out of bounds.
+func (in Announcement) Validate() error {
 	if in.Service == "" || len(in.Service) > maxNameLength {
 		return &InvalidError{"service", fmt.Sprintf("must have 1 to %d bytes", maxNameLength)}
 	}
@@ -104,6 +125,12 @@
 	if in.Connections < 0 || in.Connections > maxLimit {
 		return &InvalidError{"connections", fmt.Sprintf("must be 0 to %d, got %d", maxLimit, in.Connections)}
 	}
+	if len(in.RunID) > maxNameLength {
+		return &InvalidError{"run-id", fmt.Sprintf("must have at most %d bytes", maxNameLength)}
+	}
+	if in.ColdMS < 0 || in.ColdMS > maxColdMS {
+		return &InvalidError{"cold-ms", fmt.Sprintf("must be 0 to %d, got %d", maxColdMS, in.ColdMS)}
+	}
 	return nil
 }
 
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -40,6 +40,10 @@
 	Self tracker.Record
 	// Changed is called with each new record, in the order of their sequences.
 	Changed func(tracker.Record)
+	// Silence is how long the target may go without an announcement before it is
+	// taken as gone. With 0 it need not repeat itself, and connections are opened
+	// to see whether it is there.
+	Silence time.Duration
 	// Dial opens a connection to see whether the target is there; nil means TCP.
 	Dial     func(ctx context.Context, addr string) error
 	Counters Counters
@@ -58,10 +62,27 @@
 	vanished bool
 	draining bool
 	left     bool
+	// announced is when the newest announcement came.
+	announced time.Time
+	// coldMS is how long the target was to stay slow when its run first announced itself.
+	coldMS int
+	// past holds the runs that have left or been replaced; they do not come back.
+	past map[run]bool
 	// handedOver says that other daemons hold this one's idempotency keys.
 	handedOver bool
 }
 
+// run is one start of a target.
+type run struct {
+	id    string
+	epoch uint64
+}
+
+func (in Announcement) run() run { return run{in.RunID, in.Epoch} }
+
+// maxPast bounds the runs that are remembered as over.
+const maxPast = 256
+
 // view is the newest announcement and what follows from it.
 type view struct {
 	announcement Announcement
@@ -86,24 +107,77 @@
 }
 
 // Announce takes an announcement that is valid. It fails with a
-// *StaleEpochError when a later run of the target has announced itself.
+// *StaleEpochError when a later run of the target has announced itself, and with
+// a *StaleError when this very run has said something newer, or has left.
 func (a *Announcer) Announce(in Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if in.Epoch < a.current.Epoch {
-		return &StaleEpochError{Got: in.Epoch, Newest: a.current.Epoch}
+	if err := a.checkOrder(in); err != nil {
+		return err
 	}
 	a.Counters.Announced.Add(1)
+	a.announced = time.Now()
 	if in == a.current && !a.vanished {
 		a.Counters.Repeated.Add(1)
 		return nil
 	}
+	if in.run() != a.current.run() || a.record.Sequence == 0 {
+		a.endRun(a.current.run())
+		a.coldMS = in.ColdMS
+		a.vanished = false
+	}
 	a.current = in
 	a.vanished = false
 	a.publish()
 	return nil
 }
 
+// checkOrder fails when the announcement comes after one that holds. The caller
+// holds mu.
+func (a *Announcer) checkOrder(in Announcement) error {
+	if in.Epoch < a.current.Epoch {
+		return &StaleEpochError{Got: in.Epoch, Newest: a.current.Epoch}
+	}
+	if in.RunID == "" {
+		return nil
+	}
+	isOvertaken := in.run() == a.current.run() && in.Sequence < a.current.Sequence
+	if isOvertaken || a.past[in.run()] {
+		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
+	}
+	return nil
+}
+
+// endRun notes that a run does not come back. The caller holds mu.
+func (a *Announcer) endRun(r run) {
+	if r.id == "" {
+		return
+	}
+	if a.past == nil || len(a.past) >= maxPast {
+		a.past = make(map[run]bool)
+	}
+	a.past[r] = true
+}
+
+// Depart takes the word of a run of the target that it has left: it gets no new
+// calls, whatever it announces from now on. Epoch is 0 when it isn't told. It
+// fails with a *StaleError when another run has taken its place.
+func (a *Announcer) Depart(runID string, epoch uint64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := run{runID, epoch}
+	if epoch == 0 && runID == a.current.RunID {
+		r = a.current.run()
+	}
+	a.endRun(r)
+	if r != a.current.run() {
+		return &StaleError{RunID: runID}
+	}
+	a.current.State = tracker.StateGone.String()
+	a.publish()
+	return nil
+}
+
 // publish makes the next record if it differs from the one before. The caller
 // holds mu, so that records are handed over in order.
 func (a *Announcer) publish() {
@@ -114,6 +188,8 @@
 	next.Epoch = a.current.Epoch
 	next.State = a.state()
 	next.HandedOver = a.handedOver
+	next.Slots = a.current.Slots
+	next.ColdMS = a.coldMS
 	same := a.record
 	same.Sequence++
 	if a.record.Sequence > 0 && next == same {
@@ -165,7 +241,10 @@
 
 // Draining says whether the target takes no new calls, by its own announcement
 // or by Drain.
-func (a *Announcer) Draining() bool { return a.load().state == tracker.StateDraining }
+func (a *Announcer) Draining() bool {
+	v := a.load()
+	return v.state == tracker.StateDraining || v.announcement.state() == tracker.StateGone
+}
 
 // Current returns the newest announcement; it is zero before the first.
 func (a *Announcer) Current() Announcement { return a.load().announcement }
--- a/announcer/check.go
+++ b/announcer/check.go
@@ -28,6 +28,10 @@
 // Run watches over the target until ctx ends: a target that can't be reached
 // is announced as gone, and one that can be reached again as what it said last.
 func (a *Announcer) Run(ctx context.Context) {
+	if a.Silence > 0 {
+		a.watchSilence(ctx)
+		return
+	}
 	missed := 0
 	for {
 		timer := time.NewTimer(checkInterval)
@@ -44,6 +48,34 @@
 	}
 }
 
+// silenceChecks is the number of looks at the target's silence in the time that
+// it may last.
+const silenceChecks = 8
+
+// watchSilence takes the target as gone when it has announced nothing for too
+// long, or when a call found nobody at its address, until it announces itself
+// again.
+func (a *Announcer) watchSilence(ctx context.Context) {
+	tick := time.NewTicker(a.Silence / silenceChecks)
+	defer tick.Stop()
+	for {
+		unreachable := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-a.wakeUp():
+			unreachable = true
+		}
+		a.mu.Lock()
+		current, silent := a.current, time.Since(a.announced)
+		a.mu.Unlock()
+		if current.Address != "" && (unreachable || silent > a.Silence) {
+			a.mark(current, true)
+		}
+	}
+}
+
 // check returns the number of checks in a row that failed.
 func (a *Announcer) check(ctx context.Context, missed int) int {
 	current := a.Current()
--- a/applier/policy.go
+++ b/applier/policy.go
@@ -24,6 +24,9 @@
 
 	// Slots is the number of calls that one target runs at a time, at least 1.
 	Slots int
+	// LimitsSlots says that the configuration sets Slots; else a target that
+	// announces its slots runs so many.
+	LimitsSlots bool
 	// Connections bounds the open connections to one target, at least 1.
 	Connections int
 
@@ -106,9 +109,11 @@
 		if e.Route == nil {
 			continue
 		}
-		k := policyKey{e.Route.Service, e.Route.Class, e.Route.Partner}
-		if _, ok := policies[k]; !ok {
-			policies[k] = newPolicy(doc, set, k.service, k.class, k.partner)
+		for _, service := range e.Route.Services() {
+			k := policyKey{service, e.Route.Class, e.Route.Partner}
+			if _, ok := policies[k]; !ok {
+				policies[k] = newPolicy(doc, set, k.service, k.class, k.partner)
+			}
 		}
 	}
 	return policies
@@ -138,7 +143,7 @@
 	}
 	e, _ := doc.Find(versioner.Key{Kind: versioner.KindService, Name: service})
 	if e.Service != nil && e.Service.Slots > 0 {
-		p.Slots = e.Service.Slots
+		p.Slots, p.LimitsSlots = e.Service.Slots, true
 	}
 	if e.Service != nil && e.Service.Connections > 0 {
 		p.Connections = e.Service.Connections
--- a/applier/routes.go
+++ b/applier/routes.go
@@ -11,8 +11,19 @@
 type Route struct {
 	Name   string
 	Config *versioner.Route
-	// Policy is never nil.
+	// Policy is that of the route's service, or of the first part of its split.
+	// It is never nil.
 	Policy *Policy
+	// split is nil for a route to one service.
+	split *splitter
+}
+
+// Choose returns the policy of the service that takes the next call.
+func (r *Route) Choose() *Policy {
+	if r.split == nil {
+		return r.Policy
+	}
+	return r.split.next()
 }
 
 // routeIndex finds routes by host, then by path segment.
@@ -34,8 +45,16 @@
 		if e.Route == nil {
 			continue
 		}
-		k := policyKey{e.Route.Service, e.Route.Class, e.Route.Partner}
-		x.add(&Route{Name: e.Key.Name, Config: e.Route, Policy: policies[k]})
+		r := &Route{Name: e.Key.Name, Config: e.Route}
+		parts := make([]*Policy, 0, 1)
+		for _, service := range e.Route.Services() {
+			parts = append(parts, policies[policyKey{service, e.Route.Class, e.Route.Partner}])
+		}
+		r.Policy = parts[0]
+		if len(e.Route.Split) > 0 {
+			r.split = newSplitter(e.Route.Split, parts)
+		}
+		x.add(r)
 	}
 	return x
 }
@@ -89,7 +108,7 @@
 func (n *routeNode) find(path, method string) *Route {
 	var found *Route
 	for n != nil {
-		if r := n.byMethod(method); r != nil {
+		if r := n.byMethod(method, path != ""); r != nil {
 			found = r
 		}
 		if path == "" || n.children == nil {
@@ -102,8 +121,13 @@
 	return found
 }
 
-func (n *routeNode) byMethod(method string) *Route {
+// byMethod returns the first route that takes the method. Routes whose prefix
+// ends with a slash take only paths that go on below it.
+func (n *routeNode) byMethod(method string, goesOn bool) *Route {
 	for _, r := range n.routes {
+		if !goesOn && strings.HasSuffix(r.Config.PathPrefix, "/") {
+			continue
+		}
 		if len(r.Config.Methods) == 0 || slices.Contains(r.Config.Methods, method) {
 			return r
 		}
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -1,29 +1,41 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"io/fs"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/daemon"
 	"bambooweir.example/bambooweir/loader"
-	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/platform"
 )
 
+// settingsCheck is how often the settings file is looked at, since it may change
+// without a signal.
+const settingsCheck = 2 * time.Second
+
 // daemonCommand runs a daemon.
 type daemonCommand struct{ settings string }
 
 func (d *daemonCommand) command() *cobra.Command {
 	c := &cobra.Command{Use: "daemon", Short: "Run the daemon beside a target", Args: cobra.NoArgs, RunE: d.run}
-	c.Flags().StringVar(&d.settings, "settings", "bambooweir.toml", "settings file")
+	path := cmp.Or(os.Getenv(platform.SettingsVariable), "bambooweir.toml")
+	c.Flags().StringVar(&d.settings, "settings", path, "settings file")
 	return c
 }
 
 func (d *daemonCommand) run(c *cobra.Command, _ []string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	cfg, err := loader.Load(d.settings)
 	if err != nil {
 		return badInput(err)
@@ -32,10 +44,58 @@
 	if err != nil {
 		return err
 	}
-	store := &storer.HTTPClient{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
+	store := &platform.Store{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
 	cut, stop := onSecondSignal()
 	defer stop()
-	return daemon.New(cfg, store, log).Run(c.Context(), cut)
+	run := daemon.New(cfg, store, log)
+	go d.follow(c.Context(), run, log, hangups)
+	return run.Run(c.Context(), cut)
+}
+
+// follow reloads the settings when the file has changed, until ctx ends. A file
+// that is not valid changes nothing.
+func (d *daemonCommand) follow(ctx context.Context, run *daemon.Daemon, log *zap.Logger, hangups <-chan os.Signal) {
+	tick := time.NewTicker(settingsCheck)
+	defer tick.Stop()
+	last := d.stamp(log)
+	for {
+		isAsked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			isAsked = true
+		case <-tick.C:
+		}
+		now := d.stamp(log)
+		if now == last && !isAsked {
+			continue
+		}
+		last = now
+		cfg, err := loader.Load(d.settings)
+		if err != nil {
+			log.Error("settings not reloaded", zap.String("file", d.settings), zap.Error(err))
+			continue
+		}
+		run.Reload(cfg)
+	}
+}
+
+// fileStamp tells one state of a file from another.
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func (d *daemonCommand) stamp(log *zap.Logger) fileStamp {
+	info, err := os.Stat(d.settings)
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			log.Warn("settings file can't be looked at", zap.Error(err))
+		}
+		return fileStamp{}
+	}
+	return fileStamp{modified: info.ModTime(), size: info.Size()}
 }
 
 func newLogger(level string) (*zap.Logger, error) {
--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -11,6 +11,7 @@
 
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/faketarget"
+	"bambooweir.example/bambooweir/platform"
 )
 
 const (
@@ -29,7 +30,7 @@
 }
 
 func (f *fakeStoreCommand) run(c *cobra.Command, _ []string) error {
-	return listen(c.Context(), f.address, fakestorer.Handler(new(fakestorer.Store)))
+	return listen(c.Context(), f.address, platform.StoreHandler(new(fakestorer.Store)))
 }
 
 // fakeTargetCommand runs a stand-in of a target.
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -6,14 +6,19 @@
 	"errors"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/limiter"
+	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/versioner"
 )
 
 // admit waits for a slot at the target.
 func (d *Daemon) admit(ctx context.Context, call *messenger.Call) (func(), *messenger.Answer) {
-	request := limiter.Request{Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner)}
+	request := limiter.Request{
+		Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner), Priority: call.Priority,
+		Objective: loader.Milliseconds(int(call.ObjectiveMS)), IsNested: call.IsNested,
+	}
 	slot, err := d.limiter.Admit(ctx, request)
 	if err == nil {
 		return slot.Release, nil
@@ -27,10 +32,13 @@
 	return nil, answer
 }
 
-// load returns the calls at the target, which answers carry.
-func (d *Daemon) load() (running, waiting int) {
+// load returns the target's load, which answers carry.
+func (d *Daemon) load(call *messenger.Call) executor.Load {
 	load := d.limiter.Load()
-	return load.Running, load.Waiting
+	return executor.Load{
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots,
+		Run: d.limiter.MeanRun(call.Class, call.Priority),
+	}
 }
 
 // reached notes whether the target began to answer a call.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -16,10 +17,12 @@
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/limiter"
+	"bambooweir.example/bambooweir/listener"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -27,7 +30,8 @@
 
 // Daemon is one running daemon.
 type Daemon struct {
-	cfg       *loader.Daemon
+	// cfg holds the settings in force; it is replaced whole by Reload.
+	cfg       atomic.Pointer[loader.Daemon]
 	log       *zap.Logger
 	applier   *applier.Applier
 	table     *tracker.Table
@@ -36,12 +40,16 @@
 	limiter   *limiter.Limiter
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
+	callers   *listener.Server
 	surface   *operator.Surface
+	// stopping says that callers are to go elsewhere.
+	stopping atomic.Bool
 }
 
 // New assembles a daemon. Nothing runs before Run.
 func New(cfg *loader.Daemon, store storer.Client, log *zap.Logger) *Daemon {
-	d := &Daemon{cfg: cfg, log: log, applier: &applier.Applier{Domain: cfg.FailureDomain}, table: new(tracker.Table)}
+	d := &Daemon{log: log, applier: &applier.Applier{Domain: cfg.FailureDomain}, table: new(tracker.Table)}
+	d.cfg.Store(cfg)
 	d.spreader = &spreader.Spreader{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
 		Store: store, Applier: d.applier, Table: d.table, Log: log, Settings: spreadSettings(cfg),
@@ -60,12 +68,18 @@
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
 		Target: d.announcer.Target, Draining: d.announcer.Draining,
 		Service: d.announcer.Service, Admit: d.admit, Load: d.load, Reached: d.reached,
-		HTTP: &limiter.Transport{Connections: d.connections, New: executor.NewTransport},
 	}
+	d.executor.Requester.MaxConnections = d.connections
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
-		InstanceID: cfg.InstanceID, Local: d.executor.Run,
+		InstanceID: cfg.InstanceID, Local: d.executor.Run, Service: func() string { return d.cfg.Load().Service },
 	}
+	d.callers = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits}
+	d.forwarder.Retrier.Daemons = d.daemons
+	if cfg.Platform {
+		d.joinPlatform()
+	}
+	d.settle(cfg)
 	d.executor.Keyring.Peers = d.table
 	d.executor.Keyring.Ask = d.forwarder.Ask
 	d.executor.Keyring.Retention = d.keyRetention
@@ -110,6 +124,9 @@
 func (d *Daemon) operatorHandler() http.Handler {
 	e := echo.New()
 	d.announcer.Register(e)
+	if d.cfg.Load().Platform {
+		platform.RegisterHeartbeats(e, d.announcer)
+	}
 	d.surface.Register(e)
 	return e
 }
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -24,6 +25,11 @@
 	acknowledgeWait = 2 * time.Second
 	// handoverWait bounds the handing over of idempotency keys.
 	handoverWait = 5 * time.Second
+	// departWait is how long callers are still served after a stop has begun: the
+	// platform asks once a second and sends nobody after two refusals.
+	departWait = 2200 * time.Millisecond
+	// stopMargin is what a stop keeps of its limit, so that it ends by itself.
+	stopMargin = 500 * time.Millisecond
 	// drainInterval is the time between two looks at what is in flight.
 	drainInterval = 10 * time.Millisecond
 	// closeWait bounds the closing of the callers' connections.
@@ -50,11 +56,12 @@
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, serving := errgroup.WithContext(serving)
-	g.Go(func() error { return serve(serving, d.cfg.CallerAddress, d.forwarder) })
+	g.Go(func() error { return d.serveCallers(serving) })
+	g.Go(func() error { return d.serveAsides(serving) })
 	g.Go(func() error {
-		return serve(serving, cmp.Or(d.cfg.PeerListenAddress, d.cfg.PeerAddress), d.peerHandler(serving))
+		return serve(serving, cmp.Or(d.cfg.Load().PeerListenAddress, d.cfg.Load().PeerAddress), d.peerHandler(serving))
 	})
-	g.Go(func() error { return serve(serving, d.cfg.OperatorAddress, d.operatorHandler()) })
+	g.Go(func() error { return serve(serving, d.cfg.Load().OperatorAddress, d.operatorHandler()) })
 	g.Go(func() error {
 		d.spreader.Run(serving)
 		return nil
@@ -76,8 +83,8 @@
 			return d.drain(serving, cut)
 		}
 	})
-	d.log.Info("daemon started", zap.String("instance", d.cfg.InstanceID))
-	if d.cfg.BootstrapTokenSHA256 == "" {
+	d.log.Info("daemon started", zap.String("instance", d.cfg.Load().InstanceID))
+	if d.cfg.Load().BootstrapTokenSHA256 == "" {
 		d.log.Warn("anyone may make changes until a partner has a token", zap.String("setting", "bootstrap-token-sha256"))
 	}
 	return g.Wait()
@@ -87,12 +94,19 @@
 func (d *Daemon) drain(serving, cut context.Context) error {
 	limit := d.drainLimit()
 	d.log.Info("stop begun", zap.Int("entered", d.forwarder.InFlight()), zap.Int("running", d.executor.InFlight()), zap.Duration("limit", limit))
-	d.announcer.Drain()
-	d.forwarder.Drain()
-	d.executor.Drain(serving)
+	start := time.Now()
 	cut, cancel := context.WithTimeout(cut, limit)
 	defer cancel()
-	start := time.Now()
+	d.stopping.Store(true)
+	d.announcer.Drain()
+	d.executor.Drain(serving)
+	d.callers.Drain()
+	if d.cfg.Load().ReadyAddress != "" {
+		// Callers are sent here until the platform has asked twice in vain.
+		_ = sleeper.Sleep(cut, min(departWait, limit/2))
+	}
+	d.forwarder.Drain()
+	d.callers.CloseIdle()
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
 	var quiet time.Time
@@ -137,7 +151,12 @@
 }
 
 // drainLimit returns how long a planned stop may take.
-func (d *Daemon) drainLimit() time.Duration { return d.setting("drain-ms") }
+func (d *Daemon) drainLimit() time.Duration {
+	if limit := time.Duration(d.cfg.Load().StopLimitS * float64(time.Second)); limit > 0 {
+		return max(limit-stopMargin, limit/2)
+	}
+	return d.setting("drain-ms")
+}
 
 // keyRetention returns how long idempotency keys are remembered.
 func (d *Daemon) keyRetention() time.Duration { return d.setting("key-retention-ms") }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,7 +24,7 @@
 	}
 	m.Set("operator", publisher.Counters(&d.surface.Counters))
 	m.Set("version", expvar.Func(d.versionInForce))
-	publisher.Publish(d.cfg.InstanceID, m)
+	publisher.Publish(d.cfg.Load().InstanceID, m)
 }
 
 func (d *Daemon) versionInForce() any {
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"bambooweir.example/bambooweir/listener"
+	"bambooweir.example/bambooweir/loader"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/platform"
+	"bambooweir.example/bambooweir/spreader"
+)
+
+// missedHeartbeats is the number of announcements of the target in a row that
+// must stay out for it to be taken as gone.
+const missedHeartbeats = 3
+
+// joinPlatform makes the parts take configuration, heartbeats and header fields
+// from the platform.
+func (d *Daemon) joinPlatform() {
+	headers := platform.Dialect()
+	d.forwarder.Headers = headers
+	d.forwarder.FractionalRetryAfter = true
+	if host, _, err := net.SplitHostPort(d.cfg.Load().CallerAddress); err == nil {
+		d.forwarder.Host = host
+	}
+	d.executor.Headers = headers
+	d.executor.EchoesID = true
+	d.executor.RunID = func() string { return d.announcer.Current().RunID }
+	d.executor.Requester.IDField = headers.RequestID
+	d.announcer.Silence = missedHeartbeats * loader.Milliseconds(d.cfg.Load().TargetHeartbeatMS)
+	d.spreader.External = &spreader.External{Key: platform.ConfigKey, Decode: platform.DecodeConfig}
+}
+
+// callerLimits returns what the configuration in force lets callers send.
+func (d *Daemon) callerLimits() listener.Limits {
+	return listener.Limits{
+		HeaderBytes:   int(d.setting("max-header-bytes") / time.Millisecond),
+		BodyBytes:     min(int(d.setting("max-body-bytes")/time.Millisecond), messenger.MaxBodyBytes),
+		HeaderTimeout: d.setting("header-timeout-ms"),
+		IdleTimeout:   d.setting("idle-timeout-ms"),
+	}
+}
+
+// serveCallers serves the callers until ctx ends.
+func (d *Daemon) serveCallers(ctx context.Context) error {
+	l, err := net.Listen("tcp", d.cfg.Load().CallerAddress)
+	if err != nil {
+		return errorx.Decorate(err, "listening for callers")
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		d.callers.Close()
+	})
+	defer stop()
+	return d.callers.Serve(l)
+}
+
+// isReady says whether callers may be sent to this daemon.
+func (d *Daemon) isReady() bool { return !d.stopping.Load() && d.applier.Current() != nil }
+
+// serveAsides serves what the platform asks beside calls, where there are
+// addresses for it.
+func (d *Daemon) serveAsides(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if d.cfg.Load().ReadyAddress != "" {
+		g.Go(func() error { return serve(ctx, d.cfg.Load().ReadyAddress, platform.ReadyHandler(d.isReady)) })
+	}
+	return g.Wait()
+}
--- a/decoder/types.go
+++ b/decoder/types.go
@@ -80,6 +80,9 @@
 	case reflect.Float64:
 		want = "a number"
 		_, ok = value.(float64)
+		if !ok {
+			_, ok = value.(int64)
+		}
 	case reflect.Uint, reflect.Uint64, reflect.Uint32:
 		want = "a whole number from 0"
 		n, isInt := value.(int64)
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -18,7 +18,7 @@
 	"bambooweir.example/bambooweir/faulter"
 	"bambooweir.example/bambooweir/launcher"
 	"bambooweir.example/bambooweir/loader"
-	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/platform"
 )
 
 const (
@@ -58,13 +58,13 @@
 func (f *fleet) start(ctx context.Context) error {
 	f.store, f.recorder = new(fakestorer.Store), new(checker.Recorder)
 	addr := launcher.NewAddress()
-	f.serve(addr, fakestorer.Handler(f.store))
+	f.serve(addr, platform.StoreHandler(f.store))
 	link, err := faulter.Listen(launcher.NewAddress(), addr)
 	if err != nil {
 		return err
 	}
 	f.storeLink, f.storeURL = link, "http://"+link.Addr()
-	go f.recorder.WatchStore(ctx, &storer.HTTPClient{BaseURL: "http://" + addr})
+	go f.recorder.WatchStore(ctx, &platform.Store{BaseURL: "http://" + addr})
 	for _, p := range layout() {
 		for n := range p.targets {
 			f.addInstance(ctx, instanceName(p.service, n), p.service, p.domains[n%len(p.domains)])
@@ -100,7 +100,7 @@
 func (f *fleet) startDaemon(ctx context.Context, i *instance) {
 	ctx, i.kill = context.WithCancel(ctx)
 	i.done = make(chan struct{})
-	store := &storer.HTTPClient{BaseURL: i.settings.StoreURL, Timeout: loader.Milliseconds(i.settings.StoreTimeoutMS)}
+	store := &platform.Store{BaseURL: i.settings.StoreURL, Timeout: loader.Milliseconds(i.settings.StoreTimeoutMS)}
 	d := daemon.New(i.settings, store, zap.NewNop())
 	f.daemons = append(f.daemons, d)
 	f.wg.Add(1)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -7,13 +7,13 @@
 import (
 	"context"
 	"expvar"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/requester"
 )
 
 // maxBufferedBytes bounds the bodies of all requests that are accepted and not answered.
@@ -21,11 +21,14 @@
 
 // Causes of answers that are no answers of the target.
 const (
-	CauseNoTarget       = "no-target"
-	CauseUnreachable    = "target-unreachable"
-	CauseTargetFailed   = "target-failed"
-	CauseCutShort       = "answer-cut-short"
-	CauseUnbounded      = "answer-length-unknown"
+	CauseNoTarget     = "no-target"
+	CauseUnreachable  = "target-unreachable"
+	CauseTargetFailed = "target-failed"
+	CauseCutShort     = "answer-cut-short"
+	// CauseShed means that the target refused the call unrun, CauseOtherRun that
+	// another run of a target answered at its address.
+	CauseShed           = "target-shed"
+	CauseOtherRun       = "other-target-run"
 	CauseTooLarge       = "answer-too-large"
 	CauseMalformed      = "malformed-request"
 	CauseMethod         = "method-not-forwarded"
@@ -62,20 +65,27 @@
 	Admit func(ctx context.Context, call *messenger.Call) (release func(), refusal *messenger.Answer)
 	// Service returns the service of the target; nil means that keys have no homes.
 	Service func() string
-	// Load returns the calls that run and wait at the target; nil tells none.
-	Load func() (running, waiting int)
+	// Load returns the target's load for calls like this one; nil tells none.
+	Load func(call *messenger.Call) Load
 	// Reached is told of every call whether the target began to answer; calls
 	// that were cancelled or ran out of time say nothing.
 	Reached func(answered bool)
-	// HTTP reaches the target; nil means a transport of its own.
-	HTTP     http.RoundTripper
+	// Headers spells the header fields of calls; the zero value is bambooweir's own.
+	Headers messenger.Dialect
+	// RunID returns the name of the target's present run, which requests carry so
+	// that no other run takes them; nil or "" names none.
+	RunID func() string
+	// EchoesID says that the target repeats the request's id on its answers, and
+	// that one without it belongs to no request.
+	EchoesID bool
+	// Requester holds the connections to the target.
+	Requester requester.Requester
+	// Exchange replaces Requester; nil uses it.
+	Exchange func(ctx context.Context, base string, req *requester.Request) (*requester.Response, error)
 	Calls    fencer.Fencer
 	Keyring  Keyring
 	Counters Counters
 
-	transportOnce sync.Once
-	transport     http.RoundTripper
-
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	buffered atomic.Int64
@@ -85,6 +95,16 @@
 	running map[messenger.CallID]*run
 }
 
+// Load is what a target's daemon tells of its load.
+type Load struct {
+	// Running and Waiting are the calls at the target and those that wait for a slot.
+	Running, Waiting int
+	// Slots is the number of calls that the target runs at a time.
+	Slots int
+	// Run is the mean time that such a call takes at the target, 0 when not known.
+	Run time.Duration
+}
+
 // run is one call on its way.
 type run struct {
 	call     *messenger.Call
@@ -107,7 +127,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return caller.Err() == nil }}
-	return x.label(x.count(x.runOrRepeat(ctx, r)))
+	return x.label(call, x.count(x.runOrRepeat(ctx, r)))
 }
 
 func (x *Executor) runOrRepeat(ctx context.Context, r *run) *messenger.Answer {
@@ -138,7 +158,11 @@
 		}
 		defer release()
 	}
-	req, cause := newRequest(ctx, base, r.call, r.deadline)
+	if x.isDraining() {
+		// It began to drain while the call waited.
+		return messenger.NotRun(id, CauseDraining)
+	}
+	req, cause := x.newRequest(r.call, r.deadline)
 	if req == nil {
 		return messenger.NotRun(id, cause)
 	}
@@ -148,16 +172,18 @@
 	if !r.begin() {
 		return messenger.NotRun(id, CauseCancelled)
 	}
-	return x.ask(req, r)
+	return x.ask(ctx, base, req, r)
 }
 
 // label returns the answer with what the entry daemon chooses targets by. The
 // answer itself may be shared with repeats of its call.
-func (x *Executor) label(answer *messenger.Answer) *messenger.Answer {
+func (x *Executor) label(call *messenger.Call, answer *messenger.Answer) *messenger.Answer {
 	labeled := *answer
 	labeled.Draining = answer.Draining || x.isDraining()
 	if x.Load != nil {
-		labeled.Running, labeled.Waiting = x.Load()
+		load := x.Load(call)
+		labeled.Running, labeled.Waiting = load.Running, load.Waiting
+		labeled.Slots, labeled.RunUS = load.Slots, load.Run.Microseconds()
 		labeled.Told = true
 	}
 	return &labeled
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -139,7 +139,7 @@
 	}
 	x.running[call.ID] = r
 	x.mu.Unlock()
-	answer := x.label(x.count(x.runOrRepeat(runCtx, r)))
+	answer := x.label(call, x.count(x.runOrRepeat(runCtx, r)))
 	x.mu.Lock()
 	delete(x.running, call.ID)
 	x.mu.Unlock()
--- a/executor/target.go
+++ b/executor/target.go
@@ -1,129 +1,137 @@
 package executor
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/requester"
 )
 
-const (
-	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
-	maxIdleConns    = 128
-	maxHeaderBytes  = 64 << 10
-	readBufferBytes = 16 << 10
-)
-
-// NewTransport returns the transport to the target. It follows no redirect,
-// adds no header, and asks for no compression of its own.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableCompression:     true,
-		MaxIdleConns:           maxIdleConns,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         readBufferBytes,
-	}
-}
-
-func (x *Executor) roundTripper() http.RoundTripper {
-	if x.HTTP != nil {
-		return x.HTTP
-	}
-	x.transportOnce.Do(func() { x.transport = NewTransport() })
-	return x.transport
-}
-
-// onceReader hides the kind of its reader, so that net/http can't send the body again.
-type onceReader struct{ io.Reader }
-
-// respelled holds the header names that net/http takes, in their canonical
-// spelling, as leave to send a request again.
-var respelled = map[string]string{"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"}
-
 // newRequest returns the request to the target, or the cause for which there is none.
-//
-// Invariant: net/http never sends the request twice. It does so on a broken
-// idle connection when the method is GET, HEAD, OPTIONS or TRACE, or when the
-// request has an idempotency key, unless there is a body that can't be rewound.
-func newRequest(ctx context.Context, base string, call *messenger.Call, deadline time.Time) (req *http.Request, cause string) {
+func (x *Executor) newRequest(call *messenger.Call, deadline time.Time) (req *requester.Request, cause string) {
 	switch call.Method {
 	case http.MethodTrace, http.MethodConnect:
 		return nil, CauseMethod
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, base+call.Target, http.NoBody)
-	if err != nil {
+	if !strings.HasPrefix(call.Target, "/") || strings.ContainsAny(call.Target, " \r\n") {
 		return nil, CauseMalformed
 	}
-	if len(call.Body) > 0 || !call.Idempotent && isResent(call.Method) {
-		req.Body = io.NopCloser(onceReader{bytes.NewReader(call.Body)})
-		req.ContentLength = int64(len(call.Body))
-	} else {
-		req.Body = nil
-	}
-	req.GetBody = nil
-	req.Host = call.Host
+	names := x.Headers.Names()
+	fields := make([]messenger.Header, 0, len(call.Headers)+2)
 	for _, h := range call.Headers {
-		name := h.Name
-		if other, ok := respelled[name]; ok {
-			name = other
+		if h.Name != names.Deadline && h.Name != names.Target {
+			fields = append(fields, h)
+		}
+	}
+	left := max(0, time.Until(deadline).Milliseconds())
+	fields = append(fields, messenger.Header{Name: names.Deadline, Value: strconv.FormatInt(left, 10)})
+	if x.RunID != nil {
+		if id := x.RunID(); id != "" {
+			fields = append(fields, messenger.Header{Name: names.Target, Value: id})
 		}
-		req.Header[name] = append(req.Header[name], h.Value)
 	}
-	req.Header[messenger.HeaderDeadline] = []string{strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10)}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil
+	req = &requester.Request{
+		Method: call.Method, Target: call.Target, Host: call.Host, Fields: fields, Body: call.Body,
+		IsRepeatable: call.Idempotent,
+	}
+	if x.EchoesID {
+		req.ID = call.RequestID
 	}
 	return req, ""
 }
 
-func isResent(method string) bool {
-	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+// exchange sends a request to the target.
+func (x *Executor) exchange(ctx context.Context, base string, req *requester.Request) (*requester.Response, error) {
+	if x.Exchange != nil {
+		return x.Exchange(ctx, base, req)
+	}
+	return x.Requester.Do(ctx, strings.TrimPrefix(base, "http://"), req)
 }
 
 // ask sends a request that has begun and reads the answer.
-func (x *Executor) ask(req *http.Request, r *run) *messenger.Answer {
+func (x *Executor) ask(ctx context.Context, base string, req *requester.Request, r *run) *messenger.Answer {
 	id := r.call.ID
-	res, err := x.roundTripper().RoundTrip(req)
-	if x.Reached != nil && (err == nil || req.Context().Err() == nil) {
-		x.Reached(err == nil)
+	res, err := x.exchange(ctx, base, req)
+	var unsent *requester.NotSentError
+	if errors.As(err, &unsent) {
+		x.reached(!unsent.IsUnreachable)
+		if ctx.Err() != nil {
+			return messenger.NotRun(id, failureCause(ctx, CauseUnreachable))
+		}
+		return messenger.NotRun(id, CauseUnreachable)
 	}
 	if err != nil {
-		if neverDialed(err) {
-			return messenger.NotRun(id, CauseUnreachable)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// What made this answer stay out may have silenced the idle connections, too.
+			x.Requester.Reset()
 		}
-		return messenger.Unknown(id, failureCause(req.Context(), CauseTargetFailed))
+		return sent(messenger.Unknown(id, failureCause(ctx, lossCause(err))))
+	}
+	x.reached(true)
+	return sent(x.answerOf(id, req, res))
+}
+
+func sent(answer *messenger.Answer) *messenger.Answer {
+	answer.Sent = true
+	return answer
+}
+
+func (x *Executor) reached(answered bool) {
+	if x.Reached != nil {
+		x.Reached(answered)
 	}
-	defer res.Body.Close()
-	if res.StatusCode < http.StatusOK {
-		return messenger.Unknown(id, CauseTargetFailed)
+}
+
+// lossCause tells an answer that was cut from none at all.
+func lossCause(err error) string {
+	switch {
+	case requester.IsTooLarge(err):
+		return CauseTooLarge
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return CauseCutShort
+	default:
+		return CauseTargetFailed
 	}
-	body, cause := readBody(req, res)
-	if cause != "" {
-		return messenger.Unknown(id, failureCause(req.Context(), cause))
+}
+
+// answerOf returns the answer that a response makes.
+func (x *Executor) answerOf(id messenger.CallID, req *requester.Request, res *requester.Response) *messenger.Answer {
+	switch {
+	case res.Status == http.StatusMisdirectedRequest:
+		x.reached(false)
+		return messenger.NotRun(id, CauseOtherRun)
+	case res.Header.Get(x.Headers.Names().NotRun) != "":
+		answer := messenger.NotRun(id, CauseShed)
+		answer.RetryAfterMS = retryAfter(res.Header)
+		return answer
+	case !messenger.MatchesContentDigest(res.Header, res.Body) && req.Method != http.MethodHead:
+		return messenger.Unknown(id, CauseDamaged)
 	}
 	return &messenger.Answer{
-		ID: id, Outcome: messenger.OutcomeAnswered, Status: res.StatusCode,
-		Headers: messenger.FromHTTP(res.Header), Body: body, BodyDigest: messenger.Digest(body),
+		ID: id, Outcome: messenger.OutcomeAnswered, Status: res.Status,
+		Headers: messenger.FromHTTP(res.Header), Body: res.Body, BodyDigest: messenger.Digest(res.Body),
 	}
 }
 
-// neverDialed says that no connection was made, so that nothing was sent.
-func neverDialed(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// retryAfter returns the target's advice in milliseconds, 0 for none. Dates are
+// passed over, since clocks differ.
+func retryAfter(h http.Header) int64 {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds <= 0 || seconds > maxRetryAfterSeconds {
+		return 0
+	}
+	return int64(seconds * 1000)
 }
 
+// maxRetryAfterSeconds bounds the advice that is passed on.
+const maxRetryAfterSeconds = 3600
+
 func failureCause(ctx context.Context, cause string) string {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -134,40 +142,3 @@
 		return cause
 	}
 }
-
-// readBody reads the whole body, or returns the cause for which it isn't whole.
-func readBody(req *http.Request, res *http.Response) (body []byte, cause string) {
-	if !hasBody(req, res) {
-		return nil, ""
-	}
-	chunked := len(res.TransferEncoding) > 0
-	switch {
-	case res.ContentLength > messenger.MaxBodyBytes:
-		return nil, CauseTooLarge
-	case res.ContentLength >= 0:
-		body = make([]byte, res.ContentLength)
-		if _, err := io.ReadFull(res.Body, body); err != nil {
-			return nil, CauseCutShort
-		}
-	case !chunked:
-		// The end of the connection ends the body, so a cut can't be told from the end.
-		return nil, CauseUnbounded
-	default:
-		read, err := io.ReadAll(io.LimitReader(res.Body, messenger.MaxBodyBytes+1))
-		if err != nil {
-			return nil, CauseCutShort
-		}
-		if len(read) > messenger.MaxBodyBytes {
-			return nil, CauseTooLarge
-		}
-		body = read
-	}
-	if !messenger.MatchesContentDigest(res.Header, body) {
-		return nil, CauseDamaged
-	}
-	return body, ""
-}
-
-func hasBody(req *http.Request, res *http.Response) bool {
-	return req.Method != http.MethodHead && res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified
-}
--- a/fakestorer/fakestorer.go
+++ b/fakestorer/fakestorer.go
@@ -1,13 +1,14 @@
 // Package fakestorer is a stand-in of the platform's key-value service.
 //
-// It keeps everything in memory, speaks the HTTP protocol that package storer
-// expects, and counts each call, a waiting watch as one. It is meant for tests,
-// demonstrations and measurements.
+// It keeps everything in memory and counts each call, a waiting watch as one.
+// Package platform serves it over the platform's protocol. It is meant for
+// tests, demonstrations and measurements.
 package fakestorer
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,16 +28,25 @@
 	expires time.Time
 }
 
+// defaultPageItems is the number of items of one page.
+const defaultPageItems = 500
+
 // Store is an in-memory key-value service. The zero value works.
 type Store struct {
+	// PageItems bounds the items of one page; 0 means 500.
+	PageItems int
+
 	mu sync.Mutex
 	// revision is the newest write's; it only grows.
 	revision storer.Revision
 	items    map[string]storer.Item
-	leases   map[storer.LeaseID]lease
-	nextID   storer.LeaseID
-	changed  chan struct{}
-	counts   Counts
+	// history holds the changes after compacted, oldest first.
+	history   []storer.Event
+	compacted storer.Revision
+	leases    map[storer.LeaseID]lease
+	nextID    storer.LeaseID
+	changed   chan struct{}
+	counts    Counts
 }
 
 var _ storer.Client = (*Store)(nil)
@@ -69,12 +79,18 @@
 	delete(s.leases, id)
 	for key, item := range s.items {
 		if item.Lease == id {
-			delete(s.items, key)
 			s.bump()
+			s.remove(key)
 		}
 	}
 }
 
+// remove deletes a key at the present revision. The caller holds mu.
+func (s *Store) remove(key string) {
+	delete(s.items, key)
+	s.history = append(s.history, storer.Event{Item: storer.Item{Key: key, Revision: s.revision}, IsDeleted: true})
+}
+
 // bump advances the revision and wakes the watches. The caller holds mu.
 func (s *Store) bump() {
 	s.revision++
@@ -82,6 +98,22 @@
 	s.changed = make(chan struct{})
 }
 
+// Compact forgets the history, as the service may at any time.
+func (s *Store) Compact() {
+	s.lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// EndLeases ends every lease, as after an outage in which they could not be renewed.
+func (s *Store) EndLeases() {
+	s.lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.end(id)
+	}
+}
+
 // Get implements storer.Client.
 func (s *Store) Get(_ context.Context, key string) (storer.Item, error) {
 	s.lock()
@@ -99,42 +131,98 @@
 	s.lock()
 	defer s.mu.Unlock()
 	s.counts.Reads++
+	return s.list(prefix, ""), nil
+}
+
+// list returns the items with the prefix that come after a key, in the order of
+// their keys. The caller holds mu.
+func (s *Store) list(prefix, after string) []storer.Item {
 	items := []storer.Item{}
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			items = append(items, item)
 		}
 	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	return items, nil
+	slices.SortFunc(items, func(a, b storer.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return items
 }
 
-// CompareAndSwap implements storer.Client.
-func (s *Store) CompareAndSwap(_ context.Context, key string, value []byte, expect storer.Revision, id storer.LeaseID) (storer.Revision, error) {
+// Page returns the next items with the prefix after a key, whether there are
+// more, and the newest revision.
+func (s *Store) Page(_ context.Context, prefix, after string) ([]storer.Item, bool, storer.Revision, error) {
 	s.lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
-	if current := s.items[key].Revision; current != expect {
-		return 0, &storer.ConflictError{Key: key, Current: current}
-	}
-	if _, ok := s.leases[id]; id != 0 && !ok {
-		return 0, &storer.NotFoundError{Key: "lease"}
-	}
-	s.bump()
-	s.items[key] = storer.Item{Key: key, Value: value, Revision: s.revision, Lease: id}
-	return s.revision, nil
+	s.counts.Reads++
+	items := s.list(prefix, after)
+	limit := cmp.Or(s.PageItems, defaultPageItems)
+	return items[:min(limit, len(items))], len(items) > limit, s.revision, nil
+}
+
+// CompareAndSwap implements storer.Client.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expect storer.Revision, id storer.LeaseID) (storer.Revision, error) {
+	return s.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: key, Revision: expect}},
+		Puts:       []storer.Put{{Key: key, Value: value, Lease: id}},
+	})
 }
 
 // Delete implements storer.Client.
-func (s *Store) Delete(_ context.Context, key string, expect storer.Revision) error {
+func (s *Store) Delete(ctx context.Context, key string, expect storer.Revision) error {
+	_, err := s.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: key, Revision: expect}}, Deletes: []string{key},
+	})
+	return err
+}
+
+// Commit makes the writes of a transaction if its conditions hold, and fails
+// with a *storer.ConflictError if not.
+func (s *Store) Commit(_ context.Context, t storer.Transaction) (storer.Revision, error) {
 	s.lock()
 	defer s.mu.Unlock()
 	s.counts.Writes++
-	if current := s.items[key].Revision; current != expect {
-		return &storer.ConflictError{Key: key, Current: current}
+	if err := s.check(t); err != nil {
+		return 0, err
 	}
-	delete(s.items, key)
 	s.bump()
+	for _, p := range t.Puts {
+		item := storer.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Created: s.revision, Lease: p.Lease}
+		if old, ok := s.items[p.Key]; ok {
+			item.Created = old.Created
+		}
+		s.items[p.Key] = item
+		s.history = append(s.history, storer.Event{Item: item})
+	}
+	for _, key := range t.Deletes {
+		if _, ok := s.items[key]; ok {
+			s.remove(key)
+		}
+	}
+	return s.revision, nil
+}
+
+// check fails if a condition of the transaction does not hold, or if a lease is
+// not there. The caller holds mu.
+func (s *Store) check(t storer.Transaction) error {
+	var conflict *storer.ConflictError
+	var present []storer.Item
+	for _, c := range t.Conditions {
+		item, ok := s.items[c.Key]
+		if ok {
+			present = append(present, item)
+		}
+		if item.Revision != c.Revision && conflict == nil {
+			conflict = &storer.ConflictError{Key: c.Key, Current: item.Revision}
+		}
+	}
+	if conflict != nil {
+		conflict.Items = present
+		return conflict
+	}
+	for _, p := range t.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return &storer.NotFoundError{Key: "lease"}
+		}
+	}
 	return nil
 }
 
@@ -160,6 +248,38 @@
 	}
 }
 
+// Changes waits for changes of keys with the prefix after a revision, and
+// returns them with the newest revision. It fails with a *storer.CompactedError
+// when they may have been forgotten.
+func (s *Store) Changes(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) ([]storer.Event, storer.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	s.lock()
+	s.counts.Watches++
+	for {
+		if after < s.compacted {
+			s.mu.Unlock()
+			return nil, 0, &storer.CompactedError{After: after}
+		}
+		var events []storer.Event
+		for _, e := range s.history {
+			if e.Item.Revision > after && strings.HasPrefix(e.Item.Key, prefix) {
+				events = append(events, e)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || ctx.Err() != nil {
+			return events, at, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		s.lock()
+	}
+}
+
 // Grant implements storer.Client.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (storer.LeaseID, error) {
 	s.lock()
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -37,12 +37,16 @@
 	policy   *applier.Policy
 	deadline time.Time
 	retries  retrier.Call
+	// maxTargets bounds the targets that the call may be sent to; 0 means no bound.
+	maxTargets int
 
 	// mu guards what follows, since two attempts may run side by side.
 	mu       sync.Mutex
 	tried    picker.Tried
 	attempts uint16
-	harmed   int
+	// sent counts the attempts that reached a target.
+	sent   int
+	harmed int
 	// undecided is the answer of an attempt that may have run.
 	undecided *messenger.Answer
 }
@@ -65,7 +69,7 @@
 			return answer
 		}
 		failure, again := failureOf(&x.call, answer)
-		if !again || x.isHarmful(f.MaxHarmed) || !x.retries.Retry(ctx, failure) {
+		if !again || x.isExhausted() || x.isHarmful(f.MaxHarmed) || !x.retries.Retry(ctx, failure) {
 			return x.conclude(answer)
 		}
 		f.Counters.Redispatched.Add(1)
@@ -105,13 +109,22 @@
 
 // note takes in the end of an attempt.
 func (x *exchange) note(answer *messenger.Answer) {
-	if answer.Outcome != messenger.OutcomeUnknown {
-		return
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if answer.Sent || answer.Outcome == messenger.OutcomeUnknown {
+		x.sent++
+	}
+	if answer.Outcome == messenger.OutcomeUnknown {
+		x.undecided = answer
+		x.harmed++
 	}
+}
+
+// isExhausted says whether the call has been sent to as many targets as it may.
+func (x *exchange) isExhausted() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.undecided = answer
-	x.harmed++
+	return x.maxTargets > 0 && x.sent >= x.maxTargets
 }
 
 func (x *exchange) snapshot() picker.Tried {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -18,6 +18,7 @@
 	executor.CauseUnreachable:    true,
 	executor.CauseLinkEnded:      true,
 	executor.CauseNeverDelivered: true,
+	executor.CauseOtherRun:       true,
 }
 
 // overloaded holds the causes of calls refused for want of capacity.
@@ -28,14 +29,19 @@
 	limiter.CauseQueueFull:    true,
 	limiter.CauseExpectedWait: true,
 	limiter.CauseQueueTime:    true,
+	limiter.CauseExpectedRun:  true,
 }
 
 // failureOf says what the failure of an attempt means for a further one, or
 // that there is to be none.
 func failureOf(call *messenger.Call, answer *messenger.Answer) (retrier.Failure, bool) {
 	switch {
+	case answer.Outcome == messenger.OutcomeNotRun && answer.Cause == executor.CauseShed:
+		return retrier.FailureShed, true
 	case answer.Outcome == messenger.OutcomeNotRun && notBegun[answer.Cause]:
 		return retrier.FailureNotBegun, true
+	case answer.Outcome == messenger.OutcomeNotRun && overloaded[answer.Cause] && call.ObjectiveMS > 0:
+		return retrier.FailureNoRoom, true
 	case answer.Outcome == messenger.OutcomeNotRun:
 		return retrier.FailureOverloaded, overloaded[answer.Cause]
 	default:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,17 +6,22 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/listener"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/retrier"
@@ -63,6 +68,16 @@
 	// InstanceID and Local let a call for this daemon's own target cross no link.
 	InstanceID string
 	Local      func(ctx context.Context, call *messenger.Call) *messenger.Answer
+	// Headers spells the header fields of calls; the zero value is bambooweir's own.
+	Headers messenger.Dialect
+	// Service returns the service of the instance, which targets are told as the
+	// one that calls; nil or "" tells none.
+	Service func() string
+	// Host is the IP number of this instance. Requests from it are made by its
+	// target, while it runs others; "" recognizes none.
+	Host string
+	// FractionalRetryAfter gives callers the Retry-After with fractions of a second.
+	FractionalRetryAfter bool
 	// Dial opens a call link; nil means messenger.Dial.
 	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
 	// LinksPerPeer bounds the links for small calls to one daemon; 0 means 2.
@@ -88,6 +103,9 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	if id := r.Header.Get(f.Headers.Names().RequestID); id != "" {
+		w.Header().Set(f.Headers.Names().RequestID, id)
+	}
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 		f.refuse(w, r, causeDraining)
@@ -99,7 +117,8 @@
 		return
 	}
 	f.dropBudgets(snapshot)
-	route := snapshot.Route(r.Host, r.URL.Path, r.Method)
+	path, _, _ := strings.Cut(requestTarget(r), "?")
+	route := snapshot.Route(r.Host, path, r.Method)
 	if route == nil {
 		f.refuse(w, r, causeNoRoute)
 		return
@@ -130,10 +149,14 @@
 	}
 }
 
+// requestTarget returns the path and the query as the caller sent them.
+func requestTarget(r *http.Request) string { return cmp.Or(r.RequestURI, r.URL.RequestURI()) }
+
 // newExchange reads the request, or returns the cause for which it is refused.
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, matched *applier.Route) (x *exchange, cause string) {
-	route, policy := matched.Config, matched.Policy
-	timeout, ok := timeout(r, policy, route)
+	names := f.Headers.Names()
+	route, policy := matched.Config, matched.Choose()
+	timeout, ok := timeout(r.Header.Get(names.Deadline), policy, route)
 	if !ok {
 		return nil, causeBadDeadline
 	}
@@ -141,17 +164,19 @@
 	if len(key) > maxKeyBytes {
 		return nil, causeBadKey
 	}
-	deadline := time.Now().Add(timeout)
+	deadline := listener.Arrival(r.Context()).Add(timeout)
 	body, cause := readBody(w, r, deadline)
 	if cause != "" {
 		return nil, cause
 	}
-	x = &exchange{deadline: deadline, policy: policy}
+	x = &exchange{deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
-		Class: route.Class, Partner: route.Partner, Service: route.Service, Host: r.Host,
-		Method: r.Method, Target: r.URL.RequestURI(), Headers: messenger.FromHTTP(r.Header),
+		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
+		Method: r.Method, Target: requestTarget(r), Headers: f.callFields(r.Header),
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
+		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
+		IsNested: f.isNested(r),
 	}
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
@@ -161,15 +186,40 @@
 	return x, ""
 }
 
+// callFields returns the fields that the target gets from the caller, with the
+// calling service as this daemon knows it, whatever the caller says.
+func (f *Forwarder) callFields(h http.Header) []messenger.Header {
+	names := f.Headers.Names()
+	fields := slices.DeleteFunc(messenger.FromHTTP(h), func(field messenger.Header) bool {
+		return field.Name == names.CallingService || field.Name == names.Target
+	})
+	if f.Service == nil {
+		return fields
+	}
+	if service := f.Service(); service != "" {
+		fields = append(fields, messenger.Header{Name: names.CallingService, Value: service})
+	}
+	return fields
+}
+
+// isNested says whether the target of this instance makes the request.
+func (f *Forwarder) isNested(r *http.Request) bool {
+	if f.Host == "" {
+		return false
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && host == f.Host
+}
+
 // timeout returns the time that the call may take: that of its route, or what
-// the caller has left if that is less.
-func timeout(r *http.Request, policy *applier.Policy, route *versioner.Route) (time.Duration, bool) {
+// the caller says that it has left if that is less.
+func timeout(stated string, policy *applier.Policy, route *versioner.Route) (time.Duration, bool) {
 	ms := route.TimeoutMS
 	if ms == 0 {
 		ms = int(policy.Timeout.Milliseconds())
 	}
-	if text := r.Header.Get(messenger.HeaderDeadline); text != "" {
-		left, err := strconv.Atoi(text)
+	if stated != "" {
+		left, err := strconv.Atoi(stated)
 		if err != nil || left < 0 {
 			return 0, false
 		}
@@ -181,6 +231,12 @@
 // readBody reads the whole body by the deadline, so that no caller holds the
 // memory for it for longer.
 func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body []byte, cause string) {
+	if in, ok := r.Body.(*listener.Body); ok {
+		if !messenger.MatchesContentDigest(r.Header, in.Bytes) {
+			return nil, causeDigest
+		}
+		return in.Bytes, ""
+	}
 	if r.ContentLength == 0 {
 		return nil, ""
 	}
@@ -218,7 +274,7 @@
 	answer := messenger.NotRun(messenger.CallID{}, cause)
 	if statusOf(answer) != http.StatusServiceUnavailable {
 		f.Counters.NotRun.Add(1)
-		writeProblem(w, answer)
+		f.writeProblem(w, answer)
 		return
 	}
 	answer.RetryAfterMS = unavailableRetryMS
@@ -228,7 +284,7 @@
 	} else {
 		f.Counters.NotRun.Add(1)
 	}
-	writeProblem(w, answer)
+	f.writeProblem(w, answer)
 }
 
 // answer tells the caller what became of the call.
@@ -238,11 +294,11 @@
 		f.Counters.Answered.Add(1)
 	case messenger.OutcomeNotRun:
 		f.Counters.NotRun.Add(1)
-		writeProblem(w, answer)
+		f.writeProblem(w, answer)
 		return
 	default:
 		f.Counters.Unknown.Add(1)
-		writeProblem(w, answer)
+		f.writeProblem(w, answer)
 		return
 	}
 	h := w.Header()
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -33,7 +33,6 @@
 	"malformed-request":    http.StatusBadRequest,
 	"method-not-forwarded": http.StatusMethodNotAllowed,
 	"key-reused":           http.StatusUnprocessableEntity,
-	"deadline-passed":      http.StatusGatewayTimeout,
 	"answer-too-large":     http.StatusBadGateway,
 }
 
@@ -45,11 +44,14 @@
 	if answer.Outcome == messenger.OutcomeNotRun {
 		return http.StatusServiceUnavailable
 	}
+	if answer.Cause == causeDeadline {
+		return http.StatusGatewayTimeout
+	}
 	return http.StatusBadGateway
 }
 
 // writeProblem tells the caller why there is no answer.
-func writeProblem(w http.ResponseWriter, answer *messenger.Answer) {
+func (f *Forwarder) writeProblem(w http.ResponseWriter, answer *messenger.Answer) {
 	status := statusOf(answer)
 	body, err := json.Marshal(Problem{
 		Type: "about:blank", Title: http.StatusText(status), Status: status,
@@ -62,8 +64,16 @@
 	h.Set("Content-Type", problemType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if answer.RetryAfterMS > 0 {
-		h.Set("Retry-After", strconv.FormatInt((answer.RetryAfterMS+999)/1000, 10))
+		h.Set("Retry-After", f.retryAfter(answer.RetryAfterMS))
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
+
+// retryAfter returns the field's value. Standard callers take whole seconds.
+func (f *Forwarder) retryAfter(ms int64) string {
+	if f.FractionalRetryAfter {
+		return strconv.FormatFloat(float64(ms)/1000, 'f', -1, 64)
+	}
+	return strconv.FormatInt((ms+999)/1000, 10)
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -9,6 +9,12 @@
 // which nothing is known yet, borrow only from partners that have been silent
 // here for activeFor.
 //
+// Calls that state a latency objective wait by priority, then by who could wait
+// the shortest time, and only while they may be expected to meet it: under a
+// lasting overload a longer queue would make every answer late and serve nobody
+// more. A call that a target makes while it runs another one may wait up to its
+// deadline, since refusing it wastes what has been spent on its parent.
+//
 // A call that is refused has not run.
 package limiter
 
@@ -57,19 +63,46 @@
 	generalRunning  int
 	reservedRunning [classCount]int
 	meanRun         [classCount]time.Duration
+	runs            [classCount][priorityCount]runTime
+	// runningBy counts the running calls by priority.
+	runningBy [priorityCount]int
+}
+
+// priorityCount is the number of priorities that are told apart; those below
+// the last count as the last.
+const priorityCount = 4
+
+// runTime is how long calls of one kind run at the target.
+type runTime struct {
+	mean time.Duration
+	// seen is when the last of them ended.
+	seen time.Time
 }
 
+// runMemory is how long a run time is believed without a new one: a target that
+// was slow may have recovered while its calls were sent elsewhere.
+const runMemory = 2 * time.Second
+
 // Request describes a call that asks for a slot. Its deadline is that of the
 // context.
 type Request struct {
 	Class, Partner string
+	// Priority ranks the calls that wait; 0 goes first.
+	Priority int
+	// Objective is the time within which the answer is worth most; 0 states none.
+	Objective time.Duration
+	// IsNested says that a target makes the call while it runs another one.
+	IsNested bool
 }
 
+func (r Request) level() int { return min(max(r.Priority, 0), priorityCount-1) }
+
 // Slot is the right to run one call. Release must be called once.
 type Slot struct {
 	limiter  *Limiter
 	account  *account
 	class    class
+	level    int
 	reserved bool
 	start    time.Time
 }
@@ -90,14 +123,18 @@
 	l.update()
 	a := l.account(r.Partner)
 	a.seen[c] = now
+	if l.isHopeless(ctx, c, r, now) {
+		l.mu.Unlock()
+		return Slot{}, l.refuse(CauseExpectedRun, 0)
+	}
 	if len(a.queues[c]) == 0 {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
-			slot := l.take(a, c, kind, now)
+			slot := l.take(a, c, r.level(), kind, now)
 			l.mu.Unlock()
 			return slot, nil
 		}
 	}
-	w, err := l.enqueue(ctx, a, c, now)
+	w, err := l.enqueue(ctx, a, c, r, now)
 	l.mu.Unlock()
 	if err != nil {
 		return Slot{}, err
@@ -122,8 +159,10 @@
 		s.account.generalRunning--
 		l.generalRunning--
 	}
-	l.observe(s.class, now.Sub(s.start))
+	l.runningBy[s.level]--
+	l.observe(s.class, s.level, now.Sub(s.start), now)
 	l.update()
+	l.shed(now)
 	l.dispatch(now)
 }
 
@@ -136,12 +175,56 @@
 	l.dispatch(time.Now())
 }
 
-func (l *Limiter) observe(c class, run time.Duration) {
-	if l.meanRun[c] == 0 {
-		l.meanRun[c] = max(run, 1)
-		return
+func (l *Limiter) observe(c class, level int, run time.Duration, now time.Time) {
+	l.meanRun[c] = nextMean(l.meanRun[c], run)
+	known := &l.runs[c][level]
+	if now.Sub(known.seen) > runMemory {
+		known.mean = 0
+	}
+	known.mean, known.seen = nextMean(known.mean, run), now
+}
+
+func nextMean(mean, run time.Duration) time.Duration {
+	if mean == 0 {
+		return max(run, 1)
+	}
+	return max(1, mean+(run-mean)/runWeight)
+}
+
+// runOf returns how long calls of a kind run at the target, as lately seen, or
+// else as calls of their class do; 0 means that nothing is known.
+func (l *Limiter) runOf(c class, level int, now time.Time) time.Duration {
+	if known := l.runs[c][level]; known.mean > 0 && now.Sub(known.seen) <= runMemory {
+		return known.mean
+	}
+	return 0
+}
+
+// MeanRun returns how long calls of a class and priority run at the target, 0
+// when nothing is known of late.
+func (l *Limiter) MeanRun(className string, priority int) time.Duration {
+	c, ok := findClass(className)
+	if !ok {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runOf(c, Request{Priority: priority}.level(), time.Now())
+}
+
+// hopelessShare is the part of its usual run for which a call must have time
+// left to be begun: runs differ, but few take less than half of the mean.
+const hopelessShare = 0.5
+
+// isHopeless says whether the call would be cut by its deadline: it would hold a
+// slot for nothing. The caller holds mu.
+func (l *Limiter) isHopeless(ctx context.Context, c class, r Request, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	if !ok || r.Objective == 0 {
+		return false
 	}
-	l.meanRun[c] = max(1, l.meanRun[c]+(run-l.meanRun[c])/runWeight)
+	needed := time.Duration(float64(l.runOf(c, r.level(), now)) * hopelessShare)
+	return deadline.Sub(now) < needed
 }
 
 // slotKind says on what ground a call is admitted, best first.
@@ -216,8 +299,9 @@
 }
 
 // take books a slot. The caller holds mu.
-func (l *Limiter) take(a *account, c class, kind slotKind, now time.Time) Slot {
+func (l *Limiter) take(a *account, c class, level int, kind slotKind, now time.Time) Slot {
 	l.running++
+	l.runningBy[level]++
 	if kind == slotReserved {
 		a.reservedRunning[c]++
 		l.reservedRunning[c]++
@@ -229,5 +313,5 @@
 	if kind == slotBorrowed {
 		l.Counters.Borrowed.Add(1)
 	}
-	return Slot{limiter: l, account: a, class: c, reserved: kind == slotReserved, start: now}
+	return Slot{limiter: l, account: a, class: c, level: level, reserved: kind == slotReserved, start: now}
 }
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -85,6 +85,9 @@
 				continue
 			}
 			n.slots = lower(p.Slots, announced)
+			if announced > 0 && !p.LimitsSlots {
+				n.slots = announced
+			}
 			n.queueLength[c], n.queueWait[c] = p.QueueLength, p.QueueWait
 			if p.ReservedPercent > 0 {
 				n.reserved[c] = max(1, (n.slots*p.ReservedPercent+50)/100)
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -13,6 +13,7 @@
 	CauseQueueFull    = "queue-full"
 	CauseExpectedWait = "expected-wait"
 	CauseQueueTime    = "queue-time"
+	CauseExpectedRun  = "expected-run"
 	CauseDeadline     = "deadline-passed"
 	CauseUnknownClass = "unknown-class"
 )
@@ -30,36 +31,90 @@
 	return fmt.Sprintf("call not admitted: %s, retry after %v", e.Cause, e.RetryAfter)
 }
 
+// maxObjectiveQueue bounds the calls with an objective that wait at one target;
+// how long they may wait bounds them further.
+const maxObjectiveQueue = 1000
+
 // waiter is a call that waits for a slot.
 type waiter struct {
 	account *account
 	class   class
+	level   int
+	// expires is when the call gives up, because a later start would be of no use.
 	expires time.Time
-	// admitted gets the slot; it has room for one.
-	admitted chan Slot
+	// hasObjective says that the call is refused as soon as it can't be expected
+	// to start in time.
+	hasObjective bool
+	// done gets the slot or the refusal; it has room for one.
+	done chan verdict
 }
 
-// enqueue lets a call wait, or refuses it at once. The caller holds mu.
-func (l *Limiter) enqueue(ctx context.Context, a *account, c class, now time.Time) (*waiter, error) {
-	length, limit := l.limits.queueLength[c], l.limits.queueWait[c]
-	if length == 0 || limit == 0 {
-		return nil, l.refuse(CauseNoSlot, l.meanRun[c])
+// verdict ends the wait of a call.
+type verdict struct {
+	slot Slot
+	err  error
+}
+
+// goesBefore says whether w gets a slot before other.
+func (w *waiter) goesBefore(other *waiter) bool {
+	if w.level != other.level {
+		return w.level < other.level
 	}
-	w := &waiter{account: a, class: c, expires: now.Add(limit), admitted: make(chan Slot, 1)}
-	cause := CauseQueueFull
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(w.expires) {
-		w.expires = deadline
+	return w.expires.Before(other.expires)
+}
+
+// enqueue lets a call wait, or refuses it at once. The caller holds mu.
+func (l *Limiter) enqueue(ctx context.Context, a *account, c class, r Request, now time.Time) (*waiter, error) {
+	w := &waiter{account: a, class: c, level: r.level(), hasObjective: r.Objective > 0, done: make(chan verdict, 1)}
+	length := l.limits.queueLength[c]
+	if w.hasObjective {
+		length = maxObjectiveQueue
+		w.expires = l.latestStart(ctx, c, r, now)
+	} else {
+		limit := l.limits.queueWait[c]
+		if length == 0 || limit == 0 {
+			return nil, l.refuse(CauseNoSlot, l.meanRun[c])
+		}
+		w.expires = now.Add(limit)
+		if deadline, ok := ctx.Deadline(); ok && deadline.Before(w.expires) {
+			w.expires = deadline
+		}
 	}
 	expected := l.expectedWait(w)
-	if len(a.queues[c]) < length {
-		cause = CauseExpectedWait
-		if !now.Add(expected).After(w.expires) {
-			a.queues[c] = append(a.queues[c], w)
-			l.Counters.Queued.Add(1)
-			return w, nil
-		}
+	switch {
+	case len(a.queues[c]) >= length:
+		return nil, l.refuse(CauseQueueFull, expected)
+	case now.Add(expected).After(w.expires):
+		return nil, l.refuse(CauseExpectedWait, l.returnAfter(w, expected, now))
+	}
+	q := a.queues[c]
+	at := len(q)
+	for at > 0 && w.goesBefore(q[at-1]) {
+		at--
+	}
+	a.queues[c] = slices.Insert(q, at, w)
+	l.Counters.Queued.Add(1)
+	return w, nil
+}
+
+// latestStart returns when a call with an objective must start for its answer
+// to come in time. A nested call's time is its deadline.
+func (l *Limiter) latestStart(ctx context.Context, c class, r Request, now time.Time) time.Time {
+	latest := now.Add(r.Objective)
+	deadline, ok := ctx.Deadline()
+	if ok && (r.IsNested || deadline.Before(latest)) {
+		latest = deadline
+	}
+	return latest.Add(-l.runOf(c, r.level(), now))
+}
+
+// returnAfter returns when a refused call may come back: once the queue has
+// shrunk to what it could have waited for.
+func (l *Limiter) returnAfter(w *waiter, expected time.Duration, now time.Time) time.Duration {
+	if !w.hasObjective {
+		return expected
 	}
-	return nil, l.refuse(cause, expected)
+	return max(expected-max(0, w.expires.Sub(now)), l.meanRun[w.class]/time.Duration(max(1, l.limits.slots)))
 }
 
 // expectedWait estimates the wait of a call from the calls of its partner that
@@ -69,20 +124,32 @@
 	work := l.meanRun[w.class]
 	for c := range classCount {
 		for _, other := range a.queues[c] {
-			if !other.expires.After(w.expires) {
+			if !w.goesBefore(other) {
 				work += l.meanRun[c]
 			}
 		}
 	}
-	return work / time.Duration(max(1, a.guarantee, a.generalRunning))
+	return work / time.Duration(l.pace(w))
+}
+
+// pace returns the slots that fall free for calls like this one: what those of
+// higher priority hold will mostly go to their like.
+func (l *Limiter) pace(w *waiter) int {
+	slots := max(w.account.guarantee, w.account.generalRunning)
+	if w.hasObjective {
+		for level := range w.level {
+			slots -= l.runningBy[level]
+		}
+	}
+	return max(1, slots)
 }
 
 func (l *Limiter) wait(ctx context.Context, w *waiter) (Slot, error) {
 	timer := time.NewTimer(time.Until(w.expires))
 	defer timer.Stop()
 	select {
-	case slot := <-w.admitted:
-		return slot, nil
+	case v := <-w.done:
+		return v.slot, v.err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -94,7 +161,11 @@
 	}
 	l.mu.Unlock()
 	if i < 0 {
-		return l.lateSlot(ctx, <-w.admitted)
+		v := <-w.done
+		if v.err != nil {
+			return Slot{}, v.err
+		}
+		return l.lateSlot(ctx, v.slot)
 	}
 	if ended(ctx) {
 		return Slot{}, l.refuse(CauseDeadline, 0)
@@ -140,10 +211,34 @@
 			return
 		}
 		w.account.queues[w.class] = w.account.queues[w.class][1:]
-		w.admitted <- l.take(w.account, w.class, kind, now)
+		w.done <- verdict{slot: l.take(w.account, w.class, w.level, kind, now)}
 	}
 }
 
+// shed refuses the calls with an objective that can no longer be expected to
+// start in time, since others went before them or runs became longer. The
+// caller holds mu.
+func (l *Limiter) shed(now time.Time) {
+	for _, a := range l.accounts {
+		for c := range a.queues {
+			var late []*waiter
+			for _, w := range a.queues[c] {
+				if w.hasObjective && now.Add(l.expectedWait(w)*shedShare/100).After(w.expires) {
+					late = append(late, w)
+				}
+			}
+			for _, w := range late {
+				w.done <- verdict{err: l.refuse(CauseExpectedWait, l.returnAfter(w, l.expectedWait(w), now))}
+			}
+			a.queues[c] = slices.DeleteFunc(a.queues[c], func(w *waiter) bool { return slices.Contains(late, w) })
+		}
+	}
+}
+
+// shedShare is the part of its expected wait, in percent, that a waiting call
+// must still be able to wait.
+const shedShare = 60
+
 // next returns the waiting call that gets the next slot: one with a right to
 // it before one that borrows, the partner that borrows least before others,
 // then the call that could wait the shortest time.
@@ -172,7 +267,7 @@
 			return lent < otherLent
 		}
 	}
-	return w.expires.Before(other.expires)
+	return w.goesBefore(other)
 }
 
 func (a *account) borrowed() int { return a.generalRunning - a.guarantee }
--- a/loader/checks.go
+++ b/loader/checks.go
@@ -79,3 +79,14 @@
 	}
 	return elements
 }
+
+func within(least, largest float64) func(any) (string, bool) {
+	return func(value any) (string, bool) {
+		n := value.(float64)
+		return fmt.Sprintf("from %g to %g", least, largest), n >= least && n <= largest
+	}
+}
+
+func boolean(any) (string, bool) { return "true or false", true }
+
+func anyText(any) (string, bool) { return "a string", true }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -39,6 +39,17 @@
 	RelayLeaseMS         int    `toml:"relay-lease-ms"`
 	FreshnessMS          int    `toml:"freshness-ms"`
 	PeerSeeds            string `toml:"peer-seeds"`
+
+	Platform             bool    `toml:"platform"`
+	ReadyAddress         string  `toml:"ready-address"`
+	MetricsAddress       string  `toml:"metrics-address"`
+	Service              string  `toml:"service"`
+	TargetHeartbeatMS    int     `toml:"target-heartbeat-ms"`
+	StopLimitS           float64 `toml:"stop-limit-s"`
+	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
+	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
+	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
+	MemoryMB             float64 `toml:"memory-mb"`
 }
 
 // Milliseconds returns the duration of a setting whose name ends in -ms.
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -48,6 +48,16 @@
 		{Key: "relay-lease-ms", Default: 6000, Doc: "life of a relay's lease that is not renewed, in milliseconds", check: between(300, minuteMS)},
 		{Key: "freshness-ms", Default: 10_000, Doc: "greatest age of the store's word for a version at which a fresh daemon serves it, in milliseconds", check: between(100, 10*minuteMS)},
 		{Key: "peer-seeds", Default: "", Doc: "peer addresses to ask when the store cannot be reached, as IP:port, separated by commas", check: addressesOrEmpty},
+		{Key: "platform", Default: false, Doc: "whether the configuration, the heartbeats of the target and the header fields of calls are the platform's", check: boolean},
+		{Key: "ready-address", Default: "", Doc: "where the platform asks whether callers may be sent here, as IP:port; empty means nowhere", check: addressOrEmpty},
+		{Key: "metrics-address", Default: "", Doc: "where metrics are served as text under /metrics, as IP:port; empty means nowhere", check: addressOrEmpty},
+		{Key: "service", Default: "", Doc: "service of the target beside this daemon, which other targets are told as the one that calls; empty tells none", check: anyText},
+		{Key: "target-heartbeat-ms", Default: 0, Doc: "time between two announcements of the target, in milliseconds; after three without one it is taken as gone; 0 means that it need not repeat itself", check: between(0, hourMS)},
+		{Key: "stop-limit-s", Default: 0.0, Doc: "longest time that a planned stop may take, in seconds; 0 means the shared setting drain-ms", check: within(0, 3600)},
+		{Key: "retry-budget-ratio", Default: 0.0, Doc: "calls that all daemons together may send once more to one service, as a share of the calls for it; 0 means the shared setting retry-budget-percent alone", check: within(0, 1)},
+		{Key: "retry-budget-window-s", Default: 10.0, Doc: "time over which retry-budget-ratio holds, in seconds", check: within(0.1, 3600)},
+		{Key: "retry-budget-allowance", Default: 0.0, Doc: "calls that all daemons together may send once more to one service in that time beyond the share", check: within(0, 1_000_000)},
+		{Key: "memory-mb", Default: 0.0, Doc: "memory of the process in MB, which the garbage collector keeps well below; 0 means no bound", check: within(0, 1<<20)},
 	}
 }
 
@@ -115,3 +125,17 @@
 	}
 	return fmt.Sprint(value)
 }
+
+// Changed returns the keys of the settings that differ, in the order of Rows.
+func Changed(a, b *Daemon) []string {
+	var keys []string
+	for _, row := range Rows() {
+		if !field(a, row.Key).Equal(field(b, row.Key)) {
+			keys = append(keys, row.Key)
+		}
+	}
+	return keys
+}
+
+// Copy takes over one setting.
+func Copy(to, from *Daemon, key string) { field(to, key).Set(field(from, key)) }
--- a/measurer/convergencefleet.go
+++ b/measurer/convergencefleet.go
@@ -16,9 +16,9 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/spreader"
-	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	f.storeURL = "http://" + l.Addr().String()
-	f.server = &http.Server{Handler: fakestorer.Handler(f.store), ReadHeaderTimeout: readyBound}
+	f.server = &http.Server{Handler: platform.StoreHandler(f.store), ReadHeaderTimeout: readyBound}
 	go func() { _ = f.server.Serve(l) }()
 	if _, err := f.accept(ctx, initialEntries(plan.Services)...); err != nil {
 		f.stop()
@@ -113,7 +113,7 @@
 	domain := fmt.Sprintf("domain-%02d", i%f.domains)
 	m.Spreader = &spreader.Spreader{
 		InstanceID: fmt.Sprintf("instance-%04d", i), Domain: domain, PeerAddress: l.Addr().String(),
-		Store:   &storer.HTTPClient{BaseURL: f.storeURL, HTTP: client},
+		Store:   &platform.Store{BaseURL: f.storeURL, HTTP: client},
 		Applier: &applier.Applier{Domain: domain}, Table: new(tracker.Table), Log: zap.NewNop(),
 		Settings: settings, HTTP: client,
 	}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -51,6 +51,15 @@
 	// KeyPeers lists the service's targets as the entry daemon knows them, for a
 	// call with an idempotency key.
 	KeyPeers []KeyPeer `cbor:"18,keyasint,omitempty"`
+	// RequestID is the caller's name of the request, for logs.
+	RequestID string `cbor:"19,keyasint,omitempty"`
+	// Priority ranks the calls that wait for a slot; 0 goes first.
+	Priority int `cbor:"20,keyasint,omitempty"`
+	// ObjectiveMS is how long from its sending the call's answer is worth most, in
+	// milliseconds; 0 means that no objective is stated.
+	ObjectiveMS int64 `cbor:"21,keyasint,omitempty"`
+	// IsNested says that a target made the call while it ran another one.
+	IsNested bool `cbor:"22,keyasint,omitempty"`
 }
 
 // IsKeyed says whether the call runs at the home of its idempotency key.
@@ -103,6 +112,13 @@
 	Told bool `cbor:"12,keyasint,omitempty"`
 	// Memory answers a KeyQuery of which the daemon knows nothing.
 	Memory *KeyMemory `cbor:"13,keyasint,omitempty"`
+	// Sent says that the call was sent to the target, whatever came of it.
+	Sent bool `cbor:"14,keyasint,omitempty"`
+	// Slots is the number of calls that the target runs at a time, and RunUS the
+	// mean time that a call of this kind takes there, in microseconds; they are
+	// set with Told, 0 when not known.
+	Slots int   `cbor:"15,keyasint,omitempty"`
+	RunUS int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
--- a/planner/impact.go
+++ b/planner/impact.go
@@ -47,7 +47,7 @@
 // routesTo notes the routes that depend on a service.
 func (b *builder) routesTo(doc *versioner.Document, service string) {
 	for _, e := range doc.Entries {
-		if e.Route != nil && e.Route.Service == service {
+		if e.Route != nil && slices.Contains(e.Route.Services(), service) {
 			i := b.impact(e.Route.Partner)
 			i.Routes = append(i.Routes, e.Key.Name)
 		}
@@ -155,7 +155,9 @@
 	if x.Partner != "" && x.Service == "" {
 		for _, e := range doc.Entries {
 			if e.Route != nil && e.Route.Partner == x.Partner {
-				owners = append(owners, serviceOwner(doc, e.Route.Service))
+				for _, service := range e.Route.Services() {
+					owners = append(owners, serviceOwner(doc, service))
+				}
 			}
 		}
 	}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -44,6 +45,13 @@
 	// FailureOverloaded means that the call was refused for want of capacity. It
 	// has not run and never will.
 	FailureOverloaded
+	// FailureShed means that the target itself refused the call: it has not run,
+	// but it has loaded the target.
+	FailureShed
+	// FailureNoRoom means that a target's daemon refused a call with a latency
+	// objective, since its own target could not meet it. Another one may, and
+	// nothing has been loaded.
+	FailureNoRoom
 	// FailureUnknown means that the call may have run.
 	FailureUnknown
 )
@@ -63,9 +71,41 @@
 
 // Retrier holds the budgets of all routes. The zero value works.
 type Retrier struct {
+	// Daemons returns the number of daemons that share the budget; nil means one.
+	Daemons  func() int
 	Counters Counters
 
 	budgets sync.Map // route name to *Budget
+	share   atomic.Pointer[Share]
+	usages  sync.Map // service name to *usage
+	origin  sync.Once
+	start   time.Time
+}
+
+// SetShare puts the budget that all daemons have together into effect.
+func (r *Retrier) SetShare(s Share) { r.share.Store(&s) }
+
+// sharing returns the common budget, or nil when there is none.
+func (r *Retrier) sharing() *Share {
+	s := r.share.Load()
+	if s == nil || s.Ratio <= 0 || s.Window <= 0 {
+		return nil
+	}
+	return s
+}
+
+func (r *Retrier) usage(service string) *usage {
+	if u, ok := r.usages.Load(service); ok {
+		return u.(*usage)
+	}
+	u, _ := r.usages.LoadOrStore(service, new(usage))
+	return u.(*usage)
+}
+
+// age is the time on the clock that windows move by.
+func (r *Retrier) age() time.Duration {
+	r.origin.Do(func() { r.start = time.Now() })
+	return time.Since(r.start)
 }
 
 // Call is the state of one call at its entry daemon.
@@ -84,6 +124,9 @@
 func (r *Retrier) Begin(route string, policy *applier.Policy, header http.Header) Call {
 	r.Counters.First.Add(1)
 	c := Call{retrier: r, policy: policy, budget: r.budget(route), marked: header.Get(AttemptHeader) != ""}
+	if s := r.sharing(); s != nil && !c.marked {
+		r.usage(policy.Service).begin(s.Window, r.age())
+	}
 	if !c.marked {
 		// Calls that belong to a retry earn nothing, else retries would pay for
 		// retries further down.
@@ -118,13 +161,18 @@
 func (c *Call) Retry(ctx context.Context, f Failure) bool {
 	// Calls that may not wait for a slot look for one elsewhere instead.
 	mayNotWait := f == FailureOverloaded && c.policy.QueueLength == 0
-	if f == FailureNotBegun || mayNotWait {
+	if f == FailureNotBegun || f == FailureNoRoom || mayNotWait {
 		return c.redispatch(ctx)
 	}
 	if f == FailureUnknown && !c.policy.Idempotent {
 		return false
 	}
-	if c.retries >= c.policy.MaxRetries || !c.allow() {
+	limit := c.policy.MaxRetries
+	if f == FailureShed {
+		// It has not run: any call may be sent to another target once.
+		limit = max(limit, 1)
+	}
+	if c.retries >= limit || !c.allow() {
 		return false
 	}
 	if !c.wait(ctx) {
@@ -151,6 +199,17 @@
 		c.retrier.Counters.Marked.Add(1)
 		return false
 	}
+	if s := c.retrier.sharing(); s != nil {
+		daemons := 1
+		if c.retrier.Daemons != nil {
+			daemons = c.retrier.Daemons()
+		}
+		if !c.retrier.usage(c.policy.Service).repeat(*s, daemons, c.retrier.age()) {
+			c.retrier.Counters.Exhausted.Add(1)
+			return false
+		}
+		return true
+	}
 	if !c.budget.withdraw() {
 		c.retrier.Counters.Exhausted.Add(1)
 		return false
--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -18,7 +18,7 @@
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/checker"
 	"bambooweir.example/bambooweir/launcher"
-	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/platform"
 )
 
 const (
@@ -170,6 +170,6 @@
 	}
 }
 
-func (s *scenario) storeClient() *storer.HTTPClient {
-	return &storer.HTTPClient{BaseURL: s.fleet.StoreURL()}
+func (s *scenario) storeClient() *platform.Store {
+	return &platform.Store{BaseURL: s.fleet.StoreURL()}
 }
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -10,8 +10,8 @@
 
 	"bambooweir.example/bambooweir/caller"
 	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/sleeper"
-	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -53,7 +53,7 @@
 	if err := s.fleet.StartStore(); err != nil {
 		return err
 	}
-	go s.recorder.WatchStore(ctx, &storer.HTTPClient{BaseURL: s.fleet.StoreURL()})
+	go s.recorder.WatchStore(ctx, &platform.Store{BaseURL: s.fleet.StoreURL()})
 	for n := range cmp.Or(s.cfg.Daemons, defaultDaemons) {
 		if err := s.addInstance(ctx, n); err != nil {
 			return err
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -156,6 +156,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.behindSince = time.Time{}
+	s.inForceAt = time.Now()
 	if s.refusal.version <= v {
 		s.refusal = refusal{}
 	}
@@ -222,6 +223,11 @@
 		s.mu.Unlock()
 		return nil
 	}
+	if wait := s.holdBack(); wait > 0 {
+		s.mu.Unlock()
+		time.AfterFunc(wait, sess.poke)
+		return nil
+	}
 	sess.remote = now
 	sess.pushed = true
 	s.mu.Unlock()
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -97,15 +97,7 @@
 // askForHead reads the head from the store, or surveys the peers when the
 // store is unreachable.
 func (s *Spreader) askForHead(ctx context.Context) {
-	began := time.Now()
-	head, _, err := acceptor.ReadHead(ctx, s.Store)
-	if err == nil {
-		s.confirm(head.Version, began)
-		if head.Version > 0 {
-			err = s.takeHead(ctx, head)
-		}
-	}
-	if err == nil {
+	if s.readHead(ctx) == nil {
 		return
 	}
 	s.Counters.StoreFailures.Add(1)
@@ -113,6 +105,27 @@
 	s.trustPending()
 }
 
+// readHead reads the head from the store once and takes it in.
+func (s *Spreader) readHead(ctx context.Context) error {
+	began := time.Now()
+	if s.External != nil {
+		item, err := s.Store.Get(ctx, s.External.Key)
+		if err == nil {
+			s.takeExternal(item, began)
+		}
+		return err
+	}
+	head, _, err := acceptor.ReadHead(ctx, s.Store)
+	if err != nil {
+		return err
+	}
+	s.confirm(head.Version, began)
+	if head.Version == 0 {
+		return nil
+	}
+	return s.takeHead(ctx, head)
+}
+
 // survey asks the known peers for their versions; the newest becomes pending.
 func (s *Spreader) survey(ctx context.Context) {
 	s.Counters.Surveys.Add(1)
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -14,6 +14,7 @@
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 const (
@@ -82,7 +83,9 @@
 	s.setRelaying(true)
 	defer s.setRelaying(false)
 	var wg sync.WaitGroup
-	wg.Go(func() { s.watchHead(ctx) })
+	if s.External == nil {
+		wg.Go(func() { s.watchHead(ctx) })
+	}
 	wg.Go(func() { s.keepNeighbors(ctx, key) })
 	s.keepLease(ctx, key, lease)
 	cancel()
@@ -161,33 +164,48 @@
 // watchHead follows the head until ctx ends.
 func (s *Spreader) watchHead(ctx context.Context) {
 	var after storer.Revision
-	var head acceptor.Head
+	var version versioner.Version
+	failures := 0
 	for ctx.Err() == nil {
 		began := time.Now()
-		item, err := s.Store.Watch(ctx, acceptor.HeadKey, after, s.cfg.WatchWait)
+		item, err := s.Store.Watch(ctx, s.headKey(), after, s.cfg.WatchWait)
 		var unchanged *storer.NotFoundError
 		if errors.As(err, &unchanged) {
-			s.confirm(head.Version, began)
+			failures = 0
+			s.confirm(version, began)
+			if time.Since(began) < s.cfg.WatchWait/2 {
+				// There is no head yet, or nothing to wait on.
+				_ = sleeper.Sleep(ctx, around(s.cfg.WatchWait/16))
+			}
 			continue
 		}
 		if err == nil {
-			head, err = s.takeItem(ctx, item, began)
+			version, err = s.takeItem(ctx, item, began)
 		}
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
-			_ = sleeper.Sleep(ctx, around(s.cfg.LeaseTTL/6))
+			failures++
+			_ = sleeper.Sleep(ctx, around(min(s.cfg.LeaseTTL/6, firstStorePause<<min(failures, maxPauseDoublings))))
 			continue
 		}
+		failures = 0
 		after = item.Revision
 	}
 }
 
+const (
+	// firstStorePause is the mean pause after the first failed call of a watch; it
+	// doubles with each further one.
+	firstStorePause   = 50 * time.Millisecond
+	maxPauseDoublings = 10
+)
+
 // pollHead reads the head at intervals until ctx ends.
 func (s *Spreader) pollHead(ctx context.Context) {
 	wait := jitter(s.cfg.PollInterval)
 	for sleeper.Sleep(ctx, wait) == nil {
 		began := time.Now()
-		item, err := s.Store.Get(ctx, acceptor.HeadKey)
+		item, err := s.Store.Get(ctx, s.headKey())
 		if err == nil {
 			_, err = s.takeItem(ctx, item, began)
 		}
@@ -198,19 +216,30 @@
 	}
 }
 
+// headKey is where the store holds what names the newest version.
+func (s *Spreader) headKey() string {
+	if s.External != nil {
+		return s.External.Key
+	}
+	return acceptor.HeadKey
+}
+
 // takeItem takes in the head as the store answered it to a call that began at
-// the time.
-func (s *Spreader) takeItem(ctx context.Context, item storer.Item, began time.Time) (acceptor.Head, error) {
+// the time, and returns the version that it names.
+func (s *Spreader) takeItem(ctx context.Context, item storer.Item, began time.Time) (versioner.Version, error) {
+	if s.External != nil {
+		return s.takeExternal(item, began), nil
+	}
 	head, err := acceptor.DecodeHead(item.Value)
 	if err != nil {
 		s.Counters.Malformed.Add(1)
-		return acceptor.Head{}, err
+		return 0, err
 	}
 	if err := s.takeHead(ctx, head); err != nil {
-		return acceptor.Head{}, err
+		return 0, err
 	}
 	s.confirm(head.Version, began)
-	return head, nil
+	return head.Version, nil
 }
 
 // takeAppointment leaves the parent in order to take a vacant relay slot.
--- a/spreader/settings.go
+++ b/spreader/settings.go
@@ -62,9 +62,9 @@
 	s.LeaseTTL = cmp.Or(s.LeaseTTL, 6*time.Second)
 	s.WatchWait = cmp.Or(s.WatchWait, 3*time.Second)
 	s.PollInterval = cmp.Or(s.PollInterval, 5*time.Second)
-	s.JoinJitter = cmp.Or(s.JoinJitter, time.Second)
-	s.DepartureGrace = cmp.Or(s.DepartureGrace, 5*time.Second)
-	s.DomainSilence = cmp.Or(s.DomainSilence, 15*time.Second)
+	s.JoinJitter = cmp.Or(s.JoinJitter, s.Heartbeat/2)
+	s.DepartureGrace = cmp.Or(s.DepartureGrace, 5*s.Heartbeat/2)
+	s.DomainSilence = cmp.Or(s.DomainSilence, 15*s.Heartbeat/2)
 	s.FreshFor = cmp.Or(s.FreshFor, 10*time.Second)
 	s.TombstoneRetention = cmp.Or(s.TombstoneRetention, 2*time.Hour)
 	return s
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -34,6 +34,8 @@
 	Table       *tracker.Table
 	Log         *zap.Logger
 	Settings    Settings
+	// External replaces the head that operators' changes make; nil means that head.
+	External *External
 	// HTTP opens links; nil means the default client.
 	HTTP     *http.Client
 	Counters Counters
@@ -63,16 +65,18 @@
 	refusal     refusal
 	// behindSince is when this daemon learned of a version that it lacks, or 0.
 	behindSince time.Time
-	own         tracker.Record
-	relaying    bool
-	appointed   string
-	slots       []slot
-	lost        []*loss
-	unreached   map[string]suspicion
-	reports     map[string]*rootReport
-	epoch       uint64
-	reportSeq   uint64
-	fleet       messenger.Tally
+	// inForceAt is when the version in force came into force here.
+	inForceAt time.Time
+	own       tracker.Record
+	relaying  bool
+	appointed string
+	slots     []slot
+	lost      []*loss
+	unreached map[string]suspicion
+	reports   map[string]*rootReport
+	epoch     uint64
+	reportSeq uint64
+	fleet     messenger.Tally
 }
 
 func (s *Spreader) init() {
@@ -98,6 +102,9 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { s.freshen(ctx) })
 		wg.Go(func() { s.maintain(ctx) })
+		if s.External != nil {
+			wg.Go(func() { s.watchExternal(ctx) })
+		}
 		s.keepAttached(ctx)
 		wg.Wait()
 	}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -1,8 +1,7 @@
-// Package storer is the client side of the platform's key-value service.
+// Package storer is what bambooweir asks of the platform's key-value service.
 //
-// The Client interface is as narrow as bambooweir needs it, so that another
-// protocol can stand behind it. HTTPClient speaks the protocol of the stand-in
-// in package fakestorer.
+// The Client interface is as narrow as bambooweir needs it. Package platform
+// implements it over the platform's protocol, and package fakestorer in memory.
 package storer
 
 import (
@@ -19,10 +18,20 @@
 
 // Item is one key with its value.
 type Item struct {
-	Key      string   `json:"key"`
-	Value    []byte   `json:"value"`
-	Revision Revision `json:"revision"`
-	Lease    LeaseID  `json:"lease,omitempty"`
+	Key      string
+	Value    []byte
+	Revision Revision
+	// Created is the revision of the write that made the key.
+	Created Revision
+	Lease   LeaseID
+}
+
+// Event is one change of a key.
+type Event struct {
+	// Item is the key as it was written; for a deletion it holds the key and the
+	// revision of the deletion alone.
+	Item      Item
+	IsDeleted bool
 }
 
 // MaxValueBytes is the largest value that the service holds.
@@ -31,7 +40,7 @@
 // Client is the platform's key-value service. All methods are safe for
 // concurrent use and fail with an *UnavailableError when the service cannot be
 // reached or gives no answer. After that error from CompareAndSwap or Delete
-// the outcome is not known.
+// the outcome is not known, and the write may take effect later.
 type Client interface {
 	// Get returns the item, or a *NotFoundError.
 	Get(ctx context.Context, key string) (Item, error)
@@ -53,6 +62,28 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
+// Condition is a revision that a key must have for a transaction to take effect.
+type Condition struct {
+	Key string
+	// Revision 0 means that the key must not exist.
+	Revision Revision
+}
+
+// Put is one write of a transaction.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Transaction is a set of writes that take effect together, if all conditions hold.
+type Transaction struct {
+	Conditions []Condition
+	Puts       []Put
+	// Deletes lists keys; one that does not exist is left alone.
+	Deletes []string
+}
+
 // NotFoundError reports a key or lease that does not exist.
 type NotFoundError struct{ Key string }
 
@@ -63,6 +94,9 @@
 type ConflictError struct {
 	Key     string
 	Current Revision
+	// Items are the keys of a transaction's conditions as they are, without
+	// those that don't exist.
+	Items []Item
 }
 
 // Error implements error.
@@ -70,6 +104,15 @@
 	return fmt.Sprintf("store: %s is at revision %d", e.Key, e.Current)
 }
 
+// CompactedError reports a watch from a revision whose changes the service has
+// forgotten.
+type CompactedError struct{ After Revision }
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: the changes after revision %d are forgotten", e.After)
+}
+
 // UnavailableError reports a service that could not be reached or gave no answer.
 type UnavailableError struct {
 	Op    string
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -55,6 +55,11 @@
 	// HandedOver says, of a target that is gone, that its daemon gave its
 	// idempotency keys to others before it left.
 	HandedOver bool `cbor:"21,keyasint,omitempty" json:"handed-over,omitempty"`
+	// Slots is the number of calls that the target says it runs at a time, 0 for none.
+	Slots int `cbor:"22,keyasint,omitempty" json:"slots,omitempty"`
+	// ColdMS is how long the target was to stay slow when it first announced
+	// itself, in milliseconds.
+	ColdMS int `cbor:"23,keyasint,omitempty" json:"cold-ms,omitempty"`
 }
 
 // Newer says whether r replaces other.
--- a/validator/entries.go
+++ b/validator/entries.go
@@ -21,6 +21,10 @@
 	maxSlots         = 100_000
 	maxConnections   = 1_000_000
 	maxRouteMS       = 60 * 60 * 1000
+	maxPriority      = 1000
+	maxTargets       = 1000
+	maxParts         = 64
+	maxWeight        = 1_000_000
 	tokenDigestBytes = 32
 )
 
@@ -76,9 +80,12 @@
 
 func (c *checker) route(k versioner.Key, r *versioner.Route) {
 	c.reference(k, "partner", versioner.KindPartner, r.Partner)
-	c.reference(k, "service", versioner.KindService, r.Service)
+	c.destination(k, r)
 	c.oneOf(k, "class", r.Class, classes)
 	c.within(k, "timeout-ms", r.TimeoutMS, maxRouteMS)
+	c.within(k, "objective-ms", r.ObjectiveMS, maxRouteMS)
+	c.within(k, "priority", r.Priority, maxPriority)
+	c.within(k, "max-targets", r.MaxTargets, maxTargets)
 	c.path(k, r.PathPrefix)
 	if len(r.Hosts) > maxHosts {
 		c.add(k, "hosts", "must be at most %d, got %d", maxHosts, len(r.Hosts))
@@ -99,6 +106,32 @@
 	}
 }
 
+// destination checks where the calls of a route go.
+func (c *checker) destination(k versioner.Key, r *versioner.Route) {
+	if len(r.Split) == 0 {
+		c.reference(k, "service", versioner.KindService, r.Service)
+		return
+	}
+	if r.Service != "" {
+		c.add(k, "service", "must not be set beside split")
+	}
+	if len(r.Split) > maxParts {
+		c.add(k, "split", "must have at most %d parts, got %d", maxParts, len(r.Split))
+	}
+	sum := 0
+	for i, p := range r.Split {
+		c.reference(k, "split", versioner.KindService, p.Service)
+		c.within(k, "split", p.Weight, maxWeight)
+		if slices.ContainsFunc(r.Split[:i], func(o versioner.Part) bool { return o.Service == p.Service }) {
+			c.add(k, "split", "names the service %q twice", p.Service)
+		}
+		sum += p.Weight
+	}
+	if sum <= 0 {
+		c.add(k, "split", "must have a weight above 0")
+	}
+}
+
 func (c *checker) path(k versioner.Key, prefix string) {
 	switch {
 	case !strings.HasPrefix(prefix, "/"):
--- a/validator/relations.go
+++ b/validator/relations.go
@@ -100,7 +100,7 @@
 // calls says whether a partner has a route to a service.
 func (c *checker) calls(partner, service string) bool {
 	return slices.ContainsFunc(c.doc.Entries, func(e versioner.Entry) bool {
-		return e.Route != nil && e.Route.Partner == partner && e.Route.Service == service
+		return e.Route != nil && e.Route.Partner == partner && slices.Contains(e.Route.Services(), service)
 	})
 }
 
--- a/versioner/entries.go
+++ b/versioner/entries.go
@@ -22,6 +22,10 @@
 	SpillOverPercent   *int `json:"spill-over-percent,omitempty" toml:"spill-over-percent"`
 	DrainMS            *int `json:"drain-ms,omitempty" toml:"drain-ms"`
 	KeyRetentionMS     *int `json:"key-retention-ms,omitempty" toml:"key-retention-ms"`
+	MaxHeaderBytes     *int `json:"max-header-bytes,omitempty" toml:"max-header-bytes"`
+	MaxBodyBytes       *int `json:"max-body-bytes,omitempty" toml:"max-body-bytes"`
+	HeaderTimeoutMS    *int `json:"header-timeout-ms,omitempty" toml:"header-timeout-ms"`
+	IdleTimeoutMS      *int `json:"idle-timeout-ms,omitempty" toml:"idle-timeout-ms"`
 }
 
 // Partner is one owner of services who edits the shared configuration.
@@ -60,14 +64,46 @@
 	Partner string `json:"partner" toml:"partner,omitempty"`
 	// Hosts lists the host names that match; empty matches every host.
 	Hosts []string `json:"hosts,omitempty" toml:"hosts,omitempty"`
-	// PathPrefix matches whole path segments.
+	// PathPrefix matches whole path segments. One that ends with a slash matches
+	// only what lies below it.
 	PathPrefix string `json:"path-prefix" toml:"path-prefix,omitempty"`
 	// Methods lists the HTTP methods that match; empty matches every method.
 	Methods []string `json:"methods,omitempty" toml:"methods,omitempty"`
-	Service string   `json:"service" toml:"service,omitempty"`
-	Class   string   `json:"class" toml:"class,omitempty"`
+	// Service takes the calls, unless Split divides them.
+	Service string `json:"service,omitempty" toml:"service,omitempty"`
+	// Split divides the calls among services. Exactly one of Service and Split is
+	// set.
+	Split []Part `json:"split,omitempty" toml:"split,omitempty"`
+	Class string `json:"class" toml:"class,omitempty"`
 	// TimeoutMS overrides the class's timeout, in milliseconds.
 	TimeoutMS int `json:"timeout-ms,omitempty" toml:"timeout-ms,omitempty"`
+	// ObjectiveMS is the latency up to which an answer is worth most, in
+	// milliseconds; 0 means that none is stated.
+	ObjectiveMS int `json:"objective-ms,omitempty" toml:"objective-ms,omitempty"`
+	// Priority ranks the calls that wait for one target; 0 goes first.
+	Priority int `json:"priority,omitempty" toml:"priority,omitempty"`
+	// MaxTargets bounds the targets that one call may be sent to; 0 means no
+	// bound but the class's retries.
+	MaxTargets int `json:"max-targets,omitempty" toml:"max-targets,omitempty"`
+}
+
+// Part is what one service gets of a route's calls.
+type Part struct {
+	Service string `json:"service" toml:"service"`
+	// Weight is the part's share of the sum of all weights of the route.
+	Weight int `json:"weight" toml:"weight"`
+}
+
+// Services returns every service that may take the route's calls.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	services := make([]string, len(r.Split))
+	for i, p := range r.Split {
+		services[i] = p.Service
+	}
+	return services
 }
 
 // Exception departs from one default within a scope.
--- a/versioner/settings.go
+++ b/versioner/settings.go
@@ -36,6 +36,10 @@
 	{Name: "spill-over-percent", Default: 80, Min: 1, Max: 100, Doc: "load of the local failure domain, in percent of its slots, above which calls go to other domains", fleet: func(f *Fleet) *int { return f.SpillOverPercent }},
 	{Name: "drain-ms", Default: 30_000, Min: 100, Max: hourMS, Doc: "longest time that a planned stop waits for calls in flight, in milliseconds", fleet: func(f *Fleet) *int { return f.DrainMS }},
 	{Name: "key-retention-ms", Default: 2 * minuteMS, Min: 1000, Max: hourMS, Doc: "time for which a target's daemon remembers an idempotency key, in milliseconds", fleet: func(f *Fleet) *int { return f.KeyRetentionMS }},
+	{Name: "max-header-bytes", Default: 64 << 10, Min: 1024, Max: 1 << 20, Doc: "largest head of a caller's request, in bytes", fleet: func(f *Fleet) *int { return f.MaxHeaderBytes }},
+	{Name: "max-body-bytes", Default: 16 << 20, Max: 1 << 30, Doc: "largest body of a caller's request, in bytes; a daemon takes at most 16 MB", fleet: func(f *Fleet) *int { return f.MaxBodyBytes }},
+	{Name: "header-timeout-ms", Default: 10_000, Min: 100, Max: hourMS, Doc: "longest time that a caller may take for the head of a request, in milliseconds", fleet: func(f *Fleet) *int { return f.HeaderTimeoutMS }},
+	{Name: "idle-timeout-ms", Default: minuteMS, Min: 100, Max: hourMS, Doc: "time after which a caller's idle connection is closed, in milliseconds", fleet: func(f *Fleet) *int { return f.IdleTimeoutMS }},
 }
 
 // classDefaults holds the built-in values of one class.
