Place by the expected answer; give a call only to the service that it names

Calls crossed failure domains at the load at which their own still met the objective.

Change: links belong to an instance; the target's daemon refuses calls of another service, unrun. Calls with an objective go to the earliest expected answer, in their own domain while that meets the objective.

Ruled out: a split that names the wrong service (the configuration named none).

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -22,14 +22,14 @@
 	// end, in which other daemons and callers learn of it.
 	leaveWait = time.Second
 	// acknowledgeWait bounds the wait for entry daemons to acknowledge answers.
-	acknowledgeWait = 2 * time.Second
+	acknowledgeWait = 500 * time.Millisecond
 	// handoverWait bounds the handing over of idempotency keys.
 	handoverWait = 5 * time.Second
 	// departWait is how long callers are still served after a stop has begun: the
 	// platform asks once a second and sends nobody after two refusals.
 	departWait = 2200 * time.Millisecond
 	// stopMargin is what a stop keeps of its limit, so that it ends by itself.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = time.Second
 	// drainInterval is the time between two looks at what is in flight.
 	drainInterval = 10 * time.Millisecond
 	// closeWait bounds the closing of the callers' connections.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -27,8 +27,10 @@
 	CauseCutShort     = "answer-cut-short"
 	// CauseShed means that the target refused the call unrun, CauseOtherRun that
 	// another run of a target answered at its address.
-	CauseShed           = "target-shed"
-	CauseOtherRun       = "other-target-run"
+	CauseShed     = "target-shed"
+	CauseOtherRun = "other-target-run"
+	// CauseOtherService means that the target belongs to another service.
+	CauseOtherService   = "other-service"
 	CauseTooLarge       = "answer-too-large"
 	CauseMalformed      = "malformed-request"
 	CauseMethod         = "method-not-forwarded"
@@ -147,6 +149,10 @@
 	if base == "" {
 		return messenger.NotRun(id, CauseNoTarget)
 	}
+	if x.Service != nil && x.Service() != r.call.Service {
+		// The caller's view is of a target that was here before.
+		return messenger.NotRun(id, CauseOtherService)
+	}
 	if !r.call.IsWhole() {
 		return messenger.NotRun(id, CauseDamaged)
 	}
--- a/executor/target_test.go
+++ b/executor/target_test.go
@@ -162,3 +162,19 @@
 		}
 	}
 }
+
+// A caller's daemon whose view is old may ask for a service that was here before.
+func TestCallOfAnotherServiceIsNotRun(t *testing.T) {
+	var runs atomic.Int64
+	base := listenRaw(t, func(net.Conn) { runs.Add(1) })
+	x := executorFor(base)
+	x.Service = func() string { return "ledger-view" }
+	call := posting(http.MethodPost, "1")
+	call.IdempotencyKey, call.Service = "", "payout-desk"
+	if got := x.Run(t.Context(), call); got.Outcome != messenger.OutcomeNotRun || got.Cause != CauseOtherService {
+		t.Errorf("got %v %q, want not-run %q", got.Outcome, got.Cause, CauseOtherService)
+	}
+	if got := runs.Load(); got != 0 {
+		t.Errorf("connections to the target: got %d, want 0", got)
+	}
+}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -135,7 +135,8 @@
 
 // attempt chooses a target and brings the call to it.
 func (f *Forwarder) attempt(ctx context.Context, x *exchange, marked bool) *messenger.Answer {
-	choice, ok := f.Picker.Pick(x.policy, x.snapshot())
+	need := picker.Need{Objective: time.Duration(x.call.ObjectiveMS) * time.Millisecond, Bytes: len(x.call.Body)}
+	choice, ok := f.Picker.Pick(x.policy, need, x.snapshot())
 	if !ok {
 		answer := messenger.NotRun(x.call.ID, causeNoTarget)
 		answer.RetryAfterMS = unavailableRetryMS
@@ -216,7 +217,7 @@
 		if !first || !errors.As(err, &unsent) || ctx.Err() != nil {
 			return link, answer, err
 		}
-		f.peer(target.PeerAddress, laneOf(call)).remove(link)
+		f.peer(target, laneOf(call)).remove(link)
 	}
 }
 
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/limiter"
@@ -19,6 +20,7 @@
 	executor.CauseLinkEnded:      true,
 	executor.CauseNeverDelivered: true,
 	executor.CauseOtherRun:       true,
+	executor.CauseOtherService:   true,
 }
 
 // overloaded holds the causes of calls refused for want of capacity.
@@ -53,7 +55,9 @@
 func resultOf(answer *messenger.Answer) picker.Result {
 	r := picker.Result{
 		Outcome: picker.Failed, Running: answer.Running, Waiting: answer.Waiting,
-		Told: answer.Told, Draining: answer.Draining,
+		Told: answer.Told, Draining: answer.Draining, Slots: answer.Slots,
+		Run:           time.Duration(answer.RunUS) * time.Microsecond,
+		IsServerError: answer.Outcome == messenger.OutcomeAnswered,
 	}
 	switch {
 	case answer.Outcome == messenger.OutcomeAnswered && answer.Status < http.StatusInternalServerError:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -94,7 +94,7 @@
 	buffered atomic.Int64
 
 	mu    sync.Mutex
-	peers map[string]*[laneCount]peer
+	peers map[peerKey]*[laneCount]peer
 	// draining holds, by instance, the newest incarnation that refuses new calls.
 	draining map[string]uint64
 }
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
 )
 
 // inMesh runs a test on a paused clock and ends everything that it started.
@@ -101,7 +102,7 @@
 func TestUndeliveredCallRunsElsewhereOnce(t *testing.T) {
 	inMesh(t, []string{"a", "b"}, func(t *testing.T, m *mesh) {
 		for _, f := range m.targets {
-			m.forwarder.peer(f.name, laneSmall)
+			m.forwarder.peer(tracker.Record{InstanceID: f.name, PeerAddress: f.name}, laneSmall)
 		}
 		caller := make([]<-chan told, 8)
 		for i := range caller {
@@ -216,7 +217,7 @@
 // cross answers the calls that wait on one target's links over the links of another.
 func cross(t *testing.T, m *mesh, from, to *fakeTarget) int {
 	t.Helper()
-	p := m.forwarder.peer(to.name, laneSmall)
+	p := m.forwarder.peer(tracker.Record{InstanceID: to.name, PeerAddress: to.name}, laneSmall)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -64,16 +64,20 @@
 
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-func (f *Forwarder) peer(addr string, in lane) *peer {
+// peerKey names a daemon: its address may be another one's later.
+type peerKey struct{ instanceID, addr string }
+
+func (f *Forwarder) peer(target tracker.Record, in lane) *peer {
+	key := peerKey{target.InstanceID, target.PeerAddress}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	lanes, ok := f.peers[addr]
+	lanes, ok := f.peers[key]
 	if !ok {
 		if f.peers == nil {
-			f.peers = make(map[string]*[laneCount]peer)
+			f.peers = make(map[peerKey]*[laneCount]peer)
 		}
 		lanes = new([laneCount]peer)
-		f.peers[addr] = lanes
+		f.peers[key] = lanes
 	}
 	return &lanes[in]
 }
@@ -81,7 +85,7 @@
 // link returns the least busy link of the lane to the target's daemon. It opens one when
 // there is none, and a further one beside it when all are busy.
 func (f *Forwarder) link(ctx context.Context, target tracker.Record, in lane) (*callLink, error) {
-	p := f.peer(target.PeerAddress, in)
+	p := f.peer(target, in)
 	for {
 		p.mu.Lock()
 		best := p.leastBusy()
--- a/picker/model_test.go
+++ b/picker/model_test.go
@@ -37,7 +37,7 @@
 }
 
 func (m *pickerModel) pick(t *rapid.T) {
-	c, ok := m.fleet.Pick(m.fleet.policy, Tried{})
+	c, ok := m.fleet.Pick(m.fleet.policy, Need{}, Tried{})
 	if want := len(m.ready) > len(m.draining); ok != want {
 		t.Fatalf("pick: got %v, want %v with %d ready and %d draining", ok, want, len(m.ready), len(m.draining))
 	}
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -1,5 +1,7 @@
 package picker
 
+import "time"
+
 // Outcome says what an attempt showed of its target.
 type Outcome int
 
@@ -28,6 +30,14 @@
 	// answer, without the answered call; they count when Told is set.
 	Running, Waiting int
 	Told             bool
+	// Slots is the number of calls that the target runs at a time, and Run the mean
+	// time that calls of this class take there; both count when Told is set, and 0
+	// is not known.
+	Slots int
+	Run   time.Duration
+	// IsServerError says that the target answered, with a server error. It may be
+	// those that the target calls that fail.
+	IsServerError bool
 	// Draining is set when the answer said that the target drains.
 	Draining bool
 }
@@ -54,6 +64,8 @@
 	if r.Told {
 		t.told.others.Store(max(0, int64(r.Running+r.Waiting)-own))
 		t.told.at.Store(int64(now))
+		t.told.slots.Store(int64(r.Slots))
+		t.told.runs[classIndex(c.policy)].Store(int64(r.Run))
 	}
 	if r.Draining || r.Outcome == Draining {
 		t.drainSequence.Store(t.record.Load().Sequence + 1)
@@ -62,6 +74,11 @@
 	case Answered:
 		c.succeed(now)
 	case Failed:
+		if r.IsServerError && c.judged {
+			// Every target of the service may answer so: it is judged against the others.
+			t.failing.add(1, failureWeight)
+			break
+		}
 		c.fail(now, int64(c.policy.EjectAfterFailures))
 	case Unreachable:
 		if t.domain.fail(t, now) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -58,6 +58,9 @@
 	ReasonRemote
 	// ReasonProbe is a single call to a target whose ejection has ended.
 	ReasonProbe
+	// ReasonExpected is a target of another domain, from which the answer is
+	// expected earlier.
+	ReasonExpected
 	// ReasonLastResort is an ejected target or one of a lost domain, because
 	// there is no other.
 	ReasonLastResort
@@ -65,7 +68,7 @@
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
-	names := [...]string{"none", "local", "spill-over", "remote", "probe", "last-resort"}
+	names := [...]string{"none", "local", "spill-over", "remote", "probe", "expected", "last-resort"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
@@ -83,6 +86,8 @@
 	policy *applier.Policy
 	start  instant
 	probe  bool
+	// judged says that the target was chosen by what is expected of it.
+	judged bool
 }
 
 // Tried holds the targets that a call has tried. The zero value holds none.
@@ -145,9 +150,16 @@
 // Pick chooses a target for an attempt of a call, not one of those tried if
 // there are others. It returns false when the service has no target that takes
 // calls.
-func (p *Picker) Pick(policy *applier.Policy, tried Tried) (Choice, bool) {
+func (p *Picker) Pick(policy *applier.Policy, need Need, tried Tried) (Choice, bool) {
 	now := p.now()
 	v := p.view(policy.Service, now)
+	if need.Objective > 0 {
+		if t, reason := p.place(v, policy, need, &tried, now); t != nil {
+			c := p.chosen(t, policy, reason, now)
+			c.judged = true
+			return c, true
+		}
+	}
 	set, reason := v.local, ReasonLocal
 	if len(set) == 0 {
 		set, reason = v.all, ReasonRemote
@@ -170,12 +182,16 @@
 	if probe {
 		reason = ReasonProbe
 	}
+	return p.chosen(t, policy, reason, now), true
+}
+
+func (p *Picker) chosen(t *target, policy *applier.Policy, reason Reason, now instant) Choice {
 	t.inFlight.Add(1)
 	p.Counters.count(reason)
 	return Choice{
 		Record: t.record.Load().Record, Reason: reason,
-		picker: p, target: t, policy: policy, start: now, probe: probe,
-	}, true
+		picker: p, target: t, policy: policy, start: now, probe: reason == ReasonProbe,
+	}
 }
 
 // spills says whether a call leaves the own failure domain: never below the
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -43,7 +43,7 @@
 
 func (f *fleet) mustPick(t *testing.T) Choice {
 	t.Helper()
-	c, ok := f.Pick(f.policy, Tried{})
+	c, ok := f.Pick(f.policy, Need{}, Tried{})
 	if !ok {
 		t.Fatal("got no target")
 	}
@@ -118,14 +118,14 @@
 		var tried Tried
 		seen := make(map[string]bool)
 		for range 3 {
-			c, ok := f.Pick(f.policy, tried)
+			c, ok := f.Pick(f.policy, Need{}, tried)
 			if !ok || seen[c.Record.InstanceID] {
 				t.Errorf("got %q, %v, want a target not tried yet", c.Record.InstanceID, ok)
 			}
 			seen[c.Record.InstanceID] = true
 			tried.Add(c)
 		}
-		if c, ok := f.Pick(f.policy, tried); !ok || c.Reason != ReasonLastResort {
+		if c, ok := f.Pick(f.policy, Need{}, tried); !ok || c.Reason != ReasonLastResort {
 			t.Errorf("with all tried: got %v, %v, want a last resort", c.Reason, ok)
 		}
 	})
@@ -139,7 +139,7 @@
 			t.Errorf("share of the draining target: got %.1f%%, want 0", got)
 		}
 		f.until(t, "mobile-bay-1").Done(Result{Outcome: Draining})
-		if c, ok := f.Pick(f.policy, Tried{}); ok {
+		if c, ok := f.Pick(f.policy, Need{}, Tried{}); ok {
 			t.Errorf("with all draining: got %s, want none", c.Record.InstanceID)
 		}
 		back := record("mobile-bay-0", "mobile-bay")
@@ -229,7 +229,7 @@
 	for i := range 8 {
 		wg.Go(func() {
 			for n := range 2000 {
-				c, ok := f.Pick(f.policy, Tried{})
+				c, ok := f.Pick(f.policy, Need{}, Tried{})
 				if !ok {
 					t.Error("got no target, want one of those that stay")
 					return
@@ -269,7 +269,7 @@
 func TestPickAllocatesNothing(t *testing.T) {
 	f := benchmarkFleet()
 	got := testing.AllocsPerRun(1000, func() {
-		c, _ := f.Pick(f.policy, Tried{})
+		c, _ := f.Pick(f.policy, Need{}, Tried{})
 		c.Done(Result{Outcome: Answered, Told: true, Running: 3})
 	})
 	if got != 0 {
@@ -281,7 +281,7 @@
 	f := benchmarkFleet()
 	b.ReportAllocs()
 	for b.Loop() {
-		c, _ := f.Pick(f.policy, Tried{})
+		c, _ := f.Pick(f.policy, Need{}, Tried{})
 		c.Done(Result{Outcome: Answered, Told: true, Running: 3})
 	}
 }
@@ -291,7 +291,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			c, _ := f.Pick(f.policy, Tried{})
+			c, _ := f.Pick(f.policy, Need{}, Tried{})
 			c.Done(Result{Outcome: Answered, Told: true, Running: 3})
 		}
 	})
--- /dev/null
+++ b/picker/place.go
@@ -0,0 +1,189 @@
+package picker
+
+import (
+	"time"
+
+	"bambooweir.example/bambooweir/applier"
+)
+
+// This file places calls that state a latency objective. It answers the load at
+// which a service has just enough slots: targets differ in speed by a factor of
+// three, a slow one that is half idle still answers in time, and bytes between
+// failure domains are paid for. So a call stays in its own domain while it is
+// expected to meet its objective there, and goes to the earliest answer
+// anywhere when it is not.
+
+// Need is what a call asks of its target.
+type Need struct {
+	// Objective is the latency up to which the answer is worth most; 0 leaves the
+	// choice to load alone.
+	Objective time.Duration
+	// Bytes is the size of the request's body.
+	Bytes int
+}
+
+const (
+	// localShare is the part of the objective within which the answer of the own
+	// failure domain must be expected, on the mean: runs vary, and half as long
+	// again is common.
+	localShare = 0.6
+	// largeShare is the same for bodies of largeBytes or more, which cost more to
+	// carry than a late answer is likely to.
+	largeShare = 0.9
+	largeBytes = 16 << 10
+	// spillGain is the part of the local expectation that another domain must
+	// undercut, so that estimates that waver move no calls.
+	spillGain = 0.8
+	// nearFull is the share of its slots from which a target is taken to slow
+	// down, and fullSlowdown by how much at its last slot.
+	nearFull     = 0.75
+	fullSlowdown = 0.3
+	// coldFactor is how much longer calls take while a target is cold.
+	coldFactor = 2
+	// unknownShare is the part of the objective that is expected of a target of
+	// which nothing is known.
+	unknownShare = 0.35
+	// spreadShare is the part by which expectations are varied at random, so that
+	// daemons that know the same do not all choose the same.
+	spreadShare = 0.15
+)
+
+// place returns the target with the earliest expected answer, or nil when no
+// target is in use that was not tried.
+func (p *Picker) place(v *view, policy *applier.Policy, need Need, tried *Tried, now instant) (*target, Reason) {
+	e := p.estimator(v, policy, need, now)
+	local, localTime, probe := e.best(p, v.local, tried)
+	if probe {
+		return local, ReasonProbe
+	}
+	share := localShare
+	if need.Bytes >= largeBytes {
+		share = largeShare
+	}
+	if local != nil && localTime <= time.Duration(share*float64(need.Objective)) {
+		return local, ReasonLocal
+	}
+	anywhere, anyTime, probe := e.best(p, v.all, tried)
+	switch {
+	case anywhere == nil:
+		return nil, ReasonNone
+	case probe:
+		return anywhere, ReasonProbe
+	case local == nil:
+		return anywhere, ReasonRemote
+	case float64(anyTime) < spillGain*float64(localTime):
+		return anywhere, ReasonExpected
+	}
+	return local, ReasonLocal
+}
+
+// estimator holds what the targets of a service are measured against.
+type estimator struct {
+	policy *applier.Policy
+	need   Need
+	now    instant
+	class  int
+	// run is the mean run over the targets of which it is known.
+	run time.Duration
+	// success is the mean share of calls that don't fail.
+	success float64
+}
+
+func (p *Picker) estimator(v *view, policy *applier.Policy, need Need, now instant) estimator {
+	e := estimator{policy: policy, need: need, now: now, class: classIndex(policy), success: 1}
+	var sum time.Duration
+	known, success := 0, 0.0
+	for _, t := range v.all {
+		if run := t.told.runs[e.class].Load(); run > 0 {
+			sum += time.Duration(run)
+			known++
+		}
+		success += 1 - t.failing.value()
+	}
+	e.run = time.Duration(unknownShare * float64(need.Objective))
+	if known > 0 {
+		e.run = sum / time.Duration(known)
+	}
+	if len(v.all) > 0 {
+		e.success = success / float64(len(v.all))
+	}
+	return e
+}
+
+// best returns the target of the set with the earliest expected answer. It
+// returns true when the target is to be probed.
+func (e *estimator) best(p *Picker, set []*target, tried *Tried) (*target, time.Duration, bool) {
+	var best *target
+	var bestTime, bestDrawn float64
+	for _, t := range set {
+		if tried.has(t) {
+			continue
+		}
+		switch t.standing(e.policy, e.now) {
+		case standingOut:
+			continue
+		case standingProbe:
+			if t.startProbe() {
+				return t, 0, true
+			}
+			continue
+		}
+		expected := e.expect(t)
+		drawn := expected * (1 + spreadShare*p.fraction())
+		if best == nil || drawn < bestDrawn {
+			best, bestTime, bestDrawn = t, expected, drawn
+		}
+	}
+	return best, time.Duration(bestTime), false
+}
+
+// expect estimates the time to an answer of the target.
+func (e *estimator) expect(t *target) float64 {
+	run := e.runAt(t)
+	record := t.record.Load()
+	if t.told.runs[e.class].Load() == 0 {
+		if record.since != 0 && e.now.sub(record.since) < time.Duration(record.ColdMS)*time.Millisecond {
+			run *= coldFactor
+		}
+	}
+	slots := float64(t.slots(e.policy))
+	load := t.load(e.now) + 1
+	if full := load / slots; full > 1 {
+		run *= full * (1 + fullSlowdown)
+	} else if full > nearFull {
+		run *= 1 + fullSlowdown*(full-nearFull)/(1-nearFull)
+	}
+	if success := (1 - t.failing.value()) / max(e.success, minWeight); success < 1 {
+		run /= max(minWeight, success*success)
+	}
+	return run
+}
+
+// runAt returns the expected run at the target. What it told fades while it
+// tells nothing new, else a target that was slow once would never be tried again.
+func (e *estimator) runAt(t *target) float64 {
+	told := float64(t.told.runs[e.class].Load())
+	if told == 0 {
+		return float64(e.run)
+	}
+	age := e.now.sub(instant(t.told.at.Load())) - loadMemory
+	if age <= 0 {
+		return told
+	}
+	faded := min(1, float64(age)/float64(latencyMemory))
+	return told + (float64(e.run)-told)*faded
+}
+
+// slots returns the number of calls that the target runs at a time.
+func (t *target) slots(policy *applier.Policy) int {
+	if n := t.told.slots.Load(); n > 0 {
+		return int(n)
+	}
+	if n := t.record.Load().Slots; n > 0 && !policy.LimitsSlots {
+		return n
+	}
+	return max(1, policy.Slots)
+}
+
+// fraction returns a random number from 0 to 1.
+func (p *Picker) fraction() float64 { return float64(p.uint64()>>11) / (1 << 53) }
--- a/picker/status.go
+++ b/picker/status.go
@@ -11,9 +11,9 @@
 
 // Counters count choices and what became of targets.
 type Counters struct {
-	// Local, SpillOver, Remote, Probe and LastResort count choices by reason,
+	// Local, SpillOver, Remote, Probe, Expected and LastResort count choices by reason,
 	// None the calls for which there was no target.
-	Local, SpillOver, Remote, Probe, LastResort, None expvar.Int
+	Local, SpillOver, Remote, Probe, Expected, LastResort, None expvar.Int
 	// Ejections and Readmissions count targets, Capped the ejections that the
 	// largest share of ejected targets forbade.
 	Ejections, Readmissions, Capped expvar.Int
@@ -31,6 +31,8 @@
 		c.Remote.Add(1)
 	case ReasonProbe:
 		c.Probe.Add(1)
+	case ReasonExpected:
+		c.Expected.Add(1)
 	case ReasonLastResort:
 		c.LastResort.Add(1)
 	}
--- a/picker/target.go
+++ b/picker/target.go
@@ -64,6 +64,9 @@
 type toldLoad struct {
 	others atomic.Int64
 	at     atomic.Int64
+	slots  atomic.Int64
+	// runs holds the mean run of each class at the target, 0 when not known.
+	runs [classCount]atomic.Int64
 }
 
 // knownRecord is a record with the time from which its target is in use.
