Recognize nested calls by the request that they extend, and count the objective down

Ruled out: lost wake-ups of the limiter (its lines showed full slots and queues of 50 to 100 calls).

Change: a request is nested if its id extends the id of one that the target is running. What earlier attempts used is taken off the objective.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -25,9 +25,7 @@
 	headers := platform.Dialect()
 	d.forwarder.Headers = headers
 	d.forwarder.FractionalRetryAfter = true
-	if host, _, err := net.SplitHostPort(d.cfg.Load().CallerAddress); err == nil {
-		d.forwarder.Host = host
-	}
+	d.forwarder.Runs = d.executor.Runs
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
 	d.executor.RunID = func() string { return d.announcer.Current().RunID }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -95,6 +95,38 @@
 	mu      sync.Mutex
 	links   map[*servedLink]struct{}
 	running map[messenger.CallID]*run
+
+	// requests counts the requests that the target runs, by id.
+	requestsMu sync.Mutex
+	requests   map[string]int
+}
+
+// Runs says whether the target is running the request with an id.
+func (x *Executor) Runs(requestID string) bool {
+	x.requestsMu.Lock()
+	defer x.requestsMu.Unlock()
+	return x.requests[requestID] > 0
+}
+
+// noteRequest counts a request that the target runs until the returned function
+// is called.
+func (x *Executor) noteRequest(id string) (done func()) {
+	if id == "" {
+		return func() {}
+	}
+	x.requestsMu.Lock()
+	defer x.requestsMu.Unlock()
+	if x.requests == nil {
+		x.requests = make(map[string]int)
+	}
+	x.requests[id]++
+	return func() {
+		x.requestsMu.Lock()
+		defer x.requestsMu.Unlock()
+		if x.requests[id]--; x.requests[id] <= 0 {
+			delete(x.requests, id)
+		}
+	}
 }
 
 // Load is what a target's daemon tells of its load.
@@ -178,6 +210,7 @@
 	if !r.begin() {
 		return messenger.NotRun(id, CauseCancelled)
 	}
+	defer x.noteRequest(r.call.RequestID)()
 	return x.ask(ctx, base, req, r)
 }
 
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -37,6 +37,8 @@
 	policy   *applier.Policy
 	deadline time.Time
 	retries  retrier.Call
+	// arrived is when the request's first byte came.
+	arrived time.Time
 	// maxTargets bounds the targets that the call may be sent to; 0 means no bound.
 	maxTargets int
 
@@ -98,6 +100,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	call := x.call
+	if x.call.ObjectiveMS > 0 {
+		// What earlier attempts have used is gone. A call that is late already is
+		// still wanted, if it need not wait.
+		call.ObjectiveMS = max(1, x.call.ObjectiveMS-time.Since(x.arrived).Milliseconds())
+	}
 	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
 	x.attempts++
 	x.tried.Add(choice)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 	"crypto/rand"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -73,9 +72,9 @@
 	// Service returns the service of the instance, which targets are told as the
 	// one that calls; nil or "" tells none.
 	Service func() string
-	// Host is the IP number of this instance. Requests from it are made by its
-	// target, while it runs others; "" recognizes none.
-	Host string
+	// Runs says whether the target of this instance is running the request with an
+	// id; nil knows of none.
+	Runs func(requestID string) bool
 	// FractionalRetryAfter gives callers the Retry-After with fractions of a second.
 	FractionalRetryAfter bool
 	// Dial opens a call link; nil means messenger.Dial.
@@ -164,19 +163,20 @@
 	if len(key) > maxKeyBytes {
 		return nil, causeBadKey
 	}
-	deadline := listener.Arrival(r.Context()).Add(timeout)
+	arrived := listener.Arrival(r.Context())
+	deadline := arrived.Add(timeout)
 	body, cause := readBody(w, r, deadline)
 	if cause != "" {
 		return nil, cause
 	}
-	x = &exchange{deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
+	x = &exchange{arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
 		Method: r.Method, Target: requestTarget(r), Headers: f.callFields(r.Header),
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
-		IsNested: f.isNested(r),
+		IsNested: f.isNested(r.Header.Get(names.RequestID)),
 	}
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
@@ -202,13 +202,23 @@
 	return fields
 }
 
-// isNested says whether the target of this instance makes the request.
-func (f *Forwarder) isNested(r *http.Request) bool {
-	if f.Host == "" {
+// minNestedPrefix is the least length of an id that others are told to extend:
+// shorter ones may be alike by accident.
+const minNestedPrefix = 8
+
+// isNested says whether the target of this instance makes the request while it
+// runs another one. Targets name such requests by extending the id of the one
+// that they run; where they don't, a nested request is taken as any other.
+func (f *Forwarder) isNested(requestID string) bool {
+	if f.Runs == nil {
 		return false
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == f.Host
+	for n := len(requestID) - 1; n >= minNestedPrefix; n-- {
+		if f.Runs(requestID[:n]) {
+			return true
+		}
+	}
+	return false
 }
 
 // timeout returns the time that the call may take: that of its route, or what
