Queue only as long as nine in ten answers come in time

Cause: calls waited until the mean run alone still met the objective, so that under overload half of the answers came just late.

Change: 160 % of the mean run is taken off the time that a call may wait.

--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -105,9 +105,19 @@
 	if ok && (r.IsNested || deadline.Before(latest)) {
 		latest = deadline
 	}
-	return latest.Add(-l.runOf(c, r.level(), now))
+	run := l.runOf(c, r.level(), now)
+	if !r.IsNested {
+		// Under overload calls wait as long as they may: with the mean alone taken
+		// off, half of their answers would be late.
+		run = run * runMargin / 100
+	}
+	return latest.Add(-run)
 }
 
+// runMargin is how long a run is taken to be, in percent of the mean, where the
+// answer must come in time: about nine in ten runs are no longer.
+const runMargin = 160
+
 // returnAfter returns when a refused call may come back: once the queue has
 // shrunk to what it could have waited for.
 func (l *Limiter) returnAfter(w *waiter, expected time.Duration, now time.Time) time.Duration {
