Let callers that came back go first while they can be in time, and late ones last

Cause: a refused caller that comes back has part of its objective left, and was queued like a new one; calls that were late already took slots from calls that were not.

Change: the time that a caller states tells, against the most stated on its route, how long it has waited.

--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -100,11 +100,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	call := x.call
-	if x.call.ObjectiveMS > 0 {
-		// What earlier attempts have used is gone. A call that is late already is
-		// still wanted, if it need not wait.
-		call.ObjectiveMS = max(1, x.call.ObjectiveMS-time.Since(x.arrived).Milliseconds())
-	}
+	call.WaitedMS = x.call.WaitedMS + time.Since(x.arrived).Milliseconds()
 	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
 	x.attempts++
 	x.tried.Add(choice)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,6 +88,7 @@
 
 	// budgeted is the snapshot whose routes have retry budgets.
 	budgeted atomic.Pointer[applier.Snapshot]
+	patience patience
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	buffered atomic.Int64
@@ -178,6 +179,10 @@
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
 		IsNested: f.isNested(r.Header.Get(names.RequestID)),
 	}
+	if stated := r.Header.Get(names.Deadline); stated != "" && !x.call.IsNested {
+		left, _ := strconv.ParseInt(stated, 10, 64)
+		x.call.WaitedMS = f.patience.waited(matched.Name, left, arrived)
+	}
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -12,7 +12,8 @@
 // Calls that state a latency objective wait by priority, then by who could wait
 // the shortest time, and only while they may be expected to meet it: under a
 // lasting overload a longer queue would make every answer late and serve nobody
-// more. A call that a target makes while it runs another one may wait up to its
+// more. Callers that were refused and came back go before others by that, while
+// they can be answered in time; calls that are late already go last. A call that a target makes while it runs another one may wait up to its
 // deadline, since refusing it wastes what has been spent on its parent.
 //
 // A call that is refused has not run.
@@ -91,6 +92,8 @@
 	Priority int
 	// Objective is the time within which the answer is worth most; 0 states none.
 	Objective time.Duration
+	// Waited is what the caller has waited of the objective.
+	Waited time.Duration
 	// IsNested says that a target makes the call while it runs another one.
 	IsNested bool
 }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -42,6 +42,8 @@
 	level   int
 	// expires is when the call gives up, because a later start would be of no use.
 	expires time.Time
+	// isLate says that the answer will miss its objective anyhow.
+	isLate bool
 	// hasObjective says that the call is refused as soon as it can't be expected
 	// to start in time.
 	hasObjective bool
@@ -60,6 +62,9 @@
 	if w.level != other.level {
 		return w.level < other.level
 	}
+	if w.isLate != other.isLate {
+		return other.isLate
+	}
 	return w.expires.Before(other.expires)
 }
 
@@ -69,7 +74,7 @@
 	length := l.limits.queueLength[c]
 	if w.hasObjective {
 		length = maxObjectiveQueue
-		w.expires = l.latestStart(ctx, c, r, now)
+		w.expires, w.isLate = l.latestStart(ctx, c, r, now)
 	} else {
 		limit := l.limits.queueWait[c]
 		if length == 0 || limit == 0 {
@@ -97,26 +102,40 @@
 	return w, nil
 }
 
-// latestStart returns when a call with an objective must start for its answer
-// to come in time. A nested call's time is its deadline.
-func (l *Limiter) latestStart(ctx context.Context, c class, r Request, now time.Time) time.Time {
-	latest := now.Add(r.Objective)
+// latestStart returns when a call with an objective must start at the latest,
+// and whether it will be late anyhow. A nested call may start while its deadline
+// can be kept.
+func (l *Limiter) latestStart(ctx context.Context, c class, r Request, now time.Time) (time.Time, bool) {
+	run := l.runOf(c, r.level(), now)
+	left := r.Objective - r.Waited
+	// Under overload calls wait as long as they may: with the mean alone taken off,
+	// half of their answers would be late.
+	wait := max(left-run*runMargin/100, (left-run)*closeShare/100)
+	isLate := left < run
+	if isLate {
+		wait = r.Objective * lateShare / 100
+	}
 	deadline, ok := ctx.Deadline()
-	if ok && (r.IsNested || deadline.Before(latest)) {
-		latest = deadline
+	if !ok {
+		return now.Add(wait), isLate
 	}
-	run := l.runOf(c, r.level(), now)
-	if !r.IsNested {
-		// Under overload calls wait as long as they may: with the mean alone taken
-		// off, half of their answers would be late.
-		run = run * runMargin / 100
+	if r.IsNested {
+		return deadline.Add(-run), false
 	}
-	return latest.Add(-run)
+	return now.Add(min(wait, deadline.Sub(now)-run)), isLate
 }
 
-// runMargin is how long a run is taken to be, in percent of the mean, where the
-// answer must come in time: about nine in ten runs are no longer.
-const runMargin = 160
+const (
+	// runMargin is how long a run is taken to be, in percent of the mean, where the
+	// answer must come in time: about nine in ten runs are no longer.
+	runMargin = 160
+	// closeShare is the part of what the mean run leaves that a call may wait where
+	// runMargin leaves less, in percent.
+	closeShare = 25
+	// lateShare is how long a call that is late anyhow may wait for a slot that
+	// nobody else wants, in percent of its objective.
+	lateShare = 10
+)
 
 // returnAfter returns when a refused call may come back: once the queue has
 // shrunk to what it could have waited for.
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -55,11 +55,14 @@
 	RequestID string `cbor:"19,keyasint,omitempty"`
 	// Priority ranks the calls that wait for a slot; 0 goes first.
 	Priority int `cbor:"20,keyasint,omitempty"`
-	// ObjectiveMS is how long from its sending the call's answer is worth most, in
+	// ObjectiveMS is the latency up to which the call's answer is worth most, in
 	// milliseconds; 0 means that no objective is stated.
 	ObjectiveMS int64 `cbor:"21,keyasint,omitempty"`
 	// IsNested says that a target made the call while it ran another one.
 	IsNested bool `cbor:"22,keyasint,omitempty"`
+	// WaitedMS is what the caller has waited of its objective when the call is
+	// sent, earlier requests for the same thing included as far as they show.
+	WaitedMS int64 `cbor:"23,keyasint,omitempty"`
 }
 
 // IsKeyed says whether the call runs at the home of its idempotency key.
