--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/tracker"
 )
@@ -28,6 +29,8 @@
 	// Announced counts announcements taken, Repeated those of them that changed
 	// nothing, Refused those that were malformed or of an earlier epoch.
 	Announced, Repeated, Refused expvar.Int
+	// Overtaken counts those that came after a newer one, or after the departure.
+	Overtaken expvar.Int
 	// Checks counts connections opened to see whether the target is there,
 	// Vanished and Returned what they found.
 	Checks, Vanished, Returned expvar.Int
@@ -45,7 +48,9 @@
 	// to see whether it is there.
 	Silence time.Duration
 	// Dial opens a connection to see whether the target is there; nil means TCP.
-	Dial     func(ctx context.Context, addr string) error
+	Dial func(ctx context.Context, addr string) error
+	// Log takes a line for each change of the target's state; nil takes none.
+	Log      *zap.Logger
 	Counters Counters
 
 	// reached is when a call last reached the target, in nanoseconds of Unix time.
@@ -196,6 +201,11 @@
 		return
 	}
 	a.record = next
+	if a.Log != nil {
+		a.Log.Info("target-state", zap.String("run-id", a.current.RunID), zap.Uint64("epoch", next.Epoch),
+			zap.String("service", next.Service), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
+			zap.Int("slots", next.Slots), zap.Uint64("sequence", a.current.Sequence), zap.Bool("vanished", a.vanished))
+	}
 	a.Changed(next)
 }
 
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -50,6 +50,7 @@
 		new(versionCommand).command(),
 		new(demoCommand).command(),
 		new(soakCommand).command(),
+		new(explainCommand).command(),
 	)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
 	for _, c := range root.Commands() {
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -15,6 +15,7 @@
 
 	"bambooweir.example/bambooweir/daemon"
 	"bambooweir.example/bambooweir/loader"
+	"bambooweir.example/bambooweir/logger"
 	"bambooweir.example/bambooweir/platform"
 )
 
@@ -22,6 +23,9 @@
 // without a signal.
 const settingsCheck = 2 * time.Second
 
+// logWait bounds the wait for the last lines of the log at the end.
+const logWait = 200 * time.Millisecond
+
 // daemonCommand runs a daemon.
 type daemonCommand struct{ settings string }
 
@@ -40,21 +44,22 @@
 	if err != nil {
 		return badInput(err)
 	}
-	log, err := newLogger(cfg.LogLevel)
+	log, err := logger.New(os.Stdout, cfg.LogLevel)
 	if err != nil {
 		return err
 	}
+	defer log.Close(logWait)
 	store := &platform.Store{BaseURL: cfg.StoreURL, Timeout: loader.Milliseconds(cfg.StoreTimeoutMS)}
 	cut, stop := onSecondSignal()
 	defer stop()
-	run := daemon.New(cfg, store, log)
+	run := daemon.New(cfg, store, log.With(zap.String("instance", cfg.InstanceID)))
 	go d.follow(c.Context(), run, log, hangups)
 	return run.Run(c.Context(), cut)
 }
 
 // follow reloads the settings when the file has changed, until ctx ends. A file
 // that is not valid changes nothing.
-func (d *daemonCommand) follow(ctx context.Context, run *daemon.Daemon, log *zap.Logger, hangups <-chan os.Signal) {
+func (d *daemonCommand) follow(ctx context.Context, run *daemon.Daemon, log *logger.Log, hangups <-chan os.Signal) {
 	tick := time.NewTicker(settingsCheck)
 	defer tick.Stop()
 	last := d.stamp(log)
@@ -74,9 +79,12 @@
 		last = now
 		cfg, err := loader.Load(d.settings)
 		if err != nil {
-			log.Error("settings not reloaded", zap.String("file", d.settings), zap.Error(err))
+			log.Error("settings-refused", zap.String("file", d.settings), zap.Error(err))
 			continue
 		}
+		if level, err := zap.ParseAtomicLevel(cfg.LogLevel); err == nil {
+			log.Level.SetLevel(level.Level())
+		}
 		run.Reload(cfg)
 	}
 }
@@ -87,27 +95,17 @@
 	size     int64
 }
 
-func (d *daemonCommand) stamp(log *zap.Logger) fileStamp {
+func (d *daemonCommand) stamp(log *logger.Log) fileStamp {
 	info, err := os.Stat(d.settings)
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
-			log.Warn("settings file can't be looked at", zap.Error(err))
+			log.Warn("settings-unreadable", zap.Error(err))
 		}
 		return fileStamp{}
 	}
 	return fileStamp{modified: info.ModTime(), size: info.Size()}
 }
 
-func newLogger(level string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	parsed, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	cfg.Level = parsed
-	return cfg.Build()
-}
-
 // onSecondSignal returns a context that ends at the second signal to stop. It
 // listens from the start, so that a second signal that comes hard on the first
 // is not missed.
--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"bambooweir.example/bambooweir/explainer"
+)
+
+// explainCommand prints what the logs tell of one request.
+type explainCommand struct{ output outputFlag }
+
+func (e *explainCommand) command() *cobra.Command {
+	c := &cobra.Command{
+		Use: "explain ID [FILE...]", Short: "Tell the story of one request from logs",
+		Long: `Explain prints what the logs of any number of daemons tell of the request with the
+id, nested requests included, in the order of time, and the cause in the last line.
+Without a file it reads standard input.`,
+		Args: cobra.MinimumNArgs(1), RunE: e.run,
+	}
+	e.output.flags(c, outputJSON)
+	return c
+}
+
+func (e *explainCommand) run(c *cobra.Command, args []string) error {
+	var logs []io.Reader
+	for _, path := range args[1:] {
+		f, err := os.Open(path)
+		if err != nil {
+			return badInput(err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	if len(logs) == 0 {
+		logs = append(logs, c.InOrStdin())
+	}
+	story, err := explainer.Explain(args[0], logs...)
+	if err != nil {
+		return err
+	}
+	if e.output.value == outputJSON {
+		return json.NewEncoder(c.OutOrStdout()).Encode(story)
+	}
+	return story.Write(c.OutOrStdout())
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
@@ -42,6 +44,9 @@
 	forwarder *forwarder.Forwarder
 	callers   *listener.Server
 	surface   *operator.Surface
+	// metrics and histograms are what the metrics resource shows.
+	metrics    *expvar.Map
+	histograms *metrics.Set
 	// stopping says that callers are to go elsewhere.
 	stopping atomic.Bool
 }
@@ -55,6 +60,7 @@
 		Store: store, Applier: d.applier, Table: d.table, Log: log, Settings: spreadSettings(cfg),
 	}
 	d.announcer = &announcer.Announcer{
+		Log: log,
 		Self: tracker.Record{
 			InstanceID: cfg.InstanceID, Incarnation: uint64(time.Now().UnixNano()),
 			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
@@ -65,13 +71,13 @@
 	}
 	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots}
 	d.executor = &executor.Executor{
-		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation,
+		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Log: log,
 		Target: d.announcer.Target, Draining: d.announcer.Draining,
 		Service: d.announcer.Service, Admit: d.admit, Load: d.load, Reached: d.reached,
 	}
 	d.executor.Requester.MaxConnections = d.connections
 	d.forwarder = &forwarder.Forwarder{
-		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain},
+		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, Log: log}, Log: log,
 		InstanceID: cfg.InstanceID, Local: d.executor.Run, Service: func() string { return d.cfg.Load().Service },
 	}
 	d.callers = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits}
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -83,9 +83,9 @@
 			return d.drain(serving, cut)
 		}
 	})
-	d.log.Info("daemon started", zap.String("instance", d.cfg.Load().InstanceID))
+	d.log.Info("daemon-started", zap.String("failure-domain", d.cfg.Load().FailureDomain), zap.Uint64("incarnation", d.announcer.Self.Incarnation))
 	if d.cfg.Load().BootstrapTokenSHA256 == "" {
-		d.log.Warn("anyone may make changes until a partner has a token", zap.String("setting", "bootstrap-token-sha256"))
+		d.log.Warn("changes-unprotected", zap.String("setting", "bootstrap-token-sha256"))
 	}
 	return g.Wait()
 }
@@ -93,7 +93,7 @@
 // drain ends this daemon's part in routing and waits for the calls in flight.
 func (d *Daemon) drain(serving, cut context.Context) error {
 	limit := d.drainLimit()
-	d.log.Info("stop begun", zap.Int("entered", d.forwarder.InFlight()), zap.Int("running", d.executor.InFlight()), zap.Duration("limit", limit))
+	d.log.Info("stop-begun", zap.Int("entered", d.forwarder.InFlight()), zap.Int("running", d.executor.InFlight()), zap.Duration("limit", limit))
 	start := time.Now()
 	cut, cancel := context.WithTimeout(cut, limit)
 	defer cancel()
@@ -126,7 +126,7 @@
 			if acknowledged && now.Sub(start) > min(leaveWait, limit/2) {
 				d.leave(cut)
 				d.flush(serving)
-				d.log.Info("stopped, nothing was cut")
+				d.log.Info("stopped")
 				return nil
 			}
 		}
@@ -146,7 +146,7 @@
 	if err.Entered == 0 && err.Running == 0 {
 		return nil
 	}
-	d.log.Warn("stopped, calls were cut", zap.Int("entered", err.Entered), zap.Int("running", err.Running))
+	d.log.Warn("stopped-with-cuts", zap.Int("entered", err.Entered), zap.Int("running", err.Running))
 	return err
 }
 
@@ -176,7 +176,7 @@
 	defer cancel()
 	err := d.executor.HandOver(ctx)
 	if err != nil {
-		d.log.Warn("idempotency keys were not handed over", zap.Error(err))
+		d.log.Warn("keys-lost", zap.Error(err))
 	}
 	d.announcer.Leave(err == nil)
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -2,8 +2,14 @@
 
 import (
 	"expvar"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/publisher"
 )
 
@@ -23,15 +29,46 @@
 		m.Set("authorizer", publisher.Counters(&policy.Counters))
 	}
 	m.Set("operator", publisher.Counters(&d.surface.Counters))
+	m.Set("listener", publisher.Counters(&d.callers.Counters))
+	m.Set("requester", publisher.Counters(&d.executor.Requester.Counters))
+	if store, ok := d.spreader.Store.(*platform.Store); ok {
+		m.Set("store", publisher.Counters(&store.Counters))
+	}
 	m.Set("version", expvar.Func(d.versionInForce))
+	m.Set("daemons", expvar.Func(func() any { return d.daemons() }))
+	m.Set("calls-running", expvar.Func(func() any { return d.limiter.Load().Running }))
+	m.Set("calls-waiting", expvar.Func(func() any { return d.limiter.Load().Waiting }))
+	m.Set("slots", expvar.Func(func() any { return d.limiter.Load().Slots }))
+	m.Set("requests-in-flight", expvar.Func(func() any { return d.forwarder.InFlight() }))
 	publisher.Publish(d.cfg.Load().InstanceID, m)
+	d.metrics, d.histograms = m, metrics.NewSet()
+	d.forwarder.Took = d.observeRequest
+}
+
+// observeRequest notes how long a request took, by class, outcome and cause.
+func (d *Daemon) observeRequest(class, outcome, cause string, took time.Duration) {
+	name := fmt.Sprintf(`%srequest_seconds{class=%q,outcome=%q,cause=%q}`, publisher.Prefix, class, outcome, cause)
+	d.histograms.GetOrCreateHistogram(name).Update(took.Seconds())
+}
+
+// metricsPath is where metrics are served as text.
+const metricsPath = "/metrics"
+
+// metricsHandler serves the metrics as text.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		publisher.WriteText(w, d.metrics, d.histograms)
+	})
+	return mux
 }
 
 func (d *Daemon) versionInForce() any {
 	if snapshot := d.applier.Current(); snapshot != nil {
-		return snapshot.Version()
+		return uint64(snapshot.Version())
 	}
-	return 0
+	return uint64(0)
 }
 
 // ControlBytes returns the bytes that the daemon sent and received over control
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/listener"
@@ -68,5 +69,14 @@
 	if d.cfg.Load().ReadyAddress != "" {
 		g.Go(func() error { return serve(ctx, d.cfg.Load().ReadyAddress, platform.ReadyHandler(d.isReady)) })
 	}
+	if d.cfg.Load().MetricsAddress != "" {
+		g.Go(func() error {
+			// A daemon does its work also where its metrics can't be served.
+			if err := serve(ctx, d.cfg.Load().MetricsAddress, d.metricsHandler()); err != nil {
+				d.log.Error("metrics-unserved", zap.Error(err))
+			}
+			return nil
+		})
+	}
 	return g.Wait()
 }
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -39,7 +39,7 @@
 	}
 	d.cfg.Store(&merged)
 	d.settle(&merged)
-	d.log.Info("settings reloaded", zap.Strings("applied", applied), zap.Strings("need-restart", kept))
+	d.log.Info("settings-reloaded", zap.Strings("applied", applied), zap.Strings("need-restart", kept))
 }
 
 // settle puts the settings into effect that parts do not read by themselves.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/requester"
@@ -84,6 +86,9 @@
 	Requester requester.Requester
 	// Exchange replaces Requester; nil uses it.
 	Exchange func(ctx context.Context, base string, req *requester.Request) (*requester.Response, error)
+	// Log takes a line for each decision on a call that does not go as usual; nil
+	// takes none.
+	Log      *zap.Logger
 	Calls    fencer.Fencer
 	Keyring  Keyring
 	Counters Counters
--- a/executor/target.go
+++ b/executor/target.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/requester"
 )
@@ -71,10 +73,12 @@
 			// What made this answer stay out may have silenced the idle connections, too.
 			x.Requester.Reset()
 		}
-		return sent(messenger.Unknown(id, failureCause(ctx, lossCause(err))))
+		answer := messenger.Unknown(id, failureCause(ctx, lossCause(err)))
+		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause), zap.Error(err))
+		return sent(answer)
 	}
 	x.reached(true)
-	return sent(x.answerOf(id, req, res))
+	return sent(x.answerOf(id, r.call.RequestID, req, res))
 }
 
 func sent(answer *messenger.Answer) *messenger.Answer {
@@ -101,12 +105,14 @@
 }
 
 // answerOf returns the answer that a response makes.
-func (x *Executor) answerOf(id messenger.CallID, req *requester.Request, res *requester.Response) *messenger.Answer {
+func (x *Executor) answerOf(id messenger.CallID, requestID string, req *requester.Request, res *requester.Response) *messenger.Answer {
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
+		x.logger().Info("other-run-answered", zap.String("request-id", requestID))
 		x.reached(false)
 		return messenger.NotRun(id, CauseOtherRun)
 	case res.Header.Get(x.Headers.Names().NotRun) != "":
+		x.logger().Info("target-shed", zap.String("request-id", requestID), zap.Int("status", res.Status))
 		answer := messenger.NotRun(id, CauseShed)
 		answer.RetryAfterMS = retryAfter(res.Header)
 		return answer
@@ -142,3 +148,12 @@
 		return cause
 	}
 }
+
+var noLog = zap.NewNop()
+
+func (x *Executor) logger() *zap.Logger {
+	if x.Log == nil {
+		return noLog
+	}
+	return x.Log
+}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 const (
@@ -37,6 +39,9 @@
 	policy   *applier.Policy
 	deadline time.Time
 	retries  retrier.Call
+	// version is the configuration that routed the call.
+	version versioner.Version
+	route   string
 	// arrived is when the request's first byte came.
 	arrived time.Time
 	// maxTargets bounds the targets that the call may be sent to; 0 means no bound.
@@ -46,10 +51,14 @@
 	mu       sync.Mutex
 	tried    picker.Tried
 	attempts uint16
+	// last is the instance of the last attempt.
+	last   string
+	choice picker.Choice
 	// sent counts the attempts that reached a target.
 	sent   int
 	harmed int
-	// undecided is the answer of an attempt that may have run.
+	// undecided is what is told when no attempt does better: the failure that a
+	// target answered, or else that an attempt may have run.
 	undecided *messenger.Answer
 }
 
@@ -67,9 +76,15 @@
 			answer := f.attempt(ctx, x, marked)
 			return answer, answer.Outcome == messenger.OutcomeAnswered
 		})
-		if ok {
+		if ok && !f.mayFailElsewhere(ctx, x, answer) {
 			return answer
 		}
+		if ok {
+			// What it answered stands unless another target does better.
+			x.fallBack(answer)
+			f.Counters.Redispatched.Add(1)
+			continue
+		}
 		failure, again := failureOf(&x.call, answer)
 		if !again || x.isExhausted() || x.isHarmful(f.MaxHarmed) || !x.retries.Retry(ctx, failure) {
 			return x.conclude(answer)
@@ -78,6 +93,38 @@
 	}
 }
 
+// minRetryShare is the part of the time that an attempt took that must be left
+// for another one.
+const minRetryShare = 1.2
+
+// mayFailElsewhere says whether the call is sent to another target because of
+// the server error that this one answered: if it may run again, and the target
+// fails more often than others do.
+func (f *Forwarder) mayFailElsewhere(ctx context.Context, x *exchange, answer *messenger.Answer) bool {
+	if answer.Status < serverError || !x.call.Idempotent || x.isExhausted() || !x.stoodOut() {
+		return false
+	}
+	now := time.Now()
+	if float64(x.deadline.Sub(now)) < minRetryShare*float64(now.Sub(x.arrived)) {
+		return false
+	}
+	return x.retries.Retry(ctx, retrier.FailureUnknown)
+}
+
+// stoodOut says whether the target of the last attempt fails more often than others.
+func (x *exchange) stoodOut() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.choice.IsOutlier()
+}
+
+// fallBack keeps the answer for the case that no other attempt does better.
+func (x *exchange) fallBack(answer *messenger.Answer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.undecided = answer
+}
+
 // isHarmful says whether the call may itself be what its targets die of.
 func (x *exchange) isHarmful(limit int) bool {
 	x.mu.Lock()
@@ -103,6 +150,7 @@
 	call.WaitedMS = x.call.WaitedMS + time.Since(x.arrived).Milliseconds()
 	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
 	x.attempts++
+	x.last, x.choice = choice.Record.InstanceID, choice
 	x.tried.Add(choice)
 	if marked {
 		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: "retry"})
@@ -118,7 +166,9 @@
 		x.sent++
 	}
 	if answer.Outcome == messenger.OutcomeUnknown {
-		x.undecided = answer
+		if x.undecided == nil {
+			x.undecided = answer
+		}
 		x.harmed++
 	}
 }
@@ -153,6 +203,7 @@
 	}
 	choice.Done(resultOf(answer))
 	x.note(answer)
+	f.tellAttempt(x, choice, answer)
 	return answer
 }
 
@@ -184,6 +235,9 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining)
 	}
+	if f.isSilent(target, laneOf(call)) {
+		return messenger.NotRun(call.ID, causeSilent)
+	}
 	link, answer, err := f.send(ctx, call, target, deadline)
 	if link == nil && ctx.Err() != nil {
 		return messenger.NotRun(call.ID, causeDeadline)
@@ -203,6 +257,7 @@
 		return messenger.Unknown(call.ID, causeLinkLost)
 	}
 	f.Counters.Reattached.Add(1)
+	f.logger().Info("call-reattached", zap.String("request-id", call.RequestID), zap.String("target", target.InstanceID))
 	return f.reattach(ctx, call, target, link)
 }
 
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -14,6 +14,7 @@
 // notBegun holds the causes of calls that a target was not there to take.
 var notBegun = map[string]bool{
 	causeUnreachable:             true,
+	causeSilent:                  true,
 	causeDraining:                true,
 	executor.CauseNoTarget:       true,
 	executor.CauseUnreachable:    true,
@@ -55,7 +56,7 @@
 func resultOf(answer *messenger.Answer) picker.Result {
 	r := picker.Result{
 		Outcome: picker.Failed, Running: answer.Running, Waiting: answer.Waiting,
-		Told: answer.Told, Draining: answer.Draining, Slots: answer.Slots,
+		Told: answer.Told, Draining: answer.Draining, Slots: answer.Slots, Bytes: len(answer.Body),
 		Run:           time.Duration(answer.RunUS) * time.Microsecond,
 		IsServerError: answer.Outcome == messenger.OutcomeAnswered,
 	}
@@ -72,6 +73,9 @@
 		r.Outcome = picker.Failed
 	case answer.Cause == causeDraining:
 		r.Outcome = picker.Draining
+	case answer.Cause == causeSilent:
+		// It may be over in a moment.
+		r.Outcome = picker.Overloaded
 	case notBegun[answer.Cause]:
 		r.Outcome = picker.Unreachable
 	case overloaded[answer.Cause]:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/listener"
 	"bambooweir.example/bambooweir/messenger"
@@ -43,6 +45,7 @@
 	causeNoRoute         = "no-route"
 	causeNoTarget        = "no-target"
 	causeUnreachable     = "target-daemon-unreachable"
+	causeSilent          = "target-daemon-silent"
 	causeBodyTooLarge    = "body-too-large"
 	causeBodyCut         = "body-cut-short"
 	causeBadDeadline     = "malformed-deadline"
@@ -84,7 +87,12 @@
 	// MaxHarmed bounds the targets that one idempotent call may reach without an
 	// answer, since it may be what they die of; 0 means 2, below 0 means no bound.
 	MaxHarmed int
-	Counters  Counters
+	// Log takes a line for each decision on a call that does not go as usual; nil
+	// takes none.
+	Log      *zap.Logger
+	Counters Counters
+	// Took observes the latency of each request with its outcome; nil observes none.
+	Took func(class, outcome, cause string, took time.Duration)
 
 	// budgeted is the snapshot whose routes have retry budgets.
 	budgeted atomic.Pointer[applier.Snapshot]
@@ -137,9 +145,12 @@
 		f.refuse(w, r, cause)
 		return
 	}
+	x.version = snapshot.Version()
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	f.answer(w, r, f.dispatch(ctx, x))
+	answer := f.dispatch(ctx, x)
+	f.tell(r.Context(), x, answer)
+	f.answer(w, r, answer)
 }
 
 // dropBudgets forgets the retry budgets of routes that a new snapshot lacks.
@@ -170,7 +181,7 @@
 	if cause != "" {
 		return nil, cause
 	}
-	x = &exchange{arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
+	x = &exchange{route: matched.Name, arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
 		Method: r.Method, Target: requestTarget(r), Headers: f.callFields(r.Header),
@@ -287,6 +298,10 @@
 // knows.
 func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, cause string) {
 	answer := messenger.NotRun(messenger.CallID{}, cause)
+	f.logger().Info("request-refused", zap.String("request-id", r.Header.Get(f.Headers.Names().RequestID)),
+		zap.String("cause", cause), zap.Int("status", statusOf(answer)), zap.String("host", r.Host),
+		zap.String("method", r.Method), zap.Uint64("version", f.versionInForce()))
+	f.observe("", answer, 0)
 	if statusOf(answer) != http.StatusServiceUnavailable {
 		f.Counters.NotRun.Add(1)
 		f.writeProblem(w, answer)
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -8,15 +8,19 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
 )
 
 const (
-	// suspectAfter is how long a link with calls in flight may bring nothing before it is probed.
-	suspectAfter = time.Second
-	// giveUpAfter is how long it may bring nothing before it is given up.
-	giveUpAfter = 2 * time.Second
+	// suspectAfter is how long a link with calls in flight may bring nothing before
+	// it is probed: a call usually takes longer than the probe's way.
+	suspectAfter = 300 * time.Millisecond
+	// giveUpAfter is how long it may bring nothing before it is given up. Callers
+	// wait for a second or two, and a lost segment is sent again after 200 ms, and
+	// then 400 ms.
+	giveUpAfter = 900 * time.Millisecond
 	// idleAfter is how long a link without calls is kept open.
 	idleAfter = time.Minute
 	// maxAcks bounds the acknowledgements that wait for a message to go with.
@@ -95,6 +99,18 @@
 	}
 }
 
+// isSuspect says whether the link has brought nothing for long enough to be
+// probed, although calls are in flight on it.
+func (l *callLink) isSuspect() bool {
+	if l.inFlight.Load() == 0 {
+		return false
+	}
+	return time.Since(l.opened)-time.Duration(l.heard.Load()) > suspectAfter+probeWait
+}
+
+// probeWait is how long the answer to a probe usually takes at most.
+const probeWait = 100 * time.Millisecond
+
 func (l *callLink) deliver(answer *messenger.Answer) {
 	l.mu.Lock()
 	wait := l.waiting[answer.ID]
@@ -244,6 +260,7 @@
 	case silent >= giveUpAfter:
 		l.mu.Unlock()
 		l.forwarder.Counters.LinksSilent.Add(1)
+		l.forwarder.logger().Warn("link-silent", zap.String("target", l.opening.InstanceID), zap.Duration("silent", silent))
 		l.fail()
 		return
 	case silent >= suspectAfter:
--- /dev/null
+++ b/forwarder/log.go
@@ -0,0 +1,86 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/picker"
+)
+
+var noLog = zap.NewNop()
+
+func (f *Forwarder) logger() *zap.Logger {
+	if f.Log == nil {
+		return noLog
+	}
+	return f.Log
+}
+
+func (f *Forwarder) versionInForce() uint64 {
+	if s := f.Applier.Current(); s != nil {
+		return uint64(s.Version())
+	}
+	return 0
+}
+
+func (f *Forwarder) observe(class string, answer *messenger.Answer, took time.Duration) {
+	if f.Took != nil {
+		f.Took(class, answer.Outcome.String(), answer.Cause, took)
+	}
+}
+
+// tell logs how a call ended, unless it went as usual.
+func (f *Forwarder) tell(caller context.Context, x *exchange, answer *messenger.Answer) {
+	took := time.Since(x.arrived)
+	f.observe(x.call.Class, answer, took)
+	event := ""
+	switch {
+	case caller.Err() != nil:
+		event = "caller-left"
+	case answer.Outcome == messenger.OutcomeNotRun:
+		event = "call-refused"
+	case answer.Outcome == messenger.OutcomeUnknown:
+		event = "call-unknown"
+	case answer.Status >= serverError:
+		event = "call-failed"
+	case x.call.ObjectiveMS > 0 && took.Milliseconds() > x.call.ObjectiveMS:
+		event = "call-late"
+	default:
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f.logger().Info(event,
+		zap.String("request-id", x.call.RequestID), zap.String("route", x.route), zap.String("service", x.call.Service),
+		zap.String("class", x.call.Class), zap.Int("priority", x.call.Priority), zap.Bool("nested", x.call.IsNested),
+		zap.Uint64("version", uint64(x.version)), zap.String("outcome", answer.Outcome.String()),
+		zap.String("cause", answer.Cause), zap.Int("status", toldStatus(answer)), zap.Int64("retry-after-ms", answer.RetryAfterMS),
+		zap.Int64("objective-ms", x.call.ObjectiveMS), zap.Int64("waited-before-ms", x.call.WaitedMS),
+		zap.Int64("limit-ms", x.deadline.Sub(x.arrived).Milliseconds()), zap.Int64("took-ms", took.Milliseconds()),
+		zap.Uint16("attempts", x.attempts), zap.Int("sent", x.sent), zap.String("target", x.last))
+}
+
+// serverError is the first status that tells of a fault of the server.
+const serverError = 500
+
+func toldStatus(answer *messenger.Answer) int {
+	if answer.Outcome == messenger.OutcomeAnswered {
+		return answer.Status
+	}
+	return statusOf(answer)
+}
+
+// tellAttempt logs an attempt that brought no answer of the target.
+func (f *Forwarder) tellAttempt(x *exchange, choice picker.Choice, answer *messenger.Answer) {
+	if answer.Outcome == messenger.OutcomeAnswered {
+		return
+	}
+	f.logger().Info("attempt-failed",
+		zap.String("request-id", x.call.RequestID), zap.String("target", choice.Record.InstanceID),
+		zap.Uint64("target-sequence", choice.Record.Sequence), zap.String("placed", choice.Reason.String()),
+		zap.String("outcome", answer.Outcome.String()), zap.String("cause", answer.Cause), zap.Bool("sent", answer.Sent),
+		zap.Int("target-running", answer.Running), zap.Int("target-waiting", answer.Waiting), zap.Int("target-slots", answer.Slots))
+}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -17,7 +19,7 @@
 const (
 	defaultLinksPerPeer = 2
 	// openingTimeout bounds the dialing of a link up to its Opening.
-	openingTimeout = time.Second
+	openingTimeout = 500 * time.Millisecond
 	// busyLink is the number of calls in flight above which another link is opened.
 	busyLink = 4
 )
@@ -116,6 +118,20 @@
 	}
 }
 
+// isSilent says whether every open link of the lane to the target's daemon brings
+// nothing. There is no use in adding to the calls that wait on them.
+func (f *Forwarder) isSilent(target tracker.Record, in lane) bool {
+	p := f.peer(target, in)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if !l.isSuspect() {
+			return false
+		}
+	}
+	return len(p.links) > 0
+}
+
 // leastBusy returns the link with the fewest calls in flight, or nil. The caller holds mu.
 func (p *peer) leastBusy() *callLink {
 	var best *callLink
@@ -136,13 +152,18 @@
 	if err == nil {
 		p.links = append(p.links, l)
 	}
+	wasLost := p.err != nil
 	p.err = err
 	close(p.dialing)
 	p.dialing = nil
 	p.mu.Unlock()
 	if err != nil {
+		f.logger().Warn("daemon-unreachable", zap.String("target", target.InstanceID), zap.String("address", target.PeerAddress), zap.Error(err))
 		return
 	}
+	if wasLost {
+		f.logger().Info("daemon-regained", zap.String("target", target.InstanceID))
+	}
 	f.Counters.LinksOpened.Add(1)
 	l.receive()
 	f.Counters.LinksLost.Add(1)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -275,3 +275,18 @@
 		slot.Release()
 	}
 }
+
+// offerOne puts a configuration with one partner and no reserved slots in force.
+func offerOne(t testing.TB, a *applier.Applier, slots int) {
+	t.Helper()
+	none := 0
+	entries := []versioner.Entry{
+		{Key: versioner.Key{Kind: versioner.KindPartner, Name: "magnolia"}, Partner: &versioner.Partner{SharePercent: 100}},
+		{Key: versioner.Key{Kind: versioner.KindClass, Name: internalRead}, Class: &versioner.Class{ReservedPercent: &none}},
+		{Key: versioner.Key{Kind: versioner.KindService, Name: "ledger-view"}, Service: &versioner.Service{Partner: "magnolia", Slots: slots}},
+	}
+	remove := []versioner.Key{{Kind: versioner.KindPartner, Name: "regie"}}
+	if _, err := a.Offer(a.Current().Document.With(entries, remove)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -89,7 +89,7 @@
 	switch {
 	case len(a.queues[c]) >= length:
 		return nil, l.refuse(CauseQueueFull, expected)
-	case now.Add(expected).After(w.expires):
+	case now.Add(l.mayBecome(w, r, expected)).After(w.expires):
 		return nil, l.refuse(CauseExpectedWait, l.returnAfter(w, expected, now))
 	}
 	q := a.queues[c]
@@ -102,6 +102,20 @@
 	return w, nil
 }
 
+// overtaking is by how much the expected wait of a call with an objective may
+// grow while it waits, in percent: under overload callers that come back go
+// before it, and one that is refused should learn it at once.
+const overtaking = 200
+
+// mayBecome returns how long the wait of a call may become that is expected to
+// wait for a time.
+func (l *Limiter) mayBecome(w *waiter, r Request, expected time.Duration) time.Duration {
+	if !w.hasObjective || r.IsNested {
+		return expected
+	}
+	return expected * overtaking / 100
+}
+
 // latestStart returns when a call with an objective must start at the latest,
 // and whether it will be late anyhow. A nested call may start while its deadline
 // can be kept.
--- /dev/null
+++ b/listener/listener_test.go
@@ -0,0 +1,192 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+var testLimits = Limits{HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+
+// start serves a handler and returns a connection to it.
+func start(t *testing.T, h http.HandlerFunc) (*Server, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Handler: h, Limits: func() Limits { return testLimits }}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+		if err := <-served; err != nil {
+			t.Errorf("serving: %v", err)
+		}
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return s, c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, br *bufio.Reader) (status int, body string, closes bool) {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatalf("reading an answer: %v", err)
+	}
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatalf("reading a body: %v", err)
+	}
+	return res.StatusCode, string(b), res.Close
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// Pipelined requests run side by side: the first one waits for the second.
+func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})
+	send(t, c, get("/1")+get("/2"))
+	br := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2"} {
+		if status, got, _ := receive(t, br); status != 200 || got != want {
+			t.Errorf("answer: got %d %q, want 200 %q", status, got, want)
+		}
+	}
+}
+
+func TestDepartureIsSeenWhileRequestsRun(t *testing.T) {
+	running, left := make(chan struct{}), make(chan struct{})
+	_, c := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(left)
+	})
+	send(t, c, get("/"))
+	<-running
+	_ = c.Close()
+	<-left
+}
+
+func TestBodiesInBothFramings(t *testing.T) {
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%d %s", r.ContentLength, b)
+	})
+	br := bufio.NewReader(c)
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	if _, got, _ := receive(t, br); got != "3 abc" {
+		t.Errorf("with a length: got %q, want %q", got, "3 abc")
+	}
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\nX: y\r\n\r\n"+get("/"))
+	if _, got, _ := receive(t, br); got != "3 abc" {
+		t.Errorf("in chunks: got %q, want %q", got, "3 abc")
+	}
+	if _, got, _ := receive(t, br); got != "0 " {
+		t.Errorf("what follows: got %q, want %q", got, "0 ")
+	}
+}
+
+func TestRefusedRequests(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		want       int
+	}{
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
+		{"length and chunks", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+		{"whole address", "GET http://b/ HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+		{"unknown coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 400},
+		{"large head", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", 431},
+		{"large body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", 413},
+		{"large body in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n" + strings.Repeat("x", 1024) + "\r\n0\r\n\r\n", 413},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, c := start(t, func(http.ResponseWriter, *http.Request) { t.Error("handler ran, want a refusal") })
+			send(t, c, tt.text)
+			br := bufio.NewReader(c)
+			if got, _, closes := receive(t, br); got != tt.want || !closes {
+				t.Errorf("got %d, closes %v, want %d and the end of the connection", got, closes, tt.want)
+			}
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Errorf("after the answer: got %v, want the end", err)
+			}
+		})
+	}
+}
+
+// A drain must not end a connection with an answer that others are behind.
+func TestDrainEndsWithTheLastAnswer(t *testing.T) {
+	release := make(chan struct{})
+	s, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		fmt.Fprint(w, r.URL.Path)
+	})
+	send(t, c, get("/1")+get("/2"))
+	for s.Counters.Requests.Value() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Drain()
+	close(release)
+	br := bufio.NewReader(c)
+	if _, got, closes := receive(t, br); got != "/1" || closes {
+		t.Errorf("first answer: got %q, closes %v, want /1 and no end", got, closes)
+	}
+	if _, got, closes := receive(t, br); got != "/2" || !closes {
+		t.Errorf("last answer: got %q, closes %v, want /2 and the end", got, closes)
+	}
+}
+
+func TestArrivalIsTheFirstByte(t *testing.T) {
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, time.Since(Arrival(r.Context())) >= 50*time.Millisecond)
+	})
+	send(t, c, "GET / HTTP/1.1\r\n")
+	time.Sleep(60 * time.Millisecond)
+	send(t, c, "Host: a\r\n\r\n")
+	if _, got, _ := receive(t, bufio.NewReader(c)); got != "true" {
+		t.Errorf("arrival 50 ms before the handler: got %s, want true", got)
+	}
+	if got := time.Since(Arrival(context.Background())); got > time.Minute {
+		t.Errorf("arrival without a connection: got %v ago, want now", got)
+	}
+}
+
+func FuzzReadHead(f *testing.F) {
+	f.Add([]byte(get("/")))
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 1\r\ncontent-length: 2\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		h, err := readHead(bufio.NewReaderSize(strings.NewReader(string(in)), 64), 512)
+		if err == nil && len(h.bytes) > 512 {
+			t.Errorf("head: got %d bytes, want at most 512", len(h.bytes))
+		}
+	})
+}
--- a/listener/request.go
+++ b/listener/request.go
@@ -239,11 +239,6 @@
 // Write implements http.ResponseWriter.
 func (a *answer) Write(b []byte) (int, error) {
 	a.WriteHeader(http.StatusOK)
-	if a.body == nil {
-		// Handlers write once and leave the bytes alone.
-		a.body = b[:len(b):len(b)]
-		return len(b), nil
-	}
 	a.body = append(a.body, b...)
 	return len(b), nil
 }
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -1,6 +1,10 @@
 package picker
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 // Outcome says what an attempt showed of its target.
 type Outcome int
@@ -35,6 +39,8 @@
 	// is not known.
 	Slots int
 	Run   time.Duration
+	// Bytes is the size of the answer's body.
+	Bytes int
 	// IsServerError says that the target answered, with a server error. It may be
 	// those that the target calls that fail.
 	IsServerError bool
@@ -43,6 +49,8 @@
 }
 
 const (
+	// sizeWeight is the weight of the newest answer in the mean size.
+	sizeWeight = 0.05
 	// failingLimit is the share of failures at which a target is ejected also
 	// when successes lie between them.
 	failingLimit = 0.5
@@ -72,6 +80,7 @@
 	}
 	switch r.Outcome {
 	case Answered:
+		c.picker.service(c.policy.Service).answerBytes[classIndex(c.policy)].add(float64(r.Bytes), sizeWeight)
 		c.succeed(now)
 	case Failed:
 		if r.IsServerError && c.judged {
@@ -109,6 +118,9 @@
 		t.ejectedUntil.Store(0)
 		t.failing.bits.Store(0)
 		c.picker.Counters.Readmissions.Add(1)
+		if c.picker.Log != nil {
+			c.picker.Log.Info("target-readmitted", zap.String("target", c.Record.InstanceID), zap.String("service", c.policy.Service))
+		}
 	}
 	if until == 0 && t.ejections.Load() > 0 && now.sub(instant(t.since.Load())) > forgetAfter*c.policy.EjectFor {
 		t.ejections.Store(0)
@@ -158,4 +170,9 @@
 	doublings := min(t.ejections.Add(1)-1, maxEjectDoublings)
 	t.ejectedUntil.Store(int64(now.add(c.policy.EjectFor << doublings)))
 	c.picker.Counters.Ejections.Add(1)
+	if c.picker.Log != nil {
+		c.picker.Log.Warn("target-ejected", zap.String("target", c.Record.InstanceID), zap.String("service", c.policy.Service),
+			zap.Int64("failures", t.failures.Load()), zap.Float64("failing", t.failing.value()),
+			zap.Duration("length", c.policy.EjectFor<<doublings))
+	}
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/tracker"
 )
@@ -36,7 +38,9 @@
 	// makes the choice random.
 	Choices int
 	// Source makes choices repeatable; nil means the runtime's generator.
-	Source   rand.Source
+	Source rand.Source
+	// Log takes a line for each target that is ejected or comes back; nil takes none.
+	Log      *zap.Logger
 	Counters Counters
 
 	origin   atomic.Pointer[time.Time]
--- a/picker/place.go
+++ b/picker/place.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	"bambooweir.example/bambooweir/applier"
@@ -23,14 +24,17 @@
 }
 
 const (
-	// localShare is the part of the objective within which the answer of the own
-	// failure domain must be expected, on the mean: runs vary, and half as long
-	// again is common.
-	localShare = 0.6
-	// largeShare is the same for bodies of largeBytes or more, which cost more to
-	// carry than a late answer is likely to.
-	largeShare = 0.9
-	largeBytes = 16 << 10
+	// smallShare, middleShare and largeShare are the parts of the objective within
+	// which the answer of the own failure domain must be expected, on the mean, by
+	// what the call carries. Runs vary, and twice the mean is not rare: calls of
+	// smallBytes and less go wherever they are soonest in time, while those of
+	// largeBytes and more cost more to carry than a late answer is likely to.
+	smallShare  = 0.3
+	middleShare = 0.6
+	largeShare  = 0.9
+	smallBytes  = 1 << 10
+	middleBytes = 4 << 10
+	largeBytes  = 16 << 10
 	// spillGain is the part of the local expectation that another domain must
 	// undercut, so that estimates that waver move no calls.
 	spillGain = 0.8
@@ -56,10 +60,7 @@
 	if probe {
 		return local, ReasonProbe
 	}
-	share := localShare
-	if need.Bytes >= largeBytes {
-		share = largeShare
-	}
+	share := localShare(float64(need.Bytes) + p.service(policy.Service).answerBytes[e.class].value())
 	if local != nil && localTime <= time.Duration(share*float64(need.Objective)) {
 		return local, ReasonLocal
 	}
@@ -77,13 +78,31 @@
 	return local, ReasonLocal
 }
 
+// localShare returns the part of the objective that calls of a size leave to the
+// own failure domain.
+func localShare(size float64) float64 {
+	between := func(from, to, low, high float64) float64 {
+		return low + (high-low)*math.Log2(size/from)/math.Log2(to/from)
+	}
+	switch {
+	case size <= smallBytes:
+		return smallShare
+	case size <= middleBytes:
+		return between(smallBytes, middleBytes, smallShare, middleShare)
+	case size < largeBytes:
+		return between(middleBytes, largeBytes, middleShare, largeShare)
+	default:
+		return largeShare
+	}
+}
+
 // estimator holds what the targets of a service are measured against.
 type estimator struct {
 	policy *applier.Policy
 	need   Need
 	now    instant
 	class  int
-	// run is the mean run over the targets of which it is known.
+	// run is the mean run over the targets that have told it of late.
 	run time.Duration
 	// success is the mean share of calls that don't fail.
 	success float64
@@ -94,7 +113,8 @@
 	var sum time.Duration
 	known, success := 0, 0.0
 	for _, t := range v.all {
-		if run := t.told.runs[e.class].Load(); run > 0 {
+		run := t.told.runs[e.class].Load()
+		if run > 0 && now.sub(instant(t.told.at.Load())) < latencyMemory {
 			sum += time.Duration(run)
 			known++
 		}
@@ -187,3 +207,28 @@
 
 // fraction returns a random number from 0 to 1.
 func (p *Picker) fraction() float64 { return float64(p.uint64()>>11) / (1 << 53) }
+
+// outlierShare and outlierMargin say how much more often than the others of its
+// service a target must fail to stand out.
+const (
+	outlierShare  = 2
+	outlierMargin = 0.05
+)
+
+// IsOutlier says whether the target fails clearly more often than the others of
+// its service. Where all fail alike, what they call is likely at fault, and
+// another of them would fail as well.
+func (c Choice) IsOutlier() bool {
+	if c.target == nil {
+		return false
+	}
+	v := c.picker.view(c.policy.Service, c.picker.now())
+	others, n := 0.0, 0
+	for _, t := range v.all {
+		if t != c.target {
+			others += t.failing.value()
+			n++
+		}
+	}
+	return n > 0 && c.target.failing.value() > outlierShare*others/float64(n)+outlierMargin
+}
--- a/picker/service.go
+++ b/picker/service.go
@@ -15,6 +15,9 @@
 	// mu guards the change of targets and ejections.
 	mu    sync.Mutex
 	known map[string]*target
+
+	// answerBytes is the mean size of the answers of each class.
+	answerBytes [classCount]average
 }
 
 // view holds the targets of one state of the table.
--- /dev/null
+++ b/publisher/text.go
@@ -0,0 +1,59 @@
+package publisher
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Prefix starts the name of every metric in the text form.
+const Prefix = "bambooweir_"
+
+// WriteText writes the metrics of one instance in the Prometheus text format:
+// the numbers of the map, and the set. Names are those of the map, joined by
+// underscores.
+func WriteText(w io.Writer, m *expvar.Map, set *metrics.Set) {
+	for _, v := range Numbers(m) {
+		fmt.Fprintf(w, "%s %s\n", v.Name, v.Value)
+	}
+	if set != nil {
+		set.WritePrometheus(w)
+	}
+}
+
+// Number is one metric of a map.
+type Number struct {
+	Name string
+	// Path leads to the metric in the map.
+	Path  []string
+	Value string
+}
+
+// Numbers returns the numbers of a map and of the maps in it.
+func Numbers(m *expvar.Map) []Number { return numbers(nil, m) }
+
+func numbers(path []string, m *expvar.Map) []Number {
+	var out []Number
+	m.Do(func(kv expvar.KeyValue) {
+		here := append(path[:len(path):len(path)], kv.Key)
+		switch v := kv.Value.(type) {
+		case *expvar.Map:
+			out = append(out, numbers(here, v)...)
+		case *expvar.Int, *expvar.Float:
+			out = append(out, Number{Name: textName(here), Path: here, Value: v.String()})
+		case expvar.Func:
+			switch v.Value().(type) {
+			case int, int64, uint64, float64:
+				out = append(out, Number{Name: textName(here), Path: here, Value: v.String()})
+			}
+		}
+	})
+	return out
+}
+
+func textName(path []string) string {
+	return Prefix + strings.ReplaceAll(strings.Join(path, "_"), "-", "_")
+}
--- /dev/null
+++ b/requester/requester_test.go
@@ -0,0 +1,279 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bambooweir.example/bambooweir/messenger"
+)
+
+const idField = "X-Id"
+
+// serve runs a target by hand: handle gets each request with the number of its
+// connection, and returns false to end the connection.
+func serve(t *testing.T, handle func(c net.Conn, n int, r *http.Request) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || !handle(c, n, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func answer(id, body string, fields ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", idField, id, len(body), strings.Join(fields, ""), body)
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: id, Fields: []messenger.Header{{Name: idField, Value: id}}}
+}
+
+func mustDo(t *testing.T, r *Requester, addr, id string) *Response {
+	t.Helper()
+	res, err := r.Do(t.Context(), addr, request(id))
+	if err != nil {
+		t.Fatalf("request %s: %v", id, err)
+	}
+	return res
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	addr := serve(t, func(c net.Conn, n int, r *http.Request) bool {
+		fmt.Fprint(c, answer(r.Header.Get(idField), fmt.Sprint(n)))
+		return true
+	})
+	r := &Requester{IDField: idField}
+	for i := range 3 {
+		if got := string(mustDo(t, r, addr, fmt.Sprint(i)).Body); got != "1" {
+			t.Errorf("request %d: got connection %s, want 1", i, got)
+		}
+	}
+}
+
+// The late second answer of an earlier request comes where the next one's is
+// expected.
+func TestStrayAnswerReachesNobody(t *testing.T) {
+	addr := serve(t, func(c net.Conn, _ int, r *http.Request) bool {
+		id := r.Header.Get(idField)
+		if id == "2" {
+			fmt.Fprint(c, answer("1", "late"))
+		}
+		fmt.Fprint(c, answer(id, "of "+id))
+		return true
+	})
+	r := &Requester{IDField: idField}
+	for _, id := range []string{"1", "2", "3"} {
+		if got, want := string(mustDo(t, r, addr, id).Body), "of "+id; got != want {
+			t.Errorf("answer to %s: got %q, want %q", id, got, want)
+		}
+	}
+	if got := r.Counters.Stray.Value(); got != 1 {
+		t.Errorf("stray answers: got %d, want 1", got)
+	}
+	if got := r.Counters.Opened.Value(); got != 2 {
+		t.Errorf("connections: got %d, want 2, since the one with the stray answer is not trusted", got)
+	}
+}
+
+func TestAnswersThatBelongToNoRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"no id":        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+		"other id":     answer("9", "ok", "Connection: close\r\n"),
+		"no HTTP":      "garbage\r\n\r\n",
+		"cut":          "HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nContent-Length: 9\r\n\r\nok",
+		"cut in chunk": "HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+				fmt.Fprint(c, text)
+				return false
+			})
+			r := &Requester{IDField: idField}
+			_, err := r.Do(t.Context(), addr, request("1"))
+			var lost *LostError
+			if !errors.As(err, &lost) {
+				t.Errorf("got %v, want a LostError", err)
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutLength(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\n" + idField + ": 1\r\n\r\nwhole"
+	t.Run("ended", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+			fmt.Fprint(c, text)
+			return false
+		})
+		if got := string(mustDo(t, &Requester{IDField: idField}, addr, "1").Body); got != "whole" {
+			t.Errorf("got %q, want whole", got)
+		}
+	})
+	t.Run("reset", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+			fmt.Fprint(c, text)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		_, err := (&Requester{IDField: idField}).Do(t.Context(), addr, request("1"))
+		var lost *LostError
+		if !errors.As(err, &lost) {
+			t.Errorf("got %v, want a LostError", err)
+		}
+	})
+}
+
+// A target may answer a long body before it has read it, and read on: it must
+// get the rest of that body and nothing else.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const size = 8 << 20
+	rest := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprint(c, answer("1", "early"))
+		n, _ := io.Copy(io.Discard, r.Body)
+		rest <- n
+	}()
+	r := &Requester{IDField: idField}
+	req := request("1")
+	req.Body = make([]byte, size)
+	res, err := r.Do(t.Context(), l.Addr().String(), req)
+	if err != nil || string(res.Body) != "early" {
+		t.Fatalf("got %v, want the early answer", err)
+	}
+	if got := <-rest; got != size {
+		t.Errorf("body at the target: got %d bytes, want %d", got, size)
+	}
+}
+
+func TestEndedContextClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	addr := serve(t, func(c net.Conn, _ int, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := (&Requester{IDField: idField}).Do(ctx, addr, request("1"))
+	var lost *LostError
+	if !errors.As(err, &lost) {
+		t.Errorf("got %v, want a LostError", err)
+	}
+	<-ended
+}
+
+func TestUnaskedBytesEndAnIdleConnection(t *testing.T) {
+	addr := serve(t, func(c net.Conn, n int, r *http.Request) bool {
+		fmt.Fprint(c, answer(r.Header.Get(idField), fmt.Sprint(n)))
+		if n == 1 {
+			fmt.Fprint(c, "extra")
+		}
+		return true
+	})
+	r := &Requester{IDField: idField}
+	mustDo(t, r, addr, "1")
+	for r.openConnections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := string(mustDo(t, r, addr, "2").Body); got != "2" {
+		t.Errorf("second request: got connection %s, want 2", got)
+	}
+}
+
+func (r *Requester) openConnections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	block := make(chan struct{})
+	arrived := make(chan struct{}, 2)
+	addr := serve(t, func(c net.Conn, _ int, r *http.Request) bool {
+		arrived <- struct{}{}
+		<-block
+		fmt.Fprint(c, answer(r.Header.Get(idField), ""))
+		return true
+	})
+	r := &Requester{IDField: idField, MaxConnections: func() int { return 2 }}
+	done := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			_, err := r.Do(t.Context(), addr, request(fmt.Sprint(i)))
+			done <- err
+		}()
+		<-arrived
+	}
+	_, err := r.Do(t.Context(), addr, request("3"))
+	var unsent *NotSentError
+	if !errors.As(err, &unsent) || unsent.IsUnreachable {
+		t.Errorf("third request: got %v, want a NotSentError of a target that is reachable", err)
+	}
+	close(block)
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestKeepAliveTimes(t *testing.T) {
+	for text, want := range map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, timeout=12": 12 * time.Second} {
+		if got, ok := keepAlive(http.Header{"Keep-Alive": {text}}); !ok || got != want {
+			t.Errorf("%q: got %v, want %v", text, got, want)
+		}
+	}
+	for _, text := range []string{"", "timeout=x", "timeout=-1"} {
+		if _, ok := keepAlive(http.Header{"Keep-Alive": {text}}); ok {
+			t.Errorf("%q: got a time, want none", text)
+		}
+	}
+}
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -152,7 +152,7 @@
 	}
 	s.pending = held{}
 	s.Counters.VersionsApplied.Add(1)
-	s.Log.Info("version in force", zap.Uint64("version", uint64(v)))
+	s.Log.Info("version-in-force", zap.Uint64("version", uint64(v)), zap.String("source", sourceOf(from)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.behindSince = time.Time{}
@@ -195,7 +195,7 @@
 	s.pingParentSoon()
 	s.mu.Unlock()
 	if isNew {
-		s.Log.Error("version refused", zap.Uint64("version", uint64(v)), zap.Error(err))
+		s.Log.Error("version-refused", zap.Uint64("version", uint64(v)), zap.Error(err))
 	}
 	s.enqueue(from, &messenger.Refused{Offered: v, InForce: s.base().position().Version, Cause: cause})
 }
@@ -256,3 +256,11 @@
 	}
 	sess.poke()
 }
+
+// sourceOf names where a version came from.
+func sourceOf(from *session) string {
+	if from == nil {
+		return "store"
+	}
+	return from.node.InstanceID
+}
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -28,6 +28,10 @@
 	maxWatchers = 100
 	// watcherCheck is how often a daemon that doesn't watch looks whether it should.
 	watcherCheck = time.Second
+	// externalPause is the pause of a watch after a change, in percent of the
+	// heartbeat: changes that come in quick succession are taken in together, since
+	// each call of the store is paid for.
+	externalPause = 80
 )
 
 // watchExternal follows the external configuration until ctx ends, while this
@@ -72,7 +76,7 @@
 	}
 	if err != nil {
 		s.Counters.Malformed.Add(1)
-		s.Log.Error("configuration refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
+		s.Log.Error("version-refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
 		return s.position().Version
 	}
 	s.accept(held{doc: doc, digest: digest}, nil, nil)
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -180,7 +180,7 @@
 	s.mu.Lock()
 	s.unconfirmed = true
 	s.mu.Unlock()
-	s.Log.Warn("version taken without confirmation, the store is unreachable",
+	s.Log.Warn("version-unconfirmed",
 		zap.Uint64("version", uint64(s.pending.doc.Version)))
 	s.offer(s.pending, nil)
 }
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/sleeper"
@@ -262,6 +263,7 @@
 	s.announcePath()
 	s.closeNeighbors()
 	s.mu.Unlock()
+	s.Log.Info("parent-joined", zap.String("parent", m.Node.InstanceID), zap.Int("depth", len(m.Path)+1))
 	s.observe(m.Confirm, began)
 	s.raiseOwn()
 	if m.Domain != s.Domain {
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -36,6 +36,7 @@
 
 func (s *Spreader) announceOwn(r tracker.Record) {
 	s.mu.Lock()
+	r.Incarnation = max(r.Incarnation, s.raised)
 	if known, ok := s.Table.Find(r.InstanceID); ok && known.Incarnation == r.Incarnation {
 		r.Sequence = max(r.Sequence, known.Sequence+1)
 	}
@@ -84,6 +85,13 @@
 func (s *Spreader) refute(r tracker.Record) {
 	s.mu.Lock()
 	own := s.own
+	if r.Incarnation > own.Incarnation && r.PeerAddress == own.PeerAddress {
+		// A process before this one, on a clock that has since been set back.
+		s.raised = r.Incarnation + 1
+		s.mu.Unlock()
+		s.announceOwn(own)
+		return
+	}
 	s.mu.Unlock()
 	if own.Incarnation != r.Incarnation || own.Sequence > r.Sequence {
 		return
@@ -285,6 +293,8 @@
 		return
 	}
 	s.Counters.RecordsMarked.Add(int64(len(gone)))
-	s.Log.Info("targets marked gone", zap.Int("count", len(gone)), zap.String("first", gone[0].InstanceID))
+	for _, r := range gone {
+		s.Log.Warn("target-marked-gone", zap.String("target", r.InstanceID), zap.String("service", r.Service))
+	}
 	s.spread(gone, 0, true)
 }
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -63,9 +63,9 @@
 		return true
 	}
 	s.Counters.LeasesTaken.Add(1)
-	s.Log.Info("relay slot taken", zap.String("slot", free.key))
+	s.Log.Info("relay-begun", zap.String("slot", free.key))
 	s.relay(ctx, free.key, lease)
-	s.Log.Info("relay slot left", zap.String("slot", free.key))
+	s.Log.Info("relay-ended", zap.String("slot", free.key))
 	return true
 }
 
@@ -171,7 +171,7 @@
 		item, err := s.Store.Watch(ctx, s.headKey(), after, s.cfg.WatchWait)
 		var unchanged *storer.NotFoundError
 		if errors.As(err, &unchanged) {
-			failures = 0
+			failures = s.storeRegained(failures)
 			s.confirm(version, began)
 			if time.Since(began) < s.cfg.WatchWait/2 {
 				// There is no head yet, or nothing to wait on.
@@ -184,13 +184,28 @@
 		}
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
+			if failures == 0 {
+				s.Log.Warn("store-lost", zap.Error(err), zap.Duration("silent", time.Since(began)))
+			}
 			failures++
 			_ = sleeper.Sleep(ctx, around(min(s.cfg.LeaseTTL/6, firstStorePause<<min(failures, maxPauseDoublings))))
 			continue
 		}
-		failures = 0
+		failures = s.storeRegained(failures)
 		after = item.Revision
+		if s.External != nil {
+			_ = sleeper.Sleep(ctx, s.cfg.Heartbeat*externalPause/100)
+		}
+	}
+}
+
+// storeRegained notes that the store answers again after failures, and returns
+// the new number of failures.
+func (s *Spreader) storeRegained(failures int) int {
+	if failures > 0 {
+		s.Log.Info("store-regained", zap.Int("failures", failures))
 	}
+	return 0
 }
 
 const (
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -336,6 +338,7 @@
 	s.Counters.SessionsLost.Add(1)
 	switch sess.role {
 	case roleParent:
+		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.left))
 		s.parent = nil
 		s.path = nil
 		s.announcePath()
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -67,6 +67,9 @@
 	behindSince time.Time
 	// inForceAt is when the version in force came into force here.
 	inForceAt time.Time
+	// raised is the least incarnation of this daemon's record, above those of the
+	// processes before it.
+	raised    uint64
 	own       tracker.Record
 	relaying  bool
 	appointed string
