Name the setting of the target's service target-service

Cause: check takes a file with a key of a daemon's settings for settings, and edits have a table named service (TestCheckReportsEveryFile, TestReadmeTour).

--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -19,7 +19,7 @@
 // reloadable holds the settings that take effect without a restart. All others
 // keep the value of the start.
 var reloadable = map[string]bool{
-	"log-level": true, "service": true, "memory-mb": true,
+	"log-level": true, "target-service": true, "memory-mb": true,
 	"retry-budget-ratio": true, "retry-budget-window-s": true, "retry-budget-allowance": true,
 }
 
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -51,7 +51,7 @@
 		{Key: "platform", Default: false, Doc: "whether the configuration, the heartbeats of the target and the header fields of calls are the platform's", check: boolean},
 		{Key: "ready-address", Default: "", Doc: "where the platform asks whether callers may be sent here, as IP:port; empty means nowhere", check: addressOrEmpty},
 		{Key: "metrics-address", Default: "", Doc: "where metrics are served as text under /metrics, as IP:port; empty means nowhere", check: addressOrEmpty},
-		{Key: "service", Default: "", Doc: "service of the target beside this daemon, which other targets are told as the one that calls; empty tells none", check: anyText},
+		{Key: "target-service", Default: "", Doc: "service of the target beside this daemon, which other targets are told as the one that calls; empty tells none", check: anyText},
 		{Key: "target-heartbeat-ms", Default: 0, Doc: "time between two announcements of the target, in milliseconds; after three without one it is taken as gone; 0 means that it need not repeat itself", check: between(0, hourMS)},
 		{Key: "stop-limit-s", Default: 0.0, Doc: "longest time that a planned stop may take, in seconds; 0 means the shared setting drain-ms", check: within(0, 3600)},
 		{Key: "retry-budget-ratio", Default: 0.0, Doc: "calls that all daemons together may send once more to one service, as a share of the calls for it; 0 means the shared setting retry-budget-percent alone", check: within(0, 1)},
