Invite daemons that come back while the store is down; let the target go on during its daemon's stop

Change: daemons look for those that left at the address that they had and tell them whom to join (TestRestartedDaemonIsInvitedWhileTheStoreIsDown). The target gets calls for the first 1.3 s of its daemon's stop.

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -28,12 +28,15 @@
 	// departWait is how long callers are still served after a stop has begun: the
 	// platform asks once a second and sends nobody after two refusals.
 	departWait = 2200 * time.Millisecond
+	// targetWait is how long the target beside the daemon still gets calls then: what
+	// is left of departWait lets most of them end.
+	targetWait = 1300 * time.Millisecond
 	// stopMargin is what a stop keeps of its limit, so that it ends by itself.
 	stopMargin = time.Second
 	// drainInterval is the time between two looks at what is in flight.
 	drainInterval = 10 * time.Millisecond
 	// closeWait bounds the closing of the callers' connections.
-	closeWait     = time.Second
+	closeWait     = 300 * time.Millisecond
 	headerTimeout = 10 * time.Second
 )
 
@@ -98,12 +101,17 @@
 	cut, cancel := context.WithTimeout(cut, limit)
 	defer cancel()
 	d.stopping.Store(true)
+	d.callers.Drain()
+	isAsked := d.cfg.Load().ReadyAddress != ""
+	if isAsked {
+		// The target goes on while callers are still sent here anyhow.
+		_ = sleeper.Sleep(cut, min(targetWait, limit/4))
+	}
 	d.announcer.Drain()
 	d.executor.Drain(serving)
-	d.callers.Drain()
-	if d.cfg.Load().ReadyAddress != "" {
+	if isAsked {
 		// Callers are sent here until the platform has asked twice in vain.
-		_ = sleeper.Sleep(cut, min(departWait, limit/2))
+		_ = sleeper.Sleep(cut, min(departWait, limit/2)-time.Since(start))
 	}
 	d.forwarder.Drain()
 	d.callers.CloseIdle()
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -16,6 +16,8 @@
 	PurposeNeighbor
 	// PurposeSurvey asks for the configuration only.
 	PurposeSurvey
+	// PurposeInvite tells a daemon that may know nobody where to join.
+	PurposeInvite
 )
 
 // Node names a daemon and where it accepts links.
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -223,7 +223,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if wait := s.holdBack(); wait > 0 {
+	if wait := s.holdBack(); wait > 0 && remote.Version > 0 {
 		s.mu.Unlock()
 		time.AfterFunc(wait, sess.poke)
 		return nil
--- a/spreader/counters.go
+++ b/spreader/counters.go
@@ -45,6 +45,8 @@
 	RecordsMarked, RecordsRefuted expvar.Int
 	// Surveys counts questions to several peers for their versions.
 	Surveys expvar.Int
+	// Invitations counts daemons that had left and were told where to join.
+	Invitations expvar.Int
 	// Malformed counts what could not be decoded.
 	Malformed expvar.Int
 }
--- a/spreader/failure_test.go
+++ b/spreader/failure_test.go
@@ -212,3 +212,25 @@
 	f.waitConverged()
 	f.waitMembers(15)
 }
+
+// A daemon that is restarted while the store is down knows nobody; those that
+// knew it look for it.
+func TestRestartedDaemonIsInvitedWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	f.accept()
+	f.grow(2, "mobile-bay", "selma-row")
+	f.waitConverged()
+	lost := f.members[1]
+	f.setStore(fakestorer.Fault{IsDown: true})
+	lost.kill()
+	f.waitFor("the departure is known", func() (bool, string) {
+		r, ok := f.members[0].Table.Find(lost.InstanceID)
+		return ok && r.State == tracker.StateGone, r.State.String()
+	})
+	back := f.startWith(lost.InstanceID, lost.Domain, lost.PeerAddress, fakestorer.Fault{IsDown: true})
+	f.waitFor("a version in force", func() (bool, string) { return back.versionInForce() == f.accepted, fmt.Sprint(back.versionInForce()) })
+	f.waitFor("membership", func() (bool, string) {
+		got := len(back.Table.Service("ledger-view"))
+		return got == 4, fmt.Sprint(got)
+	})
+}
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -53,7 +53,7 @@
 		if time.Since(began) > s.cfg.LeaseTTL {
 			retry.Reset()
 		}
-		_ = sleeper.Sleep(ctx, retry.NextBackOff())
+		s.pauseOrInvite(ctx, retry.NextBackOff())
 	}
 }
 
@@ -142,7 +142,7 @@
 func (s *Spreader) candidates() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var addrs []string
+	addrs := slices.Clone(s.invited)
 	for _, own := range []bool{true, false} {
 		for _, o := range s.slots {
 			if (o.domain == s.Domain) == own {
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -12,6 +12,10 @@
 	"bambooweir.example/bambooweir/tracker"
 )
 
+// inviteEvery is the number of rounds of upkeep between two looks for daemons
+// that left.
+const inviteEvery = 3
+
 // purgeEvery is the number of rounds of upkeep between two purges.
 const purgeEvery = 60
 
@@ -240,6 +244,9 @@
 		s.upkeepReports()
 		s.markSilentDomains()
 		s.markUnreached()
+		if n%inviteEvery == 0 {
+			s.inviteLost(ctx)
+		}
 		if n%purgeEvery == 0 {
 			s.Table.Purge(time.Now().Add(-s.cfg.TombstoneRetention))
 		}
--- a/spreader/serve.go
+++ b/spreader/serve.go
@@ -47,6 +47,13 @@
 	if hello.Purpose == messenger.PurposeSurvey {
 		return s.serveSurvey(ctx, link)
 	}
+	if hello.Purpose == messenger.PurposeInvite {
+		s.takeInvite(hello.Node.PeerAddress)
+		s.mu.Lock()
+		welcome := s.welcome()
+		s.mu.Unlock()
+		return s.send(ctx, link, welcome)
+	}
 	sess := &session{link: link, node: hello.Node, domain: hello.Domain, remote: hello.Position}
 	if refusal := s.admit(sess, hello); refusal != nil {
 		s.Counters.JoinsRefused.Add(1)
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -42,11 +42,13 @@
 
 	prepare sync.Once
 	// looked is closed when this daemon has first tried to read the relay slots.
-	looked    chan struct{}
-	lookOnce  sync.Once
-	cfg       Settings
-	admission *rate.Limiter
-	history   history
+	looked   chan struct{}
+	lookOnce sync.Once
+	// inviteWake holds a token when an invitation has come.
+	inviteWake chan struct{}
+	cfg        Settings
+	admission  *rate.Limiter
+	history    history
 
 	// configMu orders the changes of the configuration. It is taken before mu.
 	configMu sync.Mutex
@@ -76,6 +78,8 @@
 	slots     []slot
 	lost      []*loss
 	unreached map[string]suspicion
+	// invited holds the peer addresses of daemons that invited this one, newest first.
+	invited   []string
 	reports   map[string]*rootReport
 	epoch     uint64
 	reportSeq uint64
@@ -88,6 +92,7 @@
 		s.admission = rate.NewLimiter(joinsPerSecond, joinBurst)
 		s.sessions = make(map[tracker.Source]*session)
 		s.looked = make(chan struct{})
+		s.inviteWake = make(chan struct{}, 1)
 		s.reports = make(map[string]*rootReport)
 		s.epoch = uint64(time.Now().UnixNano())
 	})
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -317,6 +317,19 @@
 	return records
 }
 
+// Lost returns the records of the targets that left at or after the time.
+func (t *Table) Lost(since time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []Record
+	for _, e := range t.entries {
+		if e.record.State == StateGone && !e.goneAt.Before(since) {
+			records = append(records, e.record)
+		}
+	}
+	return records
+}
+
 // Now returns the cursor behind the newest change.
 func (t *Table) Now() Cursor {
 	t.mu.Lock()
