Expect the way to a target as well as its run; leave watching to relays in larger fleets

Change: answers tell how long the target's daemon had the call; the rest is its way, which is expected of the next one. Fleets above 32 watch by their relays, which daemons with narrow links leave to others.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,7 +63,7 @@
 		Log: log,
 		Self: tracker.Record{
 			InstanceID: cfg.InstanceID, Incarnation: uint64(time.Now().UnixNano()),
-			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress,
+			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress, LinkKbps: int(cfg.LinkMbps * 1000),
 		},
 		Changed: func(r tracker.Record) {
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -15,6 +15,7 @@
 		LeaseTTL:     loader.Milliseconds(cfg.RelayLeaseMS),
 		FreshFor:     loader.Milliseconds(cfg.FreshnessMS),
 		Seeds:        loader.SplitList(cfg.PeerSeeds),
+		IsNarrow:     cfg.LinkMbps > 0 && cfg.LinkMbps < narrowMbps,
 	}
 }
 
@@ -39,3 +40,7 @@
 	}
 	return s
 }
+
+// narrowMbps is the bandwidth below which a daemon leaves relaying to others, in
+// Mbit/s: a storm of whole configurations of 80 KB, some a second, takes a few.
+const narrowMbps = 20
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -139,7 +139,9 @@
 	}
 	x.running[call.ID] = r
 	x.mu.Unlock()
+	accepted := time.Now()
 	answer := x.label(call, x.count(x.runOrRepeat(runCtx, r)))
+	answer.HeldUS = max(1, time.Since(accepted).Microseconds())
 	x.mu.Lock()
 	delete(x.running, call.ID)
 	x.mu.Unlock()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -50,6 +50,7 @@
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
 	MemoryMB             float64 `toml:"memory-mb"`
+	LinkMbps             float64 `toml:"link-mbps"`
 }
 
 // Milliseconds returns the duration of a setting whose name ends in -ms.
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -58,6 +58,7 @@
 		{Key: "retry-budget-window-s", Default: 10.0, Doc: "time over which retry-budget-ratio holds, in seconds", check: within(0.1, 3600)},
 		{Key: "retry-budget-allowance", Default: 0.0, Doc: "calls that all daemons together may send once more to one service in that time beyond the share", check: within(0, 1_000_000)},
 		{Key: "memory-mb", Default: 0.0, Doc: "memory of the process in MB, which the garbage collector keeps well below; 0 means no bound", check: within(0, 1<<20)},
+		{Key: "link-mbps", Default: 0.0, Doc: "bandwidth of this instance's link in Mbit/s; daemons with narrow links are relays only where there is no other; 0 means that it is wide", check: within(0, 1_000_000)},
 	}
 }
 
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -122,6 +122,9 @@
 	// set with Told, 0 when not known.
 	Slots int   `cbor:"15,keyasint,omitempty"`
 	RunUS int64 `cbor:"16,keyasint,omitempty"`
+	// HeldUS is how long the target's daemon had the call, in microseconds; 0 is
+	// not known.
+	HeldUS int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -39,6 +39,9 @@
 	// is not known.
 	Slots int
 	Run   time.Duration
+	// Transit is the time that the call spent on its way to and from the target's
+	// daemon; 0 is not known.
+	Transit time.Duration
 	// Bytes is the size of the answer's body.
 	Bytes int
 	// IsServerError says that the target answered, with a server error. It may be
@@ -75,6 +78,9 @@
 		t.told.slots.Store(int64(r.Slots))
 		t.told.runs[classIndex(c.policy)].Store(int64(r.Run))
 	}
+	if r.Transit > 0 {
+		t.transits[classIndex(c.policy)].observe(r.Transit, now)
+	}
 	if r.Draining || r.Outcome == Draining {
 		t.drainSequence.Store(t.record.Load().Sequence + 1)
 	}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -90,6 +90,8 @@
 	policy *applier.Policy
 	start  instant
 	probe  bool
+	// Expected is when the answer was expected, from the choice; 0 is not known.
+	Expected time.Duration
 	// judged says that the target was chosen by what is expected of it.
 	judged bool
 }
@@ -158,9 +160,9 @@
 	now := p.now()
 	v := p.view(policy.Service, now)
 	if need.Objective > 0 {
-		if t, reason := p.place(v, policy, need, &tried, now); t != nil {
+		if t, expected, reason := p.place(v, policy, need, &tried, now); t != nil {
 			c := p.chosen(t, policy, reason, now)
-			c.judged = true
+			c.judged, c.Expected = true, expected
 			return c, true
 		}
 	}
--- a/picker/place.go
+++ b/picker/place.go
@@ -14,6 +14,10 @@
 // expected to meet its objective there, and goes to the earliest answer
 // anywhere when it is not.
 
+// LargeBytes is the size from which a body costs more to carry than a late
+// answer is likely to.
+const LargeBytes = 16 << 10
+
 // Need is what a call asks of its target.
 type Need struct {
 	// Objective is the latency up to which the answer is worth most; 0 leaves the
@@ -28,7 +32,7 @@
 	// which the answer of the own failure domain must be expected, on the mean, by
 	// what the call carries. Runs vary, and twice the mean is not rare: calls of
 	// smallBytes and less go wherever they are soonest in time, while those of
-	// largeBytes and more cost more to carry than a late answer is likely to. No
+	// LargeBytes and more cost more to carry than a late answer is likely to. No
 	// call is free to carry: its fields and the framing of both ways add about a
 	// kilobyte.
 	smallShare  = 0.5
@@ -36,7 +40,6 @@
 	largeShare  = 0.9
 	smallBytes  = 1 << 10
 	middleBytes = 4 << 10
-	largeBytes  = 16 << 10
 	// spillGain is the part of the local expectation that another domain must
 	// undercut, so that estimates that waver move no calls.
 	spillGain = 0.8
@@ -54,30 +57,30 @@
 	spreadShare = 0.15
 )
 
-// place returns the target with the earliest expected answer, or nil when no
-// target is in use that was not tried.
-func (p *Picker) place(v *view, policy *applier.Policy, need Need, tried *Tried, now instant) (*target, Reason) {
+// place returns the target with the earliest expected answer and when that is,
+// or nil when no target is in use that was not tried.
+func (p *Picker) place(v *view, policy *applier.Policy, need Need, tried *Tried, now instant) (*target, time.Duration, Reason) {
 	e := p.estimator(v, policy, need, now)
 	local, localTime, probe := e.best(p, v.local, tried)
 	if probe {
-		return local, ReasonProbe
+		return local, 0, ReasonProbe
 	}
 	share := localShare(float64(need.Bytes) + p.service(policy.Service).answerBytes[e.class].value())
 	if local != nil && localTime <= time.Duration(share*float64(need.Objective)) {
-		return local, ReasonLocal
+		return local, localTime, ReasonLocal
 	}
 	anywhere, anyTime, probe := e.best(p, v.all, tried)
 	switch {
 	case anywhere == nil:
-		return nil, ReasonNone
+		return nil, 0, ReasonNone
 	case probe:
-		return anywhere, ReasonProbe
+		return anywhere, 0, ReasonProbe
 	case local == nil:
-		return anywhere, ReasonRemote
+		return anywhere, anyTime, ReasonRemote
 	case float64(anyTime) < spillGain*float64(localTime):
-		return anywhere, ReasonExpected
+		return anywhere, anyTime, ReasonExpected
 	}
-	return local, ReasonLocal
+	return local, localTime, ReasonLocal
 }
 
 // localShare returns the part of the objective that calls of a size leave to the
@@ -91,8 +94,8 @@
 		return smallShare
 	case size <= middleBytes:
 		return between(smallBytes, middleBytes, smallShare, middleShare)
-	case size < largeBytes:
-		return between(middleBytes, largeBytes, middleShare, largeShare)
+	case size < LargeBytes:
+		return between(middleBytes, LargeBytes, middleShare, largeShare)
 	default:
 		return largeShare
 	}
@@ -178,7 +181,27 @@
 	if success := (1 - t.failing.value()) / max(e.success, minWeight); success < 1 {
 		run /= max(minWeight, success*success)
 	}
-	return run
+	return run + e.transit(t)
+}
+
+// transit estimates the time on the way to and from the target's daemon: what
+// was seen of late, or else what the body takes on the link of its instance.
+func (e *estimator) transit(t *target) float64 {
+	record := t.record.Load()
+	static := 0.0
+	if record.LinkKbps > 0 {
+		static = float64(e.need.Bytes) * 8 / float64(record.LinkKbps) * float64(time.Millisecond)
+	}
+	seen := &t.transits[e.class]
+	mean := seen.mean.value()
+	if mean == 0 {
+		return static
+	}
+	age := e.now.sub(instant(seen.seen.Load())) - loadMemory
+	if age <= 0 {
+		return mean
+	}
+	return mean + (static-mean)*min(1, float64(age)/float64(latencyMemory))
 }
 
 // runAt returns the expected run at the target. What it told fades while it
--- a/picker/target.go
+++ b/picker/target.go
@@ -84,6 +84,8 @@
 	inFlight  atomic.Int64
 	told      toldLoad
 	latencies [classCount]latency
+	// transits is the time that calls of each class spent on their way.
+	transits [classCount]latency
 
 	// failures counts the failures since the last success.
 	failures atomic.Int64
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -23,9 +23,8 @@
 const (
 	// maxWatchers is the size of the fleet up to which every daemon watches the
 	// external configuration itself; beyond it the relays alone do, and the tree
-	// carries it on. A hundred watches with a wait of 3 s are 33 calls a second,
-	// of the thousands that the store serves.
-	maxWatchers = 100
+	// carries it on, compressed and without a call of the store.
+	maxWatchers = 32
 	// watcherCheck is how often a daemon that doesn't watch looks whether it should.
 	watcherCheck = time.Second
 	// externalPause is the pause of a watch after a change, in percent of the
@@ -62,7 +61,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.relaying || members <= maxWatchers
+	s.fleetSize = members
+	return s.relaying || members <= maxWatchers && !s.cfg.IsNarrow
 }
 
 // takeExternal takes in the external configuration as the store answered it to
@@ -88,7 +88,7 @@
 // for themselves, their heartbeats tell before a push whether they need it. The
 // caller holds mu.
 func (s *Spreader) holdBack() time.Duration {
-	if s.External == nil || s.inForceAt.IsZero() {
+	if s.External == nil || s.inForceAt.IsZero() || s.fleetSize > maxWatchers || s.cfg.IsNarrow {
 		return 0
 	}
 	return s.cfg.Heartbeat + s.cfg.Heartbeat/2 - time.Since(s.inForceAt)
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -44,7 +44,12 @@
 	retry.MaxInterval = s.cfg.LeaseTTL
 	retry.Multiplier = 2
 	retry.Reset()
-	if sleeper.Sleep(ctx, jitter(s.cfg.JoinJitter)) != nil {
+	wait := jitter(s.cfg.JoinJitter)
+	if s.cfg.IsNarrow {
+		// Daemons that start together and have wider links take the relay slots first.
+		wait += 2 * s.cfg.JoinJitter
+	}
+	if sleeper.Sleep(ctx, wait) != nil {
 		return
 	}
 	for ctx.Err() == nil {
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -285,12 +286,16 @@
 		if o.addr != "" {
 			continue
 		}
+		var best *session
 		for _, sess := range s.sessions {
-			if sess.role == roleChild && sess.domain == s.Domain {
-				sess.add(&messenger.Appoint{Slot: o.key})
-				return
+			if sess.role == roleChild && sess.domain == s.Domain && (best == nil || s.width(sess) > s.width(best)) {
+				best = sess
 			}
 		}
+		if best != nil {
+			best.add(&messenger.Appoint{Slot: o.key})
+			return
+		}
 	}
 }
 
@@ -313,3 +318,13 @@
 	}
 	return false
 }
+
+// width returns the bandwidth of the link of a session's daemon; one that is not
+// known counts as wide.
+func (s *Spreader) width(sess *session) int {
+	r, ok := s.Table.Find(sess.node.InstanceID)
+	if !ok || r.LinkKbps == 0 {
+		return math.MaxInt
+	}
+	return r.LinkKbps
+}
--- a/spreader/settings.go
+++ b/spreader/settings.go
@@ -48,6 +48,9 @@
 	FreshFor time.Duration
 	// TombstoneRetention is how long the record of a departed target is kept.
 	TombstoneRetention time.Duration
+	// IsNarrow says that the link of this instance is narrow: it leaves watching and
+	// relaying to others where it can.
+	IsNarrow bool
 	// Seeds are peer addresses to ask when the store is unreachable.
 	Seeds []string
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -78,6 +78,9 @@
 	slots     []slot
 	lost      []*loss
 	unreached map[string]suspicion
+	// fleetSize is the size of the fleet when this daemon last looked whether to watch
+	// the external configuration.
+	fleetSize int
 	// invited holds the peer addresses of daemons that invited this one, newest first.
 	invited   []string
 	reports   map[string]*rootReport
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -60,6 +60,9 @@
 	// ColdMS is how long the target was to stay slow when it first announced
 	// itself, in milliseconds.
 	ColdMS int `cbor:"23,keyasint,omitempty" json:"cold-ms,omitempty"`
+	// LinkKbps is the bandwidth of the instance's link in kilobits a second, 0 when
+	// it is not known.
+	LinkKbps int `cbor:"24,keyasint,omitempty" json:"link-kbps,omitempty"`
 }
 
 // Newer says whether r replaces other.
