Keep large bodies off congested links

Cause: uploads of 60 KB asked 60 Mbit/s of links with 44; what queued on them delayed the nested reads of the same service beyond their limit.

Change: what a call waits on its way beyond the time that its bytes take is expected of the next one, and a large body is refused at the entry where that is over a quarter of its objective.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,7 @@
 	}
 	d.executor.Requester.MaxConnections = d.connections
 	d.forwarder = &forwarder.Forwarder{
-		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, Log: log}, Log: log,
+		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, LinkKbps: int(cfg.LinkMbps * 1000), Log: log}, Log: log,
 		InstanceID: cfg.InstanceID, Local: d.executor.Run, Service: func() string { return d.cfg.Load().Service },
 	}
 	d.callers = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -196,10 +196,10 @@
 		return answer
 	}
 	call := x.take(choice, marked)
-	if f.isUseless(x, choice) {
-		choice.Done(picker.Result{Outcome: picker.Abandoned})
-		answer := messenger.NotRun(call.ID, causeExpected)
-		answer.RetryAfterMS = (choice.Expected - time.Duration(x.call.ObjectiveMS)*time.Millisecond).Milliseconds()
+	if choice.IsCongested() {
+		choice.Done(picker.Result{Outcome: picker.Overloaded})
+		answer := messenger.NotRun(call.ID, causeCongested)
+		answer.RetryAfterMS = choice.Expected.Milliseconds()
 		return answer
 	}
 	began := time.Now()
@@ -222,18 +222,6 @@
 	return answer
 }
 
-// uselessShare is the part of its objective beyond which a call with a large body
-// is not carried to any target, in percent: the body would only delay those that
-// can still be in time.
-const uselessShare = 150
-
-// isUseless says whether the earliest answer that is expected anywhere comes too
-// late to carry a large body for it.
-func (f *Forwarder) isUseless(x *exchange, choice picker.Choice) bool {
-	limit := time.Duration(x.call.ObjectiveMS) * time.Millisecond * uselessShare / 100
-	return len(x.call.Body) >= picker.LargeBytes && limit > 0 && choice.Expected > limit
-}
-
 // IsDraining says whether the target's daemon has said on a call link that it
 // takes no new calls.
 func (f *Forwarder) IsDraining(r tracker.Record) bool {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -26,6 +26,7 @@
 
 // overloaded holds the causes of calls refused for want of capacity.
 var overloaded = map[string]bool{
+	causeCongested:            true,
 	executor.CauseTableFull:   true,
 	executor.CauseBuffersFull: true,
 	limiter.CauseNoSlot:       true,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,7 +46,7 @@
 	causeNoTarget        = "no-target"
 	causeUnreachable     = "target-daemon-unreachable"
 	causeSilent          = "target-daemon-silent"
-	causeExpected        = "expected-answer"
+	causeCongested       = "link-congested"
 	causeBodyTooLarge    = "body-too-large"
 	causeBodyCut         = "body-cut-short"
 	causeBadDeadline     = "malformed-deadline"
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -79,7 +79,8 @@
 		t.told.runs[classIndex(c.policy)].Store(int64(r.Run))
 	}
 	if r.Transit > 0 {
-		t.transits[classIndex(c.policy)].observe(r.Transit, now)
+		carried := carryTime(c.need.Bytes+r.Bytes, t.record.Load().LinkKbps, c.picker.LinkKbps)
+		t.transits[classIndex(c.policy)].observe(r.Transit-time.Duration(carried), now)
 	}
 	if r.Draining || r.Outcome == Draining {
 		t.drainSequence.Store(t.record.Load().Sequence + 1)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -34,6 +34,9 @@
 	Table *tracker.Table
 	// Domain is the failure domain of this daemon.
 	Domain string
+	// LinkKbps is the bandwidth of this instance's link in kilobits a second; 0 means
+	// that it is wide.
+	LinkKbps int
 	// Choices is the number of targets that are compared; 0 means two, and 1
 	// makes the choice random.
 	Choices int
@@ -92,6 +95,9 @@
 	probe  bool
 	// Expected is when the answer was expected, from the choice; 0 is not known.
 	Expected time.Duration
+	need     Need
+	// congestion is what calls lately waited on the way to the target.
+	congestion time.Duration
 	// judged says that the target was chosen by what is expected of it.
 	judged bool
 }
@@ -162,7 +168,9 @@
 	if need.Objective > 0 {
 		if t, expected, reason := p.place(v, policy, need, &tried, now); t != nil {
 			c := p.chosen(t, policy, reason, now)
-			c.judged, c.Expected = true, expected
+			c.judged, c.Expected, c.need = true, expected, need
+			e := p.estimator(v, policy, need, now)
+			c.congestion = time.Duration(e.congestion(t))
 			return c, true
 		}
 	}
--- a/picker/place.go
+++ b/picker/place.go
@@ -18,6 +18,16 @@
 // answer is likely to.
 const LargeBytes = 16 << 10
 
+// congestedShare is the part of its objective that a call with a large body may
+// be expected to wait on the way. With more, the body would only delay the small
+// calls on the same link, whose callers hold slots meanwhile.
+const congestedShare = 0.25
+
+// IsCongested says whether the way to the target is too full for a large body.
+func (c Choice) IsCongested() bool {
+	return c.need.Bytes >= LargeBytes && float64(c.congestion) > congestedShare*float64(c.need.Objective)
+}
+
 // Need is what a call asks of its target.
 type Need struct {
 	// Objective is the latency up to which the answer is worth most; 0 leaves the
@@ -109,12 +119,14 @@
 	class  int
 	// run is the mean run over the targets that have told it of late.
 	run time.Duration
+	// ownKbps is the bandwidth of this instance's link.
+	ownKbps int
 	// success is the mean share of calls that don't fail.
 	success float64
 }
 
 func (p *Picker) estimator(v *view, policy *applier.Policy, need Need, now instant) estimator {
-	e := estimator{policy: policy, need: need, now: now, class: classIndex(policy), success: 1}
+	e := estimator{policy: policy, need: need, now: now, class: classIndex(policy), success: 1, ownKbps: p.LinkKbps}
 	var sum time.Duration
 	known, success := 0, 0.0
 	for _, t := range v.all {
@@ -185,23 +197,38 @@
 }
 
 // transit estimates the time on the way to and from the target's daemon: what
-// was seen of late, or else what the body takes on the link of its instance.
+// the body takes on the links, and what calls lately waited on them.
 func (e *estimator) transit(t *target) float64 {
-	record := t.record.Load()
-	static := 0.0
-	if record.LinkKbps > 0 {
-		static = float64(e.need.Bytes) * 8 / float64(record.LinkKbps) * float64(time.Millisecond)
+	return e.carry(t) + e.congestion(t)
+}
+
+// carry returns the time that the body takes on an empty link.
+func (e *estimator) carry(t *target) float64 {
+	return carryTime(e.need.Bytes, t.record.Load().LinkKbps, e.ownKbps)
+}
+
+// carryTime returns the time that bytes take on the narrower of two links, of
+// which those of 0 are wide.
+func carryTime(n, kbps, otherKbps int) float64 {
+	if kbps == 0 || otherKbps > 0 && otherKbps < kbps {
+		kbps = otherKbps
+	}
+	if kbps == 0 {
+		return 0
 	}
+	return float64(n) * 8 / float64(kbps) * float64(time.Millisecond)
+}
+
+// congestion returns what calls lately waited on the way. It fades while nothing
+// new is known.
+func (e *estimator) congestion(t *target) float64 {
 	seen := &t.transits[e.class]
 	mean := seen.mean.value()
-	if mean == 0 {
-		return static
-	}
 	age := e.now.sub(instant(seen.seen.Load())) - loadMemory
 	if age <= 0 {
 		return mean
 	}
-	return mean + (static-mean)*min(1, float64(age)/float64(latencyMemory))
+	return mean * max(0, 1-float64(age)/float64(latencyMemory))
 }
 
 // runAt returns the expected run at the target. What it told fades while it
