--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -6,6 +6,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -144,7 +145,7 @@
 	d := metricsDaemon(t)
 	d.observeRequest("lookup", "answered", "", 120*time.Millisecond)
 	w := httptest.NewRecorder()
-	d.metricsHandler().ServeHTTP(w, httptest.NewRequest("GET", metricsPath, nil))
+	d.metricsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, metricsPath, nil))
 	body := w.Body.String()
 	for line := range strings.Lines(body) {
 		if line = strings.TrimSpace(line); !textSyntax.MatchString(line) {
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -238,6 +238,7 @@
 	if err != nil {
 		return nil, &requester.LostError{Cause: err}
 	}
+	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	if err == nil && int64(len(body)) < res.ContentLength {
 		err = io.ErrUnexpectedEOF
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		t.Fatalf("reading an answer: %v", err)
 	}
+	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
 		t.Fatalf("reading a body: %v", err)
--- a/publisher/text.go
+++ b/publisher/text.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,7 +39,7 @@
 func numbers(path []string, m *expvar.Map) []Number {
 	var out []Number
 	m.Do(func(kv expvar.KeyValue) {
-		here := append(path[:len(path):len(path)], kv.Key)
+		here := slices.Concat(path, []string{kv.Key})
 		switch v := kv.Value.(type) {
 		case *expvar.Map:
 			out = append(out, numbers(here, v)...)
--- a/requester/conn.go
+++ b/requester/conn.go
@@ -239,7 +239,7 @@
 // after it, 0 when it carries no further request.
 func (c *conn) readResponse(req *Request) (*Response, time.Duration, error) {
 	for {
-		res, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
+		res, err := http.ReadResponse(c.br, &http.Request{Method: req.Method}) //nolint:bodyclose // interim answers have no body
 		if err != nil {
 			return nil, 0, err
 		}
@@ -250,6 +250,7 @@
 			continue
 		}
 		body, err := readBody(req, res)
+		_ = res.Body.Close()
 		if err != nil {
 			return nil, 0, err
 		}
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	const size = 8 << 20
 	rest := make(chan int64, 1)
 	go func() {
