--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -129,6 +129,17 @@
 	return entry, far
 }
 
+// awaitBegin waits until a call has begun, and fails with what its caller was
+// told if it has not.
+func awaitBegin(t *testing.T, begun, told <-chan string) {
+	t.Helper()
+	select {
+	case <-begun:
+	case got := <-told:
+		t.Fatalf("call did not begin: its caller was told %q", got)
+	}
+}
+
 func wantPrefix(t *testing.T, got, want string) {
 	t.Helper()
 	if !strings.HasPrefix(got, want) {
@@ -146,7 +157,7 @@
 			stopped := map[string]*running{"entry": entry, "far": far}[role]
 			told := make(chan string, 1)
 			go func() { told <- entry.post("1") }()
-			<-begun
+			awaitBegin(t, begun, told)
 			stopped.stop()
 			waitFor(t, "daemon drains", stopped.daemon.announcer.Draining)
 			waitFor(t, "new calls are refused", func() bool {
@@ -180,7 +191,7 @@
 	entry, far := neighbours(t, target)
 	told := make(chan string, 1)
 	go func() { told <- entry.post("1") }()
-	<-begun
+	awaitBegin(t, begun, told)
 	far.stop()
 	waitFor(t, "daemon drains", far.daemon.announcer.Draining)
 	far.cut()
