--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -170,12 +171,15 @@
 func (d *Daemon) keyRetention() time.Duration { return d.setting("key-retention-ms") }
 
 // setting returns a setting in milliseconds for the target's service.
-func (d *Daemon) setting(name string) time.Duration {
+func (d *Daemon) setting(name string) time.Duration { return loader.Milliseconds(d.value(name)) }
+
+// value returns a setting for the target's service, in its own unit.
+func (d *Daemon) value(name string) int {
 	if snapshot := d.applier.Current(); snapshot != nil {
-		return time.Duration(snapshot.Value(name, d.announcer.Service(), "")) * time.Millisecond
+		return snapshot.Value(name, d.announcer.Service(), "")
 	}
 	known, _ := versioner.FindSetting(name)
-	return time.Duration(known.Default) * time.Millisecond
+	return known.Default
 }
 
 // leave hands over what others have to know, and announces that it is gone.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
@@ -38,8 +37,8 @@
 // callerLimits returns what the configuration in force lets callers send.
 func (d *Daemon) callerLimits() listener.Limits {
 	return listener.Limits{
-		HeaderBytes:   int(d.setting("max-header-bytes") / time.Millisecond),
-		BodyBytes:     min(int(d.setting("max-body-bytes")/time.Millisecond), messenger.MaxBodyBytes),
+		HeaderBytes:   d.value("max-header-bytes"),
+		BodyBytes:     min(d.value("max-body-bytes"), messenger.MaxBodyBytes),
 		HeaderTimeout: d.setting("header-timeout-ms"),
 		IdleTimeout:   d.setting("idle-timeout-ms"),
 	}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -76,7 +76,7 @@
 			answer := f.attempt(ctx, x, marked)
 			return answer, answer.Outcome == messenger.OutcomeAnswered
 		})
-		if ok && !f.mayFailElsewhere(ctx, x, answer) {
+		if ok && !f.isWorthAnother(ctx, x, answer) {
 			return answer
 		}
 		if ok {
@@ -97,10 +97,10 @@
 // for another one.
 const minRetryShare = 1.2
 
-// mayFailElsewhere says whether the call is sent to another target because of
+// isWorthAnother says whether the call is sent to another target because of
 // the server error that this one answered: if it may run again, and the target
 // fails more often than others do.
-func (f *Forwarder) mayFailElsewhere(ctx context.Context, x *exchange, answer *messenger.Answer) bool {
+func (f *Forwarder) isWorthAnother(ctx context.Context, x *exchange, answer *messenger.Answer) bool {
 	if answer.Status < serverError || !x.call.Idempotent || x.isExhausted() || !x.stoodOut() {
 		return false
 	}
