Ask before a large body crosses a narrow link

Cause: on the grown sites an upload of 60 KB takes 90 ms on the link of a target's instance (5 to 5.5 Mbit/s), and half as many again come as the links carry.

Ruled out: slots (96 for about 50 busy ones); the size of versions (12 to 17 versions behind each other reached the instances of other services within 0.2 s); targets' speed.

Change: limiter.Intake books the time of large bodies on a narrow link at 0.7 of its bandwidth. The sender asks on the lane of small calls, waits for its turn, and tries another target or refuses, with the body unsent, when the wait would exceed a quarter of the objective. A crowded way says nothing any more about the target's load for small calls.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/fencer"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/requester"
 )
@@ -21,6 +22,10 @@
 // maxBufferedBytes bounds the bodies of all requests that are accepted and not answered.
 const maxBufferedBytes = 96 << 20
 
+// smallBody is the size below which a body takes about as long on a link as the
+// rest of its message.
+const smallBody = 4 << 10
+
 // Causes of answers that are no answers of the target.
 const (
 	CauseNoTarget     = "no-target"
@@ -32,17 +37,20 @@
 	CauseShed     = "target-shed"
 	CauseOtherRun = "other-target-run"
 	// CauseOtherService means that the target belongs to another service.
-	CauseOtherService   = "other-service"
-	CauseTooLarge       = "answer-too-large"
-	CauseMalformed      = "malformed-request"
-	CauseMethod         = "method-not-forwarded"
-	CauseDamaged        = "body-damaged"
-	CauseDeadline       = "deadline-passed"
-	CauseCancelled      = "cancelled"
-	CauseDraining       = "draining"
-	CauseTableFull      = "call-table-full"
-	CauseBuffersFull    = "buffers-full"
-	CauseLinkEnded      = "link-ended"
+	CauseOtherService = "other-service"
+	CauseTooLarge     = "answer-too-large"
+	CauseMalformed    = "malformed-request"
+	CauseMethod       = "method-not-forwarded"
+	CauseDamaged      = "body-damaged"
+	CauseDeadline     = "deadline-passed"
+	CauseCancelled    = "cancelled"
+	CauseDraining     = "draining"
+	CauseTableFull    = "call-table-full"
+	CauseBuffersFull  = "buffers-full"
+	CauseLinkEnded    = "link-ended"
+	// CauseLinkCrowded means that the body would have had to wait for too long to
+	// come over the link of the target's instance.
+	CauseLinkCrowded    = "link-crowded"
 	CauseAnswerNotKept  = "answer-not-kept"
 	CauseForgotten      = "call-forgotten"
 	CauseOtherProcess   = "target-daemon-restarted"
@@ -56,6 +64,8 @@
 	// Cancelled counts calls that nobody waited for any more, Reattached those asked
 	// for over another link, Malformed what was no message.
 	Cancelled, Reattached, Malformed expvar.Int
+	// BodiesRefused counts bodies that were not let in over the link.
+	BodiesRefused expvar.Int
 }
 
 // Executor runs calls at one target. Target must be set; InstanceID and
@@ -92,7 +102,9 @@
 	Exchange func(ctx context.Context, base string, req *requester.Request) (*requester.Response, error)
 	// Log takes a line for each decision on a call that does not go as usual; nil
 	// takes none.
-	Log      *zap.Logger
+	Log *zap.Logger
+	// Intake lets large bodies in over the link of this instance.
+	Intake   limiter.Intake
 	Calls    fencer.Fencer
 	Keyring  Keyring
 	Counters Counters
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -70,6 +70,8 @@
 		x.accept(ctx, l, m)
 	case *messenger.Cancel:
 		x.cancel(m.ID)
+	case *messenger.Reserve:
+		go x.send(ctx, l, x.reserve(m))
 	case *messenger.Reattach:
 		x.reattach(ctx, l, m)
 	case *messenger.KeyQuery:
@@ -84,8 +86,27 @@
 	}
 }
 
+// reserve says whether the body of a call may come over the link.
+func (x *Executor) reserve(m *messenger.Reserve) *messenger.Answer {
+	if x.isDraining() {
+		return messenger.NotRun(m.ID, CauseDraining)
+	}
+	answer := messenger.NotRun(m.ID, CauseLinkCrowded)
+	wait, ok := x.Intake.Reserve(m.Bytes, time.Duration(m.WithinMS)*time.Millisecond)
+	if !ok {
+		x.Counters.BodiesRefused.Add(1)
+		answer.RetryAfterMS = wait.Milliseconds()
+		return answer
+	}
+	answer.Reservation = &messenger.Reservation{WaitMS: wait.Milliseconds()}
+	return answer
+}
+
 func (x *Executor) accept(ctx context.Context, l *servedLink, call *messenger.Call) {
 	late := l.delay(call.SentUS)
+	if len(call.Body) < smallBody {
+		x.Intake.Observe(late)
+	}
 	if x.buffered.Add(int64(len(call.Body))) > maxBufferedBytes {
 		x.buffered.Add(-int64(len(call.Body)))
 		go x.send(ctx, l, messenger.NotRun(call.ID, CauseBuffersFull))
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -197,13 +197,16 @@
 	}
 	call := x.take(choice, marked)
 	if choice.IsCongested() {
-		choice.Done(picker.Result{Outcome: picker.Overloaded})
+		choice.Done(picker.Result{Outcome: picker.Crowded})
 		answer := messenger.NotRun(call.ID, causeCongested)
 		answer.RetryAfterMS = choice.Expected.Milliseconds()
 		return answer
 	}
 	began := time.Now()
-	answer := f.try(ctx, call, choice.Record, x.deadline)
+	answer := f.reserve(ctx, call, choice)
+	if answer == nil {
+		answer = f.try(ctx, call, choice.Record, x.deadline)
+	}
 	took := time.Since(began)
 	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
 		f.Counters.Damaged.Add(1)
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -27,6 +27,7 @@
 // overloaded holds the causes of calls refused for want of capacity.
 var overloaded = map[string]bool{
 	causeCongested:            true,
+	executor.CauseLinkCrowded: true,
 	executor.CauseTableFull:   true,
 	executor.CauseBuffersFull: true,
 	limiter.CauseNoSlot:       true,
@@ -74,6 +75,8 @@
 		r.Outcome = picker.Failed
 	case answer.Cause == causeDraining:
 		r.Outcome = picker.Draining
+	case answer.Cause == causeCongested || answer.Cause == executor.CauseLinkCrowded:
+		r.Outcome = picker.Crowded
 	case answer.Cause == causeSilent:
 		// It may be over in a moment.
 		r.Outcome = picker.Overloaded
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,6 +79,9 @@
 	// Runs says whether the target of this instance is running the request with an
 	// id; nil knows of none.
 	Runs func(requestID string) bool
+	// Received is told the size of each large body that has come from a caller; nil
+	// tells nobody.
+	Received func(n int)
 	// FractionalRetryAfter gives callers the Retry-After with fractions of a second.
 	FractionalRetryAfter bool
 	// Dial opens a call link; nil means messenger.Dial.
@@ -182,6 +185,9 @@
 	if cause != "" {
 		return nil, cause
 	}
+	if f.Received != nil && len(body) >= picker.LargeBytes {
+		f.Received(len(body))
+	}
 	x = &exchange{route: matched.Name, arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
--- a/forwarder/pipe_test.go
+++ b/forwarder/pipe_test.go
@@ -15,7 +15,9 @@
 	holding  bool
 	doubling bool
 	ended    bool
-	changed  chan struct{}
+	// bytes counts what was put in.
+	bytes   int
+	changed chan struct{}
 }
 
 func (f *flow) update(change func()) {
@@ -28,6 +30,7 @@
 
 func (f *flow) put(b []byte) {
 	f.update(func() {
+		f.bytes += len(b)
 		f.queue = append(f.queue, b)
 		if f.doubling {
 			f.queue = append(f.queue, b)
--- /dev/null
+++ b/forwarder/reserve_test.go
@@ -0,0 +1,66 @@
+package forwarder
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// bodiesSent returns the bytes that the network has taken towards the target.
+func (f *fakeTarget) bodiesSent() int {
+	n := 0
+	for _, p := range f.links() {
+		p.near.out.mu.Lock()
+		n += p.near.out.bytes
+		p.near.out.mu.Unlock()
+	}
+	return n
+}
+
+// TestBodiesAreAskedForOnNarrowLinks sends bodies of 64 KB to a target whose
+// link takes a body a second, all at once.
+func TestBodiesAreAskedForOnNarrowLinks(t *testing.T) {
+	const kbps = 750
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t.Context(), t, "narrow")
+		f := m.targets["narrow"]
+		f.executor.Intake.Kbps = kbps
+		m.table.Merge([]tracker.Record{{
+			InstanceID: "narrow", Incarnation: f.executor.Incarnation, Sequence: f.sequence + 1, Service: "payout-desk",
+			PeerAddress: "narrow", State: tracker.StateReady, LinkKbps: kbps,
+		}})
+		body := strings.Repeat("b", 64<<10)
+		began := time.Now()
+		var answers []<-chan told
+		for range 3 {
+			answers = append(answers, m.start("/postings", body))
+		}
+		served, refused := 0, 0
+		for _, a := range answers {
+			got := <-a
+			switch {
+			case got.is("200"):
+				served++
+			case got.is("503", "not-run", "link-crowded"):
+				refused++
+			default:
+				t.Errorf("got %d %.80s, want an answer or a refusal", got.status, got.body)
+			}
+		}
+		if served != 1 || refused != 2 {
+			t.Errorf("got %d served and %d refused, want 1 and 2", served, refused)
+		}
+		if got := time.Since(began); got > plainBodyWait {
+			t.Errorf("told after %v, want within %v", got, plainBodyWait)
+		}
+		if got, want := f.bodiesSent(), 2*len(body); got >= want {
+			t.Errorf("%d bytes were sent, want less than %d: a refused body stays here", got, want)
+		}
+		if got, want := len(f.ran()), 1; got != want {
+			t.Errorf("%d calls ran, want %d", got, want)
+		}
+	})
+}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -125,6 +125,25 @@
 	// HeldUS is how long the target's daemon had the call, in microseconds; 0 is
 	// not known.
 	HeldUS int64 `cbor:"17,keyasint,omitempty"`
+	// Reservation answers a Reserve that is granted.
+	Reservation *Reservation `cbor:"18,keyasint,omitempty"`
+}
+
+// Reserve asks whether the body of a call may be sent over the link of the
+// target's instance. It is answered by an Answer that says that the call has not
+// run, with a Reservation if the body may come.
+type Reserve struct {
+	ID    CallID `cbor:"1,keyasint"`
+	Bytes int    `cbor:"2,keyasint"`
+	// WithinMS is the longest time that the call can wait for its turn, in
+	// milliseconds.
+	WithinMS int64 `cbor:"3,keyasint"`
+}
+
+// Reservation says that a body may be sent.
+type Reservation struct {
+	// WaitMS is when, in milliseconds from now.
+	WaitMS int64 `cbor:"1,keyasint"`
 }
 
 // Cancel tells the target's daemon that nobody waits for the call any more.
@@ -165,3 +184,6 @@
 
 // Kind implements Message.
 func (*Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (*Reserve) Kind() Kind { return KindReserve }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -49,6 +49,7 @@
 	KindProbeReply  Kind = 39
 	KindKeyQuery    Kind = 40
 	KindKeyHandover Kind = 41
+	KindReserve     Kind = 42
 )
 
 // Message is one typed message of the inner protocol.
@@ -160,6 +161,8 @@
 		return new(Answer)
 	case KindCancel:
 		return new(Cancel)
+	case KindReserve:
+		return new(Reserve)
 	case KindOpening:
 		return new(Opening)
 	case KindReattach:
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -20,6 +20,9 @@
 	Unreachable
 	// Overloaded means that the target's daemon refused for want of capacity.
 	Overloaded
+	// Crowded means that the way to the target is too full for the call's body. It
+	// says nothing about calls without one.
+	Crowded
 	// Draining means that the target takes no new calls.
 	Draining
 	// Abandoned means that the caller went away, or that another attempt was
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -196,7 +196,9 @@
 	if probe {
 		reason = ReasonProbe
 	}
-	return p.chosen(t, policy, reason, now), true
+	c := p.chosen(t, policy, reason, now)
+	c.need = need
+	return c, true
 }
 
 func (p *Picker) chosen(t *target, policy *applier.Policy, reason Reason, now instant) Choice {
--- a/picker/place.go
+++ b/picker/place.go
@@ -23,11 +23,22 @@
 // calls on the same link, whose callers hold slots meanwhile.
 const congestedShare = 0.25
 
+// reserveAbove is the time that a body takes on the link of the target's instance
+// from which it is asked for first. To ask costs a round trip of a few
+// milliseconds.
+const reserveAbove = 10 * time.Millisecond
+
 // IsCongested says whether the way to the target is too full for a large body.
 func (c Choice) IsCongested() bool {
 	return c.need.Bytes >= LargeBytes && float64(c.congestion) > congestedShare*float64(c.need.Objective)
 }
 
+// NeedsReservation says whether the call's body takes so long on the link of the
+// target's instance that it is asked for first.
+func (c Choice) NeedsReservation() bool {
+	return c.need.Bytes >= LargeBytes && carryTime(c.need.Bytes, c.Record.LinkKbps, 0) >= float64(reserveAbove)
+}
+
 // Need is what a call asks of its target.
 type Need struct {
 	// Objective is the latency up to which the answer is worth most; 0 leaves the
