Wait for answers that are still being written before a stop ends

Cause: a planned stop waited for the handlers of callers' requests, but an answer is written after its handler has returned. A stop that ended in between cut the connection: the caller saw EOF for a call that had run.

Ruled out: a request that crosses the close (its call had reached the target), and the 300 ms wait of other servers (the callers' one is cut at once).

Change: listener.Server counts requests whose answers aren't written whole, and the stop waits for them too.

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -124,7 +124,7 @@
 		case <-cut.Done():
 			return d.cutShort()
 		case now := <-tick.C:
-			if d.forwarder.InFlight() > 0 || d.executor.InFlight() > 0 {
+			if d.forwarder.InFlight() > 0 || d.executor.InFlight() > 0 || d.callers.Unanswered() > 0 {
 				quiet = time.Time{}
 				continue
 			}
@@ -151,7 +151,7 @@
 
 // cutShort reports what is in flight when the stop has to end.
 func (d *Daemon) cutShort() error {
-	err := &CutError{Entered: d.forwarder.InFlight(), Running: d.executor.InFlight()}
+	err := &CutError{Entered: max(d.forwarder.InFlight(), d.callers.Unanswered()), Running: d.executor.InFlight()}
 	if err.Entered == 0 && err.Running == 0 {
 		return nil
 	}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Unanswered returns the number of requests whose answers have not been written
+// whole: a handler that has returned is not yet an answer that is sent.
+func (s *Server) Unanswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		n += c.waiting
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // Close cuts every connection.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -191,3 +192,58 @@
 		}
 	})
 }
+
+// pipes is a listener whose connections are pipes without a buffer.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	nc, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return nc, nil
+}
+
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestAnswersThatAreBeingWrittenAreUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		returned := make(chan struct{})
+		s := &Server{
+			Limits: func() Limits { return testLimits },
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "answer")
+				close(returned)
+			}),
+		}
+		l := make(pipes, 1)
+		l <- far
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = s.Serve(l)
+		}()
+		if _, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		<-returned
+		synctest.Wait()
+		if got, want := s.Unanswered(), 1; got != want {
+			t.Errorf("unanswered before the caller has read: got %d, want %d", got, want)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(near), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(res.Body)
+		synctest.Wait()
+		if got, want := s.Unanswered(), 0; got != want {
+			t.Errorf("unanswered after the caller has read: got %d, want %d", got, want)
+		}
+		_ = near.Close()
+		close(l)
+		<-ended
+	})
+}
