Log how long a refused attempt would have waited, and measure what logs cost

An attempt that found the way to the target too full left no line; the wait that decided a refusal was not in the line of the others.

--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -7,8 +7,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/logger"
 	"bambooweir.example/bambooweir/messenger"
 )
 
@@ -57,6 +62,34 @@
 	}
 }
 
+// BenchmarkRefusedCall measures what the logs cost a call that is refused: without
+// a log, with one that drops all but a few lines, and with one that writes every
+// line.
+func BenchmarkRefusedCall(b *testing.B) {
+	bounded, err := logger.New(io.Discard, "info")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer bounded.Close(time.Second)
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	every := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(io.Discard), zap.InfoLevel))
+	for _, tt := range []struct {
+		name string
+		log  *zap.Logger
+	}{{"off", nil}, {"bounded", bounded.Logger}, {"every-line", every}} {
+		b.Run(tt.name, func(b *testing.B) {
+			m := newMesh(b.Context(), b)
+			m.forwarder.Log = tt.log
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := m.call(b.Context(), "/lookups", ""); got.status != http.StatusServiceUnavailable {
+					b.Fatalf("got %d, want 503", got.status)
+				}
+			}
+		})
+	}
+}
+
 func get(url string) error {
 	res, err := http.Get(url)
 	if err != nil {
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -200,6 +200,7 @@
 		choice.Done(picker.Result{Outcome: picker.Crowded})
 		answer := messenger.NotRun(call.ID, causeCongested)
 		answer.RetryAfterMS = choice.Expected.Milliseconds()
+		f.tellAttempt(x, choice, answer)
 		return answer
 	}
 	began := time.Now()
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -82,5 +82,5 @@
 		zap.String("request-id", x.call.RequestID), zap.String("target", choice.Record.InstanceID),
 		zap.Uint64("target-sequence", choice.Record.Sequence), zap.String("placed", choice.Reason.String()),
 		zap.String("outcome", answer.Outcome.String()), zap.String("cause", answer.Cause), zap.Bool("sent", answer.Sent),
-		zap.Int("target-running", answer.Running), zap.Int("target-waiting", answer.Waiting), zap.Int("target-slots", answer.Slots))
+		zap.Int("target-running", answer.Running), zap.Int("target-waiting", answer.Waiting), zap.Int("target-slots", answer.Slots), zap.Int64("wait-ms", answer.RetryAfterMS))
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -50,7 +50,7 @@
 		{"call-failed", "a target's server error was passed on", callKeys},
 		{"call-late", "an answer missed its latency objective", callKeys},
 		{"caller-left", "a caller left before its answer", callKeys},
-		{"attempt-failed", "an attempt brought no answer; another may follow", "request-id, target, target-sequence, placed, outcome, cause, sent, target-running, target-waiting, target-slots"},
+		{"attempt-failed", "an attempt brought no answer; another may follow", "request-id, target, target-sequence, placed, outcome, cause, sent, target-running, target-waiting, target-slots, wait-ms"},
 		{"call-reattached", "a link was lost, and its call is asked for over another", "request-id, target"},
 		{"target-shed", "the target refused a call unrun", "request-id, status"},
 		{"other-run-answered", "another run of a target answered at the address, and did not run the call", "request-id"},
