Let one relay of each failure domain fetch whole configurations

Cause: on the grown site a version is 190 KB at the store. Beside that, a push was held back from the newest version on: versions that came faster than the hold never reached a daemon that the store turned away.

Change: of two relays beside each other the first watches; the second one does when the link to it is gone, or the newest word from the store is 4.5 s old. A peer of another domain is pushed to once it has lacked a version for one and a half heartbeats, however many have come since. Daemons on narrow links give a parent two heartbeats before they read the store. Bodies get 0.85 of a narrow link: the delay of small messages holds them back where that is too much.

--- a/limiter/intake.go
+++ b/limiter/intake.go
@@ -7,9 +7,9 @@
 
 const (
 	// intakeShare is the part of the link that large bodies are let in at. The rest
-	// is left to calls with small bodies, to answers and to configuration, which
-	// take about a quarter of a narrow link while it is crowded.
-	intakeShare = 0.7
+	// is left to calls with small bodies, to answers and to configuration; where
+	// those need more, their delay tells, and holds bodies back.
+	intakeShare = 0.85
 	// delayWeight is the weight of the newest message in the mean delay: the last
 	// ten or so decide.
 	delayWeight = 0.1
--- a/limiter/intake_test.go
+++ b/limiter/intake_test.go
@@ -90,8 +90,8 @@
 }
 
 func TestIntake(t *testing.T) {
-	const body = 70_000
-	// At 800 Kbit/s, of which bodies may take 70 percent, a body takes a second.
+	// At 800 Kbit/s, of which bodies may take their share, a body takes a second.
+	const body = intakeShare * 100_000
 	booked := time.Second
 	synctest.Test(t, func(t *testing.T) {
 		var wide Intake
--- a/spreader/audit.go
+++ b/spreader/audit.go
@@ -22,7 +22,7 @@
 func (s *Spreader) markUnreached() {
 	records := s.Table.Domain(s.Domain)
 	s.mu.Lock()
-	if !s.relaying || !s.seesAllRelays() {
+	if s.relaySlot == "" || !s.seesAllRelays() {
 		s.unreached = nil
 		s.mu.Unlock()
 		return
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -156,7 +156,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.behindSince = time.Time{}
-	s.inForceAt = time.Now()
 	if s.refusal.version <= v {
 		s.refusal = refusal{}
 	}
@@ -223,7 +222,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if wait := s.holdBack(); wait > 0 && remote.Version > 0 {
+	if wait := s.holdBack(sess, remote.Version); wait > 0 {
 		s.mu.Unlock()
 		time.AfterFunc(wait, sess.poke)
 		return nil
--- a/spreader/convergence.go
+++ b/spreader/convergence.go
@@ -49,7 +49,7 @@
 	defer s.mu.Unlock()
 	c := Convergence{
 		Fleet: s.fleetTally(), IsConfirmed: !s.unconfirmed && s.Applier.Current() != nil,
-		HeadVersion: s.confirmed.version, IsRelay: s.relaying, Depth: len(s.path),
+		HeadVersion: s.confirmed.version, IsRelay: s.relaySlot != "", Depth: len(s.path),
 	}
 	if !s.confirmed.at.IsZero() {
 		c.HeadAge = time.Since(s.confirmed.at)
--- a/spreader/departure_test.go
+++ b/spreader/departure_test.go
@@ -59,7 +59,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := lone()
-				s.relaying, s.slots = tt.relaying, tt.slots
+				s.slots = tt.slots
+				if tt.relaying {
+					s.relaySlot = slotKey("selma-row", 0)
+				}
 				s.reports["root"] = &rootReport{RootReport: messenger.RootReport{
 					Domain: tt.root, Root: messenger.Node{InstanceID: "root", PeerAddress: "127.0.0.1:2"},
 					Tally: messenger.Tally{Counts: []messenger.VersionCount{{Version: 1, Daemons: 1}}},
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -31,6 +33,9 @@
 	// heartbeat: changes that come in quick succession are taken in together, since
 	// each call of the store is paid for.
 	externalPause = 80
+	// watchLost is the age of the newest word from the store from which a relay
+	// watches beside another one, in percent of the longest wait of a watch.
+	watchLost = 150
 )
 
 // watchExternal follows the external configuration until ctx ends, while this
@@ -62,7 +67,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleetSize = members
-	return s.relaying || members <= maxWatchers && !s.cfg.IsNarrow
+	if s.eachWatches() {
+		return true
+	}
+	return s.relaySlot != "" && !s.hasWatcherBeside()
+}
+
+// eachWatches says whether every daemon watches for itself. The caller holds mu.
+func (s *Spreader) eachWatches() bool { return s.fleetSize <= maxWatchers && !s.cfg.IsNarrow }
+
+// hasWatcherBeside says whether another relay of the own failure domain, whose
+// slot comes first, watches for both, and what the store holds is known of late.
+// The caller holds mu.
+func (s *Spreader) hasWatcherBeside() bool {
+	if time.Since(s.confirmed.at) > watchLost*s.cfg.WatchWait/100 {
+		return false
+	}
+	for _, o := range s.slots {
+		if o.domain != s.Domain || o.key >= s.relaySlot || o.addr == "" {
+			continue
+		}
+		for _, sess := range s.sessions {
+			if sess.role == roleNeighbor && sess.node.PeerAddress == o.addr {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // takeExternal takes in the external configuration as the store answered it to
@@ -84,12 +115,20 @@
 	return doc.Version
 }
 
-// holdBack returns how much longer a version is not pushed: where daemons watch
-// for themselves, their heartbeats tell before a push whether they need it. The
-// caller holds mu.
-func (s *Spreader) holdBack() time.Duration {
-	if s.External == nil || s.inForceAt.IsZero() || s.fleetSize > maxWatchers || s.cfg.IsNarrow {
+// holdBack returns how much longer no version is pushed to a peer that holds an
+// older one: where daemons watch for themselves, as one of each failure domain
+// does, their heartbeats tell before a push whether they need it. What counts is
+// how long the peer has lacked a version, however many have come since. The caller
+// holds mu.
+func (s *Spreader) holdBack(sess *session, remote versioner.Version) time.Duration {
+	isOtherDomain := sess.role == roleNeighbor && sess.domain != s.Domain
+	if s.External == nil || remote == 0 || !isOtherDomain && !s.eachWatches() {
+		return 0
+	}
+	history := s.Applier.History()
+	i := slices.IndexFunc(history, func(a applier.Applied) bool { return a.Version > remote })
+	if i < 0 {
 		return 0
 	}
-	return s.cfg.Heartbeat + s.cfg.Heartbeat/2 - time.Since(s.inForceAt)
+	return s.cfg.Heartbeat + s.cfg.Heartbeat/2 - time.Since(history[i].At)
 }
--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -49,6 +49,8 @@
 	members  []*member
 	accepted versioner.Version
 	acceptor *acceptor.Acceptor
+	// external is set where the configuration is made elsewhere.
+	external *External
 	lives    int
 	// ip is a loopback address of the fleet's own, so that no other process takes
 	// the port of a daemon that is down.
@@ -97,6 +99,7 @@
 	m := &member{gate: gate, done: make(chan struct{}), Spreader: &Spreader{
 		InstanceID: id, Domain: domain, PeerAddress: addr, Store: gate, Applier: &applier.Applier{Domain: domain},
 		Table: new(tracker.Table), Log: zap.NewNop(), Settings: f.settings, HTTP: f.net.client(addr),
+		External: f.external,
 	}}
 	f.run(m, l)
 	return m
@@ -153,6 +156,7 @@
 	f.start(old.InstanceID, old.Domain, old.PeerAddress)
 }
 
+// remove forgets a member.
 func (f *fleet) remove(old *member) {
 	kept := f.members[:0:0]
 	for _, m := range f.members {
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -16,6 +16,11 @@
 // maxSurvey bounds the peers that one survey asks.
 const maxSurvey = 8
 
+// peersFirst is how long a daemon on a narrow link waits for a parent before it
+// reads the whole configuration from the store, in heartbeats. To find a parent
+// takes a few round trips; a daemon that starts is to serve within seconds.
+const peersFirst = 2
+
 // confirmation says that the store held a version as the newest at a time, by
 // this daemon's monotonic clock. The time is never later than the truth.
 type confirmation struct {
@@ -88,6 +93,10 @@
 	case <-s.looked:
 	}
 	wait := s.cfg.Heartbeat/4 + jitter(s.cfg.JoinJitter)
+	if s.External != nil && s.cfg.IsNarrow {
+		// A parent brings the configuration compressed.
+		wait += peersFirst * s.cfg.Heartbeat
+	}
 	for sleeper.Sleep(ctx, wait) == nil && s.Applier.Current() == nil {
 		s.askForHead(ctx)
 		wait = around(s.cfg.Heartbeat)
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -81,8 +81,8 @@
 func (s *Spreader) relay(ctx context.Context, key string, lease storer.LeaseID) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.setRelaying(true)
-	defer s.setRelaying(false)
+	s.setSlot(key)
+	defer s.setSlot("")
 	var wg sync.WaitGroup
 	if s.External == nil {
 		wg.Go(func() { s.watchHead(ctx) })
@@ -93,10 +93,10 @@
 	wg.Wait()
 }
 
-func (s *Spreader) setRelaying(relaying bool) {
+func (s *Spreader) setSlot(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.relaying = relaying
+	s.relaySlot = key
 }
 
 // keepLease renews the lease, and returns once another daemon holds the slot.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -67,13 +67,12 @@
 	refusal     refusal
 	// behindSince is when this daemon learned of a version that it lacks, or 0.
 	behindSince time.Time
-	// inForceAt is when the version in force came into force here.
-	inForceAt time.Time
 	// raised is the least incarnation of this daemon's record, above those of the
 	// processes before it.
-	raised    uint64
-	own       tracker.Record
-	relaying  bool
+	raised uint64
+	own    tracker.Record
+	// relaySlot is the key of the slot that this daemon holds, "" when it is no relay.
+	relaySlot string
 	appointed string
 	slots     []slot
 	lost      []*loss
