Remember the departure of a run that is not known

Cause: a daemon that had started 4 ms before was told first that its target leaves; that word names no start of the run.

Found with the log of one daemon: stopped, daemon-started, no target-state at the acknowledgement, target-state ready with the sequence that the process before had seen already. Ruled out: the drain of a known run, whose start is resolved, and heartbeats that are out of order within a process.

Change: for 10 s nothing of a run that left so is taken. A later run of the same id, which can't be told from it, waits as long.

After: a test that fails without the change.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -73,6 +73,9 @@
 	coldMS int
 	// past holds the runs that have left or been replaced; they do not come back.
 	past map[run]bool
+	// departed holds when runs left that were not known and did not tell their
+	// start, by their id.
+	departed map[string]time.Time
 	// handedOver says that other daemons hold this one's idempotency keys.
 	handedOver bool
 }
@@ -85,6 +88,11 @@
 
 func (in Announcement) run() run { return run{in.RunID, in.Epoch} }
 
+// lateFor is how long after its departure a run's earlier heartbeats are taken to
+// come, where the run can't be told from a later one of the same id: networks
+// deliver some a few seconds late.
+const lateFor = 10 * time.Second
+
 // maxPast bounds the runs that are remembered as over.
 const maxPast = 256
 
@@ -146,6 +154,9 @@
 	if in.RunID == "" {
 		return nil
 	}
+	if at, ok := a.departed[in.RunID]; ok && time.Since(at) < lateFor {
+		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
+	}
 	isOvertaken := in.run() == a.current.run() && in.Sequence < a.current.Sequence
 	if isOvertaken || a.past[in.run()] {
 		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
@@ -176,6 +187,9 @@
 	}
 	a.endRun(r)
 	if r != a.current.run() {
+		if epoch == 0 {
+			a.noteDeparted(runID)
+		}
 		return &StaleError{RunID: runID}
 	}
 	a.current.State = tracker.StateGone.String()
@@ -183,6 +197,14 @@
 	return nil
 }
 
+// noteDeparted notes that an unknown run has left. The caller holds mu.
+func (a *Announcer) noteDeparted(runID string) {
+	if a.departed == nil || len(a.departed) >= maxPast {
+		a.departed = make(map[string]time.Time)
+	}
+	a.departed[runID] = time.Now()
+}
+
 // publish makes the next record if it differs from the one before. The caller
 // holds mu, so that records are handed over in order.
 func (a *Announcer) publish() {
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -219,3 +219,34 @@
 		}
 	})
 }
+
+// A daemon that has just started may hear of the departure first, without the
+// start of the run, and of what the run said before it later.
+func TestDepartureOfAnUnknownRunHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newRecorder()
+		ready := Announcement{
+			Service: "payout-desk", Address: "10.0.0.1:80", State: "ready", Slots: 12,
+			RunID: "i-1", Epoch: 7, Sequence: 20,
+		}
+		_ = a.Depart(ready.RunID, 0)
+		time.Sleep(3 * time.Second)
+		var stale *StaleError
+		if err := a.Announce(ready); !errors.As(err, &stale) {
+			t.Errorf("heartbeat from before the departure: got %v, want a *StaleError", err)
+		}
+		if got := a.Target(); got != "" {
+			t.Errorf("target after its departure: got %q, want none", got)
+		}
+		other := ready
+		other.RunID, other.Epoch = "i-2", 8
+		if err := a.Announce(other); err != nil {
+			t.Errorf("another run: got %v, want none", err)
+		}
+		time.Sleep(lateFor)
+		ready.Epoch = 9
+		if err := a.Announce(ready); err != nil {
+			t.Errorf("a later run of the id: got %v, want none", err)
+		}
+	})
+}
