Send what changed of configurations that are made elsewhere

Change: the relay that fetches a version makes the delta from the one that it holds, and the tree carries that; a peer that holds another version gets the whole.

--- a/spreader/external.go
+++ b/spreader/external.go
@@ -110,11 +110,37 @@
 		s.Log.Error("version-refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
 		return s.position().Version
 	}
-	s.accept(held{doc: doc, digest: digest}, nil, nil)
+	next := held{doc: doc, digest: digest}
+	s.accept(next, s.externalDeltas(next), nil)
 	s.confirm(doc.Version, began)
 	return doc.Version
 }
 
+// minDeltaSaving is by how much fewer entries than the document a delta must have
+// to be worth its upkeep, as a divisor.
+const minDeltaSaving = 2
+
+// externalDeltas returns the delta from the document that this daemon holds to the
+// next one, if it is a small one. Peers that hold the same get it in place of the
+// whole document.
+func (s *Spreader) externalDeltas(next held) []versioner.Delta {
+	s.configMu.Lock()
+	base := s.base()
+	s.configMu.Unlock()
+	s.mu.Lock()
+	eachWatches := s.eachWatches()
+	s.mu.Unlock()
+	if eachWatches || base.doc == nil || base.doc.Version >= next.doc.Version {
+		return nil
+	}
+	delta := base.doc.ExternalDelta(next.doc)
+	if (len(delta.Upserts)+len(delta.Deletes))*minDeltaSaving > len(next.doc.Entries) {
+		return nil
+	}
+	delta.FromDigest, delta.ToDigest = base.digest, next.digest
+	return []versioner.Delta{delta}
+}
+
 // holdBack returns how much longer no version is pushed to a peer that holds an
 // older one: where daemons watch for themselves, as one of each failure domain
 // does, their heartbeats tell before a push whether they need it. What counts is
--- a/versioner/decode_test.go
+++ b/versioner/decode_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
 
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -105,3 +107,39 @@
 		}
 	})
 }
+
+// Documents that are made elsewhere: the delta between any two of them leads from
+// the one to the other.
+func TestExternalDelta(t *testing.T) {
+	draw := func(t *rapid.T, version versioner.Version, label string) *versioner.Document {
+		doc := &versioner.Document{Version: version, Entries: []versioner.Entry{}}
+		for n, share := range rapid.SliceOfN(rapid.IntRange(0, 3), 0, 8).Draw(t, label) {
+			if share > 0 {
+				doc.Entries = append(doc.Entries, versioner.Entry{
+					Key: versioner.Key{Kind: versioner.KindPartner, Name: fmt.Sprint("p", n)}, Partner: &versioner.Partner{SharePercent: share},
+				})
+			}
+		}
+		return doc
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		from := draw(t, 3, "from")
+		to := draw(t, versioner.Version(rapid.Uint64Range(4, 9).Draw(t, "version")), "to")
+		delta := from.ExternalDelta(to)
+		var err error
+		if delta.FromDigest, err = from.Digest(); err != nil {
+			t.Fatal(err)
+		}
+		if delta.ToDigest, err = to.Digest(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := from.Apply(delta); err != nil {
+			t.Errorf("applying the delta: %v", err)
+		}
+		var gap *versioner.VersionGapError
+		delta.IsExternal = false
+		if _, err := from.Apply(delta); to.Version > 4 && !errors.As(err, &gap) {
+			t.Errorf("a jump that isn't marked: got %v, want a *VersionGapError", err)
+		}
+	})
+}
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -93,8 +93,9 @@
 
 // Delta leads from one version to the next.
 //
-// Invariant: To is From+1, and applying the delta to the document with
-// FromDigest gives the document with ToDigest.
+// Invariant: To is From+1, or any later version where IsExternal is set, and
+// applying the delta to the document with FromDigest gives the document with
+// ToDigest.
 type Delta struct {
 	From       Version `json:"from"`
 	To         Version `json:"to"`
@@ -106,6 +107,9 @@
 	// Previous holds the values that Upserts and Deletes replaced. It serves the
 	// audit trail only.
 	Previous []Entry `json:"previous,omitempty"`
+	// IsExternal says that the documents are made elsewhere. Their versions may rise
+	// by more than one, and their entries name no version of their own.
+	IsExternal bool `json:"external,omitempty"`
 }
 
 // Document is the whole configuration of one version.
@@ -180,14 +184,20 @@
 // keys deleted. The changed entries get the new version as revision; d itself
 // is left as it is.
 func (d *Document) With(upserts []Entry, deletes []Key) *Document {
-	next := &Document{Version: d.Version + 1, Entries: slices.Clone(d.Entries)}
+	return d.with(d.Version+1, d.Version+1, upserts, deletes)
+}
+
+// with returns the document at a version when the entries are set, with the
+// revision, and the keys deleted.
+func (d *Document) with(version, revision Version, upserts []Entry, deletes []Key) *Document {
+	next := &Document{Version: version, Entries: slices.Clone(d.Entries)}
 	for _, k := range deletes {
 		if i, ok := slices.BinarySearchFunc(next.Entries, k, compareEntry); ok {
 			next.Entries = slices.Delete(next.Entries, i, i+1)
 		}
 	}
 	for _, e := range upserts {
-		e.Revision = next.Version
+		e.Revision = revision
 		i, ok := slices.BinarySearchFunc(next.Entries, e.Key, compareEntry)
 		if ok {
 			next.Entries[i] = e
@@ -201,10 +211,14 @@
 // Apply returns the document that the delta leads to. It fails with a
 // *VersionGapError or *DigestMismatchError, and d is left as it is.
 func (d *Document) Apply(delta Delta) (*Document, error) {
-	if delta.From != d.Version || delta.To != delta.From+1 {
+	if delta.From != d.Version || delta.To <= delta.From || !delta.IsExternal && delta.To != delta.From+1 {
 		return nil, &VersionGapError{Have: d.Version, From: delta.From}
 	}
-	next := d.With(delta.Upserts, delta.Deletes)
+	revision := delta.To
+	if delta.IsExternal {
+		revision = 0
+	}
+	next := d.with(delta.To, revision, delta.Upserts, delta.Deletes)
 	got, err := next.Digest()
 	if err != nil {
 		return nil, err
@@ -214,3 +228,28 @@
 	}
 	return next, nil
 }
+
+// ExternalDelta returns the delta from d to a later document that is made
+// elsewhere too, without digests.
+func (d *Document) ExternalDelta(next *Document) Delta {
+	delta := Delta{From: d.Version, To: next.Version, IsExternal: true}
+	old := d.Entries
+	for _, e := range next.Entries {
+		for len(old) > 0 && old[0].Key.Compare(e.Key) < 0 {
+			delta.Deletes = append(delta.Deletes, old[0].Key)
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].Key == e.Key {
+			if !old[0].EqualValue(e) {
+				delta.Upserts = append(delta.Upserts, e)
+			}
+			old = old[1:]
+			continue
+		}
+		delta.Upserts = append(delta.Upserts, e)
+	}
+	for _, e := range old {
+		delta.Deletes = append(delta.Deletes, e.Key)
+	}
+	return delta
+}
