--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -9,7 +9,6 @@
 
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/retrier"
-	"bambooweir.example/bambooweir/tracker"
 )
 
 // memoryShare is the part of the memory bound that the collector keeps the heap
@@ -56,11 +55,5 @@
 
 // daemons counts the daemons of the fleet, this one included.
 func (d *Daemon) daemons() int {
-	n := 0
-	for _, r := range d.table.All() {
-		if r.State != tracker.StateGone {
-			n++
-		}
-	}
-	return max(n, 1)
+	return max(d.table.Living(), 1)
 }
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -10,7 +10,6 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
-	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -58,12 +57,7 @@
 }
 
 func (s *Spreader) isWatcher() bool {
-	members := 0
-	for _, r := range s.Table.All() {
-		if r.State != tracker.StateGone {
-			members++
-		}
-	}
+	members := s.Table.Living()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleetSize = members
--- a/spreader/invite.go
+++ b/spreader/invite.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
-	"bambooweir.example/bambooweir/tracker"
 )
 
 // A daemon that starts while the store is unreachable knows nobody. But others
@@ -27,12 +26,7 @@
 // inviteLost looks for the daemons that left a while ago. The daemons of the
 // fleet take turns at it by chance.
 func (s *Spreader) inviteLost(ctx context.Context) {
-	members := 0
-	for _, r := range s.Table.All() {
-		if r.State != tracker.StateGone {
-			members++
-		}
-	}
+	members := s.Table.Living()
 	for _, r := range s.Table.Lost(time.Now().Add(-inviteFor)) {
 		if r.PeerAddress != s.PeerAddress && rand.N(max(members, 1)) < inviters {
 			go s.invite(ctx, r.PeerAddress)
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -293,6 +293,19 @@
 	return all
 }
 
+// Living returns the number of instances that are not gone.
+func (t *Table) Living() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range t.entries {
+		if e.record.State != StateGone {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns the record of an instance.
 func (t *Table) Find(id string) (Record, bool) {
 	t.mu.Lock()
--- a/tracker/table_test.go
+++ b/tracker/table_test.go
@@ -141,3 +141,15 @@
 		table.Digest()
 	}
 }
+
+func TestLivingLeavesOutWhatIsGone(t *testing.T) {
+	var table Table
+	table.Merge([]Record{
+		{InstanceID: "a", Incarnation: 1, Sequence: 1, State: StateReady},
+		{InstanceID: "b", Incarnation: 1, Sequence: 1, State: StateDraining},
+		{InstanceID: "c", Incarnation: 1, Sequence: 1, State: StateGone},
+	})
+	if got, want := table.Living(), 2; got != want {
+		t.Errorf("living: got %d, want %d", got, want)
+	}
+}
