Let only failed probes prolong the loss of a failure domain

Cause: once a domain was held to be lost, every call to it that failed counted as a failed probe, also those that had been under way: four of them doubled two seconds to half a minute. After a mass kill of two seconds a busy daemon kept off its own domain for 30 s.

After: a test with ten calls under way, which finds no probe on the code before.

--- a/picker/domain.go
+++ b/picker/domain.go
@@ -42,13 +42,16 @@
 	return d.(*domain)
 }
 
-// fail books that a target could not be reached, and says whether the domain
-// is lost by that.
-func (d *domain) fail(t *target, now instant) bool {
+// fail books that a target could not be reached, by a probe or another call, and
+// says whether the domain is lost by that. Once it is lost, the probes alone tell
+// more: the other calls were under way before.
+func (d *domain) fail(t *target, isProbe bool, now instant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lost.Load() {
-		d.extend(now)
+		if isProbe {
+			d.extend(now)
+		}
 		return false
 	}
 	if d.unreachable == nil {
--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -202,6 +202,32 @@
 	})
 }
 
+// Calls that were under way when their domain was lost fail after it: they are no
+// further failed probes, after which it would be left alone for half a minute.
+func TestCallsUnderWayDontProlongALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(map[string]int{"selma-row": 12, "natchez-hall": 12})
+		f.policy.MaxEjectedPercent = 0
+		var underWay []Choice
+		for i := range 10 {
+			underWay = append(underWay, f.until(t, fmt.Sprintf("selma-row-%d", i)))
+		}
+		for _, c := range underWay {
+			c.Done(Result{Outcome: Unreachable})
+		}
+		if got := f.use("selma-row-11"); got != "domain-lost" {
+			t.Fatalf("after 10 unreachable targets: got %s, want domain-lost", got)
+		}
+		time.Sleep(lostTime)
+		f.mustPickProbe(t).Done(Result{Outcome: Unreachable})
+		time.Sleep(2 * lostTime)
+		f.mustPickProbe(t).Done(Result{Outcome: Answered})
+		if got := f.use("selma-row-11"); got != "in-use" {
+			t.Errorf("after a good probe: got %s, want in-use", got)
+		}
+	})
+}
+
 func (f *fleet) mustPickProbe(t *testing.T) Choice {
 	t.Helper()
 	for range 1000 {
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -100,7 +100,7 @@
 		}
 		c.fail(now, int64(c.policy.EjectAfterFailures))
 	case Unreachable:
-		if t.domain.fail(t, now) {
+		if t.domain.fail(t, c.probe, now) {
 			c.picker.Counters.DomainsLost.Add(1)
 		}
 		c.fail(now, 1)
