Blame no target when a caller leaves before its body is asked for

By reading: a link that was still being opened when the caller left counted as one that can't be opened, and ejected the target. The test fails on the code before.

--- a/forwarder/reserve.go
+++ b/forwarder/reserve.go
@@ -33,11 +33,11 @@
 	defer cancel()
 	defer time.AfterFunc(within, cancel).Stop()
 	// The question goes where no body is in its way.
+	var answer *messenger.Answer
 	link, err := f.link(asking, target, laneSmall)
-	if err != nil {
-		return messenger.NotRun(call.ID, causeUnreachable)
+	if err == nil {
+		answer, err = link.ask(asking, call.ID, &messenger.Reserve{ID: call.ID, Bytes: len(call.Body), WithinMS: within.Milliseconds()})
 	}
-	answer, err := link.ask(asking, call.ID, &messenger.Reserve{ID: call.ID, Bytes: len(call.Body), WithinMS: within.Milliseconds()})
 	switch {
 	case ctx.Err() != nil:
 		return messenger.NotRun(call.ID, causeDeadline)
--- a/forwarder/reserve_test.go
+++ b/forwarder/reserve_test.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -64,3 +66,30 @@
 		}
 	})
 }
+
+// A caller that leaves while a link is being opened says nothing about the target.
+func TestLeavingWhileAskingBlamesNobody(t *testing.T) {
+	const kbps = 750
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t.Context(), t, "narrow")
+		f := m.targets["narrow"]
+		m.table.Merge([]tracker.Record{{
+			InstanceID: "narrow", Incarnation: f.executor.Incarnation, Sequence: f.sequence + 1, Service: "payout-desk",
+			PeerAddress: "narrow", State: tracker.StateReady, LinkKbps: kbps,
+		}})
+		m.forwarder.Dial = func(ctx context.Context, _ string) (messenger.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), plainBodyWait/5)
+		defer cancel()
+		if got := m.call(ctx, "/postings", strings.Repeat("b", 64<<10)); got.status == 200 {
+			t.Errorf("got %d, want no answer", got.status)
+		}
+		if got := m.forwarder.Picker.Counters.Ejections.Value(); got != 0 {
+			t.Errorf("ejected targets: got %d, want 0", got)
+		}
+		synctest.Wait()
+		time.Sleep(openingTimeout)
+	})
+}
