--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -13,10 +13,12 @@
 // the shortest time, and only while they may be expected to meet it: under a
 // lasting overload a longer queue would make every answer late and serve nobody
 // more. Callers that were refused and came back go before others by that, while
-// they can be answered in time; calls that are late already go last. A call that a target makes while it runs another one may wait up to its
-// deadline, since refusing it wastes what has been spent on its parent.
+// they can be answered in time; calls that are late already go last. A call that
+// a target makes while it runs another one may wait up to its deadline, since
+// refusing it wastes what has been spent on its parent.
 //
-// A call that is refused has not run.
+// A call that is refused has not run. Where the link of the instance is narrow,
+// an Intake decides before that which large bodies come over it, and when.
 package limiter
 
 import (
