--- a/forwarder/reserve_test.go
+++ b/forwarder/reserve_test.go
@@ -11,6 +11,20 @@
 	"bambooweir.example/bambooweir/tracker"
 )
 
+// newNarrowMesh returns a mesh with one target, whose link takes most of a second
+// for a body of 64 KB.
+func newNarrowMesh(t *testing.T) (*mesh, *fakeTarget) {
+	const kbps = 750
+	m := newMesh(t.Context(), t, "narrow")
+	f := m.targets["narrow"]
+	f.executor.Intake.Kbps = kbps
+	m.table.Merge([]tracker.Record{{
+		InstanceID: "narrow", Incarnation: f.executor.Incarnation, Sequence: f.sequence + 1, Service: "payout-desk",
+		PeerAddress: "narrow", State: tracker.StateReady, LinkKbps: kbps,
+	}})
+	return m, f
+}
+
 // bodiesSent returns the bytes that the network has taken towards the target.
 func (f *fakeTarget) bodiesSent() int {
 	n := 0
@@ -22,18 +36,10 @@
 	return n
 }
 
-// TestBodiesAreAskedForOnNarrowLinks sends bodies of 64 KB to a target whose
-// link takes a body a second, all at once.
+// Three bodies come at once for a link that takes one in the time that there is.
 func TestBodiesAreAskedForOnNarrowLinks(t *testing.T) {
-	const kbps = 750
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t.Context(), t, "narrow")
-		f := m.targets["narrow"]
-		f.executor.Intake.Kbps = kbps
-		m.table.Merge([]tracker.Record{{
-			InstanceID: "narrow", Incarnation: f.executor.Incarnation, Sequence: f.sequence + 1, Service: "payout-desk",
-			PeerAddress: "narrow", State: tracker.StateReady, LinkKbps: kbps,
-		}})
+		m, f := newNarrowMesh(t)
 		body := strings.Repeat("b", 64<<10)
 		began := time.Now()
 		var answers []<-chan told
@@ -69,14 +75,8 @@
 
 // A caller that leaves while a link is being opened says nothing about the target.
 func TestLeavingWhileAskingBlamesNobody(t *testing.T) {
-	const kbps = 750
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t.Context(), t, "narrow")
-		f := m.targets["narrow"]
-		m.table.Merge([]tracker.Record{{
-			InstanceID: "narrow", Incarnation: f.executor.Incarnation, Sequence: f.sequence + 1, Service: "payout-desk",
-			PeerAddress: "narrow", State: tracker.StateReady, LinkKbps: kbps,
-		}})
+		m, _ := newNarrowMesh(t)
 		m.forwarder.Dial = func(ctx context.Context, _ string) (messenger.Conn, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
