Count calls of retried runs against the shared retry budget

Cause: the calls that a target makes while it runs a retry count as repeats at the service that they call. Targets of the users' platform do not copy the mark of a retry to them, so they counted as first attempts, earned budget and were retried themselves. Ruled out: the daemons' own retries, which stay under 0.6 of the budget by construction (TestSharedBudgetStateMachine). Change: the daemon beside the target knows the request that the target runs by its ID, and whether that run is a retry. Calls made by such a run are marked, counted as retries and not retried. Conclusion: the sum over all daemons stays in the budget while a chain of two services fails.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -25,7 +25,7 @@
 	headers := platform.HeaderNames()
 	d.forwarder.Headers = headers
 	d.forwarder.FractionalRetryAfter = true
-	d.forwarder.IsRunning = d.executor.IsRunning
+	d.forwarder.FindRunning = d.executor.FindRunning
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
 	d.executor.RunID = func() string { return d.announcer.Current().RunID }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -134,37 +134,9 @@
 	links   map[*servedLink]struct{} // open links, which Drain notifies
 	running map[messenger.CallID]*run
 
-	// requests counts the requests that the target is running, by ID.
+	// requests holds the requests that the target is running, by ID.
 	requestsMu sync.Mutex
-	requests   map[string]int
-}
-
-// IsRunning reports whether the target is running the request with an ID.
-func (x *Executor) IsRunning(requestID string) bool {
-	x.requestsMu.Lock()
-	defer x.requestsMu.Unlock()
-	return x.requests[requestID] > 0
-}
-
-// trackRequest records that the target is running a request, until the returned
-// function is called.
-func (x *Executor) trackRequest(id string) (done func()) {
-	if id == "" {
-		return func() {}
-	}
-	x.requestsMu.Lock()
-	defer x.requestsMu.Unlock()
-	if x.requests == nil {
-		x.requests = make(map[string]int)
-	}
-	x.requests[id]++
-	return func() {
-		x.requestsMu.Lock()
-		defer x.requestsMu.Unlock()
-		if x.requests[id]--; x.requests[id] <= 0 {
-			delete(x.requests, id)
-		}
-	}
+	requests   map[string]runningRequest
 }
 
 // Load is the load of a target as its daemon reports it on answers.
@@ -253,7 +225,7 @@
 	if !r.begin() {
 		return messenger.NotRun(id, CauseCancelled)
 	}
-	defer x.trackRequest(r.call.RequestID)()
+	defer x.trackRequest(r.call)()
 	return x.sendToTarget(ctx, base, req, r)
 }
 
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -165,7 +165,7 @@
 	x.lastInstance, x.lastChoice = choice.Record.InstanceID, choice
 	x.tried.Add(choice)
 	if marked {
-		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: "retry"})
+		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: attemptRetry})
 	}
 	return &call
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,9 +82,10 @@
 	// Service returns the service of this instance, which calls carry to the target
 	// as the calling service; with nil or "" they carry none.
 	Service func() string
-	// IsRunning reports whether the target of this instance is running the request with
-	// the given ID; nil means that it never is.
-	IsRunning func(requestID string) bool
+	// FindRunning reports whether the target of this instance is running the request
+	// with the given ID, and whether that run is a retry or belongs to one; nil means
+	// that it never is.
+	FindRunning func(requestID string) (isRunning, isRetry bool)
 	// OnLargeBody is called with the size of each body of at least picker.LargeBytes
 	// that a caller has sent; it may be nil.
 	OnLargeBody func(n int)
@@ -202,6 +203,11 @@
 	if f.OnLargeBody != nil && len(body) >= picker.LargeBytes {
 		f.OnLargeBody(len(body))
 	}
+	isNested, isRetry := f.findParent(r.Header.Get(names.RequestID))
+	if isRetry {
+		// The target does not copy the mark to the calls that it makes.
+		r.Header.Set(retrier.AttemptHeader, attemptRetry)
+	}
 	x = &exchange{route: matched.Name, arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
@@ -209,7 +215,7 @@
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
-		IsNested: f.isNested(r.Header.Get(names.RequestID)),
+		IsNested: isNested,
 	}
 	if statedMS := r.Header.Get(names.Deadline); statedMS != "" && !x.call.IsNested {
 		remaining, _ := strconv.ParseInt(statedMS, 10, 64)
@@ -239,24 +245,27 @@
 	return fields
 }
 
-// minNestedPrefix is the minimum length of a running request's ID for isNested to
+// attemptRetry is the value of retrier.AttemptHeader on calls that this daemon marks.
+const attemptRetry = "retry"
+
+// minNestedPrefix is the minimum length of a running request's ID for findParent to
 // compare it with a prefix of another ID: shorter IDs may match by accident.
 const minNestedPrefix = 8
 
-// isNested reports whether the target of this instance makes the request while it
-// runs another one. It recognises nested requests by their IDs, which targets form
+// findParent reports whether the target of this instance makes the request while it
+// runs another one, and whether that one is a retry or belongs to one. It recognises nested requests by their IDs, which targets form
 // by appending to the ID of the request that they run. A nested request with any
 // other ID is handled as one that is not nested.
-func (f *Forwarder) isNested(requestID string) bool {
-	if f.IsRunning == nil {
-		return false
+func (f *Forwarder) findParent(requestID string) (isNested, isRetry bool) {
+	if f.FindRunning == nil {
+		return false, false
 	}
 	for n := len(requestID) - 1; n >= minNestedPrefix; n-- {
-		if f.IsRunning(requestID[:n]) {
-			return true
+		if isNested, isRetry = f.FindRunning(requestID[:n]); isNested {
+			return true, isRetry
 		}
 	}
-	return false
+	return false, false
 }
 
 // callTimeout returns the time that the call may take: the timeout of its route or
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -135,8 +135,8 @@
 func (r *Retrier) Begin(route string, policy *applier.Policy, header http.Header) Call {
 	r.Counters.First.Add(1)
 	c := Call{retrier: r, policy: policy, budget: r.budget(route), belongsToRetry: header.Get(AttemptHeader) != ""}
-	if s := r.sharedBudget(); s != nil && !c.belongsToRetry {
-		r.window(policy.Service).countFirst(s.Window, r.elapsed())
+	if s := r.sharedBudget(); s != nil {
+		r.window(policy.Service).countCall(s.Window, r.elapsed(), c.belongsToRetry)
 	}
 	if !c.belongsToRetry {
 		// Calls that belong to a retry deposit nothing, because retries would
--- a/retrier/shared_budget.go
+++ b/retrier/shared_budget.go
@@ -24,9 +24,10 @@
 }
 
 const (
-	// usableBudgetShare is the part of the budget that the daemons use. The rest
-	// is for calls that targets make while they serve a retry: these count
-	// against the budget too, but no daemon observes them.
+	// usableBudgetShare is the part of the budget that the daemons use. The rest covers
+	// a falling rate of calls, after which retries paid for by earlier calls fall into
+	// a window with few, and calls that belong to a retry, which are counted but can't
+	// be refused where they alone exceed a daemon's part.
 	usableBudgetShare = 0.6
 	// windowSteps is the number of steps in which a window advances.
 	windowSteps = 20
@@ -56,11 +57,17 @@
 	return int(w.current % windowSteps)
 }
 
-// countFirst counts a first attempt.
-func (w *serviceWindow) countFirst(window, elapsed time.Duration) {
+// countCall counts the first attempt of a call. A call that belongs to a retry of
+// another one counts as a retry, since it reaches its service once more as well.
+func (w *serviceWindow) countCall(window, elapsed time.Duration, belongsToRetry bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.steps[w.advance(window, elapsed)].first++
+	current := w.advance(window, elapsed)
+	if belongsToRetry {
+		w.steps[current].retries++
+		return
+	}
+	w.steps[current].first++
 }
 
 // allowRetry counts a retry if the daemon's part of the budget allows it, and
--- a/retrier/shared_budget_test.go
+++ b/retrier/shared_budget_test.go
@@ -83,3 +83,64 @@
 		t.Error("shed without a budget: got another attempt, want none")
 	}
 }
+
+// The calls that a target makes while it serves a retry reach their service once more,
+// too. When both services fail, these calls and the retries for the called service
+// together must stay within its budget: the daemon beside the target knows both.
+func TestSharedBudgetCountsCallsOfRetriedRuns(t *testing.T) {
+	const (
+		daemons, seconds, callsPerRun = 20, 30, 3
+		window                        = 100 // steps of 100 ms
+	)
+	share := SharedBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 20}
+	outer := &applier.Policy{Service: "ledger-view", Idempotent: true, MaxRetries: 3}
+	inner := &applier.Policy{Service: "payout-desk", Idempotent: true, MaxRetries: 3}
+	marked := http.Header{}
+	marked.Set(AttemptHeader, "retry")
+	synctest.Test(t, func(t *testing.T) {
+		fleet := make([]*Retrier, daemons)
+		for i := range fleet {
+			fleet[i] = &Retrier{Daemons: func() int { return daemons }}
+			fleet[i].SetSharedBudget(share)
+		}
+		var first, repeats [seconds * 10]float64
+		// serve makes the calls of one run at the target of daemon i, all of which fail.
+		serve := func(step, i int, isRetry bool) {
+			for range callsPerRun {
+				header := http.Header{}
+				first[step]++
+				if isRetry {
+					header = marked
+					first[step]--
+					repeats[step]++
+				}
+				c := fleet[i].Begin("checks", inner, header)
+				for c.retries < inner.MaxRetries && c.withdrawRetry() {
+					c.retries++
+					repeats[step]++
+				}
+			}
+		}
+		for step := range first {
+			for i, r := range fleet {
+				c := r.Begin("shares", outer, http.Header{})
+				serve(step, (i+1)%daemons, false)
+				for c.retries < outer.MaxRetries && c.withdrawRetry() {
+					c.retries++
+					serve(step, (i+1+c.retries)%daemons, true)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for end := window; end <= len(first); end++ {
+			firstInWindow, repeatsInWindow := 0.0, 0.0
+			for i := end - window; i < end; i++ {
+				firstInWindow += first[i]
+				repeatsInWindow += repeats[i]
+			}
+			if limit := share.Ratio*firstInWindow + share.Allowance; repeatsInWindow > limit {
+				t.Fatalf("window that ends at %d ms: got %v repeats, want at most %v", end*100, repeatsInWindow, limit)
+			}
+		}
+	})
+}
