Bound what a response of the target may take

Cause: the head of a response was read by http.ReadResponse, which has no bound: a status line, a field or interim responses without end filled the memory until the call's deadline. At 1 Gbit/s that is 190 MB in 1.5 s; a small instance has 184 MB. Bodies were bounded one by one at 16 MB, not together, and after a body over the bound, or one in small chunks, Body.Close read on to its end, which never came. Ruled out: trailers, chunk extensions, and responses to other requests, which were bounded before. Change: bounds on the head (target-head-bytes), interim responses included, and on all bodies being read (target-buffer-bytes); a stated length takes no memory before its bytes arrive; a connection with a response over a bound is closed unread. The call's outcome is unknown, an idempotent one goes to another target. Conclusion: one faulty target costs its daemon at most the two bounds.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -47,6 +47,8 @@
 	TargetService        string  `toml:"target-service"`
 	TargetHeartbeatMS    int     `toml:"target-heartbeat-ms"`
 	StopLimitS           float64 `toml:"stop-limit-s"`
+	TargetHeadBytes      int     `toml:"target-head-bytes"`
+	TargetBufferBytes    int     `toml:"target-buffer-bytes"`
 	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -57,6 +57,8 @@
 		{Key: "retry-budget-ratio", Default: 0.0, Doc: "attempts beyond the first that all daemons together may send to one service, as a share of the calls for it; 0 means that only the shared setting retry-budget-percent applies", check: floatRange(0, 1)},
 		{Key: "retry-budget-window-s", Default: 10.0, Doc: "time over which retry-budget-ratio holds, in seconds", check: floatRange(0.1, 3600)},
 		{Key: "retry-budget-allowance", Default: 0.0, Doc: "attempts beyond the first that all daemons together may send to one service in that time in addition to the share", check: floatRange(0, 1_000_000)},
+		{Key: "target-head-bytes", Default: 65_536, Doc: "largest head of a response of the target, in bytes; a longer one ends its connection, and the call's outcome is unknown", check: intRange(1024, 1<<20)},
+		{Key: "target-buffer-bytes", Default: 32 << 20, Doc: "total size of the target's response bodies that may be read at a time, in bytes; a response beyond it ends its connection, and the call's outcome is unknown", check: intRange(1<<20, 1<<30)},
 		{Key: "memory-mb", Default: 0.0, Doc: "memory of the process in MB, which the garbage collector keeps well below; 0 means no bound", check: floatRange(0, 1<<20)},
 		{Key: "link-mbps", Default: 0.0, Doc: "bandwidth of this instance's link in Mbit/s; daemons with narrow links are relays only where there is no other; 0 means that the link is not narrow", check: floatRange(0, 1_000_000)},
 	}
--- a/requester/conn.go
+++ b/requester/conn.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,7 +11,7 @@
 	"sync"
 	"time"
 
-	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 )
 
 const (
@@ -33,8 +31,10 @@
 type conn struct {
 	requester *Requester
 	nc        net.Conn
-	br        *bufio.Reader
-	addr      string
+	// head bounds the bytes that br may read while it reads the head of a response.
+	head headLimiter
+	br   *bufio.Reader
+	addr string
 	// reused says that the connection has carried a request before this one.
 	reused bool
 
@@ -68,7 +68,10 @@
 }
 
 func newConn(r *Requester, nc net.Conn, addr string) *conn {
-	return &conn{requester: r, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), addr: addr}
+	c := &conn{requester: r, nc: nc, addr: addr}
+	c.br = bufio.NewReaderSize(&c.head, readBufferBytes)
+	c.head.r = nc
+	return c
 }
 
 // isReusable reports whether the idle connection may carry another request.
@@ -152,6 +155,7 @@
 // readResponses reads responses and delivers them to the pending request, until the
 // connection ends.
 func (c *conn) readResponses() {
+	defer recoverer.Recover(nil, "response", func() { c.close(errPanic) })
 	stray := 0
 	for {
 		_, err := c.br.Peek(1)
@@ -168,6 +172,9 @@
 		res, keep, err := c.readResponse(p.req)
 		if err != nil {
 			c.requester.Counters.Cut.Add(1)
+			if IsTooLarge(err) {
+				c.requester.Counters.Oversized.Add(1)
+			}
 			c.close(err)
 			return
 		}
@@ -253,6 +260,8 @@
 // how long the connection may be idle afterwards, which is 0 if the connection can't
 // carry another request.
 func (c *conn) readResponse(req *Request) (*Response, time.Duration, error) {
+	c.head.limit(c.requester.maxHeadBytes())
+	defer c.head.unlimit()
 	for {
 		// Interim responses have no body, so those that are skipped need no Close.
 		res, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
@@ -265,11 +274,14 @@
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(req, res)
-		_ = res.Body.Close()
+		c.head.unlimit()
+		body, err := c.requester.readBody(req, res)
 		if err != nil {
+			// Close would read the rest of the body, which may have no end. The
+			// connection is closed instead.
 			return nil, 0, err
 		}
+		_ = res.Body.Close()
 		keep := defaultIdleTimeout
 		if stated, ok := keepAliveTimeout(res.Header); ok {
 			keep = max(0, stated-idleTimeoutMargin)
@@ -281,34 +293,10 @@
 	}
 }
 
-// readBody reads the whole body of a response, of at most messenger.MaxBodyBytes.
-func readBody(req *Request, res *http.Response) ([]byte, error) {
-	if req.Method == http.MethodHead {
-		return nil, nil
-	}
-	if res.ContentLength > messenger.MaxBodyBytes {
-		return nil, errTooLarge
-	}
-	if res.ContentLength >= 0 {
-		body := make([]byte, res.ContentLength)
-		_, err := io.ReadFull(res.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, messenger.MaxBodyBytes+1))
-	if err == nil && len(body) > messenger.MaxBodyBytes {
-		err = errTooLarge
-	}
-	return body, err
-}
+var errPanic = errors.New("handling the response failed")
 
 var errSwitched = errors.New("the target switched to another protocol")
 
-var errTooLarge = fmt.Errorf("body of the response is longer than %d bytes", messenger.MaxBodyBytes)
-
-// IsTooLarge reports whether a request failed because the body of its response is
-// longer than messenger.MaxBodyBytes.
-func IsTooLarge(err error) bool { return errors.Is(err, errTooLarge) }
-
 // keepAliveTimeout returns how long the target keeps an idle connection open, as the
 // Keep-Alive field states it, and whether a valid time is stated.
 func keepAliveTimeout(h http.Header) (time.Duration, bool) {
--- /dev/null
+++ b/requester/endless_test.go
@@ -0,0 +1,186 @@
+package requester
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// endless lists responses whose last part a faulty target repeats until its connection
+// is closed.
+var endless = map[string][2]string{
+	"status line":       {"HTTP/1.1 200 ", "a"},
+	"no response":       {"", "garbage without a line end "},
+	"field value":       {"HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nX-Long: ", "a"},
+	"fields":            {"HTTP/1.1 200 OK\r\n", idField + ": 1\r\n"},
+	"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"body to the end":   {"HTTP/1.1 200 OK\r\n" + idField + ": 1\r\n\r\n", "a"},
+	"chunks":            {"HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"},
+	"chunk extension":   {"HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "a"},
+	"trailer":           {"HTTP/1.1 200 OK\r\n" + idField + ": 1\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n0\r\n", "X-T: a\r\n"},
+	"other responses":   {"", "HTTP/1.1 200 OK\r\n" + idField + ": 9\r\nContent-Length: 4\r\n\r\naaaa"},
+}
+
+// maxEndlessBytes is more than any bound on a response, and less than the memory of a
+// small instance.
+const maxEndlessBytes = 100 << 20
+
+// writeEndlessly writes the head and then repeats the rest until the peer closes, or
+// until maxEndlessBytes are written, and returns how many bytes that were.
+func writeEndlessly(c net.Conn, head, rest string) int {
+	rest = strings.Repeat(rest, 1+(64<<10)/len(rest))
+	n, err := fmt.Fprint(c, head)
+	for err == nil && n < maxEndlessBytes {
+		var m int
+		m, err = fmt.Fprint(c, rest)
+		n += m
+	}
+	return n
+}
+
+// Bytes that are no response may come without end. The request must be lost soon, long
+// before the bytes fill the memory, its connection must be closed, and the next request
+// must be served over another one.
+func TestEndlessBytesAreBounded(t *testing.T) {
+	for name, text := range endless {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			addr := startTarget(t, func(c net.Conn, n int, r *http.Request) bool {
+				if n > 1 {
+					fmt.Fprint(c, responseText(r.Header.Get(idField), "next"))
+					return true
+				}
+				written <- writeEndlessly(c, text[0], text[1])
+				return false
+			})
+			r := &Requester{IDField: idField}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := r.Do(ctx, addr, newRequest("1"))
+			var lost *LostError
+			if !errors.As(err, &lost) || ctx.Err() != nil {
+				t.Errorf("got error %v, context %v, want a LostError before the deadline", err, ctx.Err())
+			}
+			if got := <-written; got >= maxEndlessBytes {
+				t.Errorf("read from the target: got %d bytes, want the connection closed before", got)
+			}
+			if got := string(mustDo(t, r, addr, "2").Body); got != "next" {
+				t.Errorf("next response: got %q, want next", got)
+			}
+			if got := r.buffered.Load(); got != 0 {
+				t.Errorf("buffered bytes after the response: got %d, want 0", got)
+			}
+		})
+	}
+}
+
+// Many endless bodies at a time must together stay within MaxBufferedBytes, and a body
+// that fits must still be read when they have ended.
+func TestConcurrentEndlessBodiesShareABound(t *testing.T) {
+	const bound, requests = 4 << 20, 12
+	text := endless["body to the end"]
+	addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+		if r.Header.Get(idField) == "fits" {
+			fmt.Fprint(c, responseText("fits", strings.Repeat("a", 200_000)))
+			return true
+		}
+		writeEndlessly(c, strings.ReplaceAll(text[0], ": 1", ": "+r.Header.Get(idField)), text[1])
+		return false
+	})
+	r := &Requester{IDField: idField, MaxBufferedBytes: bound}
+	errs := make(chan error, requests)
+	for i := range requests {
+		go func() {
+			_, err := r.Do(t.Context(), addr, newRequest(fmt.Sprint(i)))
+			errs <- err
+		}()
+	}
+	for range requests {
+		if err := <-errs; !IsTooLarge(err) {
+			t.Errorf("got error %v, want a TooLargeError", err)
+		}
+	}
+	if got := len(mustDo(t, r, addr, "fits").Body); got != 200_000 {
+		t.Errorf("body: got %d bytes, want 200000", got)
+	}
+}
+
+// A length that is stated and never sent must take no memory.
+func TestStatedLengthTakesNoMemory(t *testing.T) {
+	release := make(chan struct{})
+	addr := startTarget(t, func(c net.Conn, _ int, _ *http.Request) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+idField+": 1\r\nContent-Length: 16000000\r\n\r\na")
+		<-release
+		return false
+	})
+	r := &Requester{IDField: idField}
+	const requests = 20
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	for range requests {
+		go func() {
+			_, _ = r.Do(ctx, addr, newRequest("1"))
+			done <- struct{}{}
+		}()
+	}
+	for r.buffered.Load() < requests*bodyChunkBytes {
+		runtime.Gosched()
+	}
+	if got := r.buffered.Load(); got != requests*bodyChunkBytes {
+		t.Errorf("buffered: got %d bytes, want %d", got, requests*bodyChunkBytes)
+	}
+	cancel()
+	close(release)
+	for range requests {
+		<-done
+	}
+}
+
+// FuzzResponse feeds arbitrary bytes as a response. Whatever they are, the request must
+// end, and a response that is accepted must carry the request's ID.
+func FuzzResponse(f *testing.F) {
+	for _, text := range endless {
+		f.Add([]byte(text[0] + strings.Repeat(text[1], 3)))
+	}
+	f.Add([]byte(responseText("1", "ok")))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + responseText("1", "ok")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		near, far := net.Pipe()
+		r := &Requester{IDField: idField, MaxHeadBytes: 2048, MaxBufferedBytes: 1 << 20}
+		r.Dial = func(context.Context, string) (net.Conn, error) { return near, nil }
+		go func() {
+			defer far.Close()
+			buf := make([]byte, 1024)
+			_, _ = far.Read(buf)
+			_, _ = far.Write(b)
+		}()
+		res, err := r.Do(t.Context(), "target", newRequest("1"))
+		if err == nil && res.Header.Get(idField) != "1" {
+			t.Errorf("accepted a response with ID %q, want 1", res.Header.Get(idField))
+		}
+	})
+}
+
+// BenchmarkEndlessHead shows the memory that a response without end takes.
+func BenchmarkEndlessHead(b *testing.B) {
+	text := endless["status line"]
+	b.ReportAllocs()
+	for b.Loop() {
+		near, far := net.Pipe()
+		r := &Requester{IDField: idField, Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+		go func() {
+			_, _ = far.Read(make([]byte, 1024))
+			writeEndlessly(far, text[0], text[1])
+			_ = far.Close()
+		}()
+		if _, err := r.Do(b.Context(), "target", newRequest("1")); !IsTooLarge(err) {
+			b.Fatalf("got error %v, want a TooLargeError", err)
+		}
+	}
+}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
@@ -47,6 +48,9 @@
 	Stray, Unasked expvar.Int
 	// Cut counts responses that were truncated or malformed.
 	Cut expvar.Int
+	// Oversized counts responses whose head, body or interim responses exceeded a
+	// bound.
+	Oversized expvar.Int
 }
 
 // Request is one request to the target.
@@ -110,6 +114,12 @@
 	MaxConnections func() int
 	// DialTimeout bounds the opening of a connection; 0 means 500 ms.
 	DialTimeout time.Duration
+	// MaxHeadBytes bounds the status line and header fields of a response, and those of
+	// all interim responses before it; 0 means DefaultHeadBytes.
+	MaxHeadBytes int
+	// MaxBufferedBytes bounds the total size of the response bodies that are being
+	// read; 0 means DefaultBufferedBytes.
+	MaxBufferedBytes int64
 	// Dial opens a connection; nil means TCP.
 	Dial     func(ctx context.Context, addr string) (net.Conn, error)
 	Counters Counters
@@ -121,6 +131,8 @@
 	open int
 	// addr is the target's address; connections to other addresses are not reused.
 	addr string
+	// buffered is the total size of the response bodies that are being read.
+	buffered atomic.Int64
 }
 
 // Do sends a request to the target at addr and returns the complete response. It
