Contain panics in one request, message or response

Cause: callers' requests are served by package listener, calls, answers and the target's responses in goroutines of their own. None of them recovered, so that a panic on one input ended the daemon with all it served. Looked for: such an input. So no message is known that does; the tests force a panic. Change: package recoverer contains a panic where the handling of one input begins. The caller gets status 500, the outcome of the call is unknown, a link or session is closed; slots are released. The metric panics counts them and panic-contained logs them. The key table's counters are published as well. Not contained: background loops (announcer, store watch), where state would be left half changed, and hedged attempts; hedging is off by default. Conclusion: an unexpected error costs one call or one link.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,13 +81,15 @@
 		Service: d.announcer.Service, Admit: d.admit, Load: d.targetLoad, Reached: d.recordReachability,
 	}
 	d.executor.Requester.MaxConnections = d.maxConnections
+	d.executor.Requester.MaxHeadBytes = cfg.TargetHeadBytes
+	d.executor.Requester.MaxBufferedBytes = int64(cfg.TargetBufferBytes)
 	d.executor.BodyPacer.Kbps = int(cfg.LinkMbps * 1000)
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, LinkKbps: int(cfg.LinkMbps * 1000), Log: log}, Log: log,
 		InstanceID: cfg.InstanceID, RunLocal: d.executor.Run, Service: func() string { return d.cfg.Load().TargetService },
 	}
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
-	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits}
+	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits, Log: d.log}
 	d.forwarder.Retrier.Daemons = d.fleetSize
 	if cfg.Platform {
 		d.configurePlatform()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -11,6 +11,7 @@
 	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/publisher"
+	"bambooweir.example/bambooweir/recoverer"
 )
 
 // publishMetrics publishes the daemon's counters and gauges under its instance ID.
@@ -35,6 +36,8 @@
 		m.Set("store", publisher.Counters(&store.Counters))
 	}
 	m.Set("version", expvar.Func(d.versionInForce))
+	m.Set("panics", &recoverer.Panics)
+	m.Set("key-table", publisher.Counters(&d.executor.KeyCoordinator.Keys.Counters))
 	m.Set("daemons", expvar.Func(func() any { return d.fleetSize() }))
 	m.Set("calls-running", expvar.Func(func() any { return d.limiter.Load().Running }))
 	m.Set("calls-waiting", expvar.Func(func() any { return d.limiter.Load().Waiting }))
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -79,6 +79,7 @@
 var daemonMetricDocs = map[string]string{
 	"bambooweir_version":            "Version of the configuration in force, 0 for none.",
 	"bambooweir_daemons":            "Daemons of the fleet that are not gone, as far as this daemon knows.",
+	"bambooweir_panics":             "Panics that ended the handling of one request, message or response, over all daemons of the process.",
 	"bambooweir_calls_running":      "Calls that this daemon's target is running.",
 	"bambooweir_calls_waiting":      "Calls that wait for a slot at the target.",
 	"bambooweir_slots":              "Number of calls that the target runs at a time.",
@@ -87,7 +88,7 @@
 
 // packageByMapName maps the name of a counter map to its package, where the two
 // differ.
-var packageByMapName = map[string]string{"store": "platform"}
+var packageByMapName = map[string]string{"store": "platform", "key-table": "fencer"}
 
 // metricsRows returns the rows of the table in docs/METRICS.md.
 func metricsRows(t *testing.T) []string {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -64,6 +64,8 @@
 	// CauseNeverDelivered means that the call had not begun when its outcome was
 	// requested over another link, and never will.
 	CauseNeverDelivered = "never-delivered"
+	// CauseInternal means that this daemon failed while it handled the call.
+	CauseInternal = "internal-error"
 )
 
 // Counters count the calls and messages that an Executor handled.
@@ -174,7 +176,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return caller.Err() == nil }}
-	return x.withTargetState(call, x.countOutcome(x.runOrRepeat(ctx, r)))
+	return x.runSafely(ctx, r)
 }
 
 // runOrRepeat runs the call. If it has an idempotency key that was used before, it
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -7,6 +7,7 @@
 
 	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 )
 
 // servedLink is one call link that another daemon opened.
@@ -44,10 +45,31 @@
 		if err != nil {
 			return err
 		}
-		x.handle(ctx, l, m)
+		if !x.handleSafely(ctx, l, m) {
+			return errHandling
+		}
 	}
 }
 
+// errHandling means that handling a message of a link panicked. The link is closed, and
+// its peer requests the outcomes of its calls over another one.
+var errHandling = errors.New("handling a message failed")
+
+// handleSafely handles one message and reports whether that did not panic.
+func (x *Executor) handleSafely(ctx context.Context, l *servedLink, m messenger.Message) (ok bool) {
+	defer recoverer.Recover(x.Log, "message", nil)
+	x.handle(ctx, l, m)
+	return true
+}
+
+// goSafely runs f in a goroutine and contains its panics.
+func (x *Executor) goSafely(task string, f func()) {
+	go func() {
+		defer recoverer.Recover(x.Log, task, nil)
+		f()
+	}()
+}
+
 func (x *Executor) addLink(l *servedLink) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -72,13 +94,13 @@
 	case *messenger.Cancel:
 		x.cancel(m.ID)
 	case *messenger.Reserve:
-		go x.send(ctx, l, x.reserveBody(m))
+		x.goSafely("reserve", func() { x.send(ctx, l, x.reserveBody(m)) })
 	case *messenger.Reattach:
 		x.reattach(ctx, l, m)
 	case *messenger.KeyQuery:
-		go x.answerQuery(ctx, l, m)
+		x.goSafely("key-query", func() { x.answerQuery(ctx, l, m) })
 	case *messenger.KeyHandover:
-		go x.receiveHandover(ctx, l, m)
+		x.goSafely("key-handover", func() { x.receiveHandover(ctx, l, m) })
 	case *messenger.Probe:
 		x.Calls.Acknowledge(m.Acks)
 		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: x.isDraining()}) }()
@@ -166,7 +188,7 @@
 	x.running[call.ID] = r
 	x.mu.Unlock()
 	accepted := time.Now()
-	answer := x.withTargetState(call, x.countOutcome(x.runOrRepeat(runCtx, r)))
+	answer := x.runSafely(runCtx, r)
 	answer.HandlingUS = max(1, time.Since(accepted).Microseconds())
 	x.mu.Lock()
 	delete(x.running, call.ID)
@@ -175,6 +197,15 @@
 	x.send(ctx, l, answer)
 }
 
+// runSafely runs the call and returns the answer with the target's state. If that
+// panics, the outcome is unknown.
+func (x *Executor) runSafely(ctx context.Context, r *run) (answer *messenger.Answer) {
+	defer recoverer.Recover(x.Log, "call", func() {
+		answer = x.countOutcome(messenger.Unknown(r.call.ID, CauseInternal))
+	})
+	return x.withTargetState(r.call, x.countOutcome(x.runOrRepeat(ctx, r)))
+}
+
 // finish records the outcome of a call, which must happen before the answer is sent.
 // Answers of idempotent calls are not kept.
 func (x *Executor) finish(call *messenger.Call, answer *messenger.Answer) {
--- a/fencer/keys.go
+++ b/fencer/keys.go
@@ -32,12 +32,15 @@
 	return fmt.Sprintf("key is held for instance %q", e.Holder.InstanceID)
 }
 
-// KeyCounters count the decisions of a KeyTable: keys claimed for a call, repeats of
-// a known key, look-ups of a key held for another daemon, keys refused because
-// the table was full, keys handed over to other daemons, and keys taken from
-// them.
+// KeyCounters count the decisions of a KeyTable.
 type KeyCounters struct {
-	Claimed, Repeated, Held, Full, HandedOver, Taken expvar.Int
+	// Claimed counts idempotency keys claimed for a call, Repeated look-ups of a known
+	// key, Held look-ups of a key that is held for another daemon, and Full keys that
+	// were refused because the table was full.
+	Claimed, Repeated, Held, Full expvar.Int
+	// HandedOver counts idempotency keys handed over to other daemons, Taken those
+	// taken from them.
+	HandedOver, Taken expvar.Int
 }
 
 // keyEntry is the entry of one key.
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 )
 
 const (
@@ -85,6 +86,7 @@
 
 // receive delivers answers to the calls that wait for them, until the link fails.
 func (l *callLink) receive() {
+	defer recoverer.Recover(l.forwarder.Log, "answer", l.fail)
 	for {
 		m, err := l.conn.Receive(context.Background())
 		var malformed *messenger.MalformedError
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"bambooweir.example/bambooweir/recoverer"
 )
 
 const (
@@ -192,6 +194,12 @@
 // handle runs the handler of a request.
 func (c *conn) handle(x *exchange, arrived time.Time) {
 	defer close(x.done)
+	defer recoverer.Recover(c.server.Log, "request", func() {
+		// What the handler did before it failed is not known.
+		x.response = newResponse()
+		x.response.header.Set("Connection", "close")
+		x.response.WriteHeader(http.StatusInternalServerError)
+	})
 	ctx := context.WithValue(c.ctx, arrivalKey{}, arrived)
 	c.server.Handler.ServeHTTP(x.response, x.req.WithContext(ctx))
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Limits bounds the size and the time of callers' requests.
@@ -54,6 +56,8 @@
 	// Limits returns the limits for the next request of a connection.
 	Limits   func() Limits
 	Counters Counters
+	// Log receives an event for each panic of Handler; nil disables logging.
+	Log *zap.Logger
 
 	draining atomic.Bool
 	mu       sync.Mutex
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -262,3 +262,17 @@
 		}
 	})
 }
+
+// A panic of the handler must not end the process: the caller gets status 500, which
+// promises nothing, on a connection that closes.
+func TestPanicOfTheHandlerEndsOneConnection(t *testing.T) {
+	_, c := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "part of an answer")
+		panic("test")
+	})
+	send(t, c, get("/x"))
+	status, body, closes := receive(t, bufio.NewReader(c))
+	if status != http.StatusInternalServerError || body != "" || !closes {
+		t.Errorf("got status %d, body %q, closes %v, want 500, none, true", status, body, closes)
+	}
+}
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
@@ -106,11 +108,7 @@
 // value that cannot be decoded is refused as a whole and skipped until the next
 // one replaces it; the version that this daemon holds is returned then.
 func (s *Spreader) handleExternalItem(item storer.Item, began time.Time) versioner.Version {
-	doc, err := s.External.Decode(item.Value)
-	var digest versioner.Digest
-	if err == nil {
-		digest, err = doc.Digest()
-	}
+	doc, digest, err := s.decodeExternal(item.Value)
 	if err != nil {
 		s.Counters.Malformed.Add(1)
 		s.Log.Error("version-refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
@@ -122,6 +120,19 @@
 	return doc.Version
 }
 
+// errDecodePanic means that decoding a configuration panicked.
+var errDecodePanic = errors.New("decoding the configuration failed")
+
+// decodeExternal returns the document that the value holds, and its digest.
+func (s *Spreader) decodeExternal(value []byte) (doc *versioner.Document, digest versioner.Digest, err error) {
+	defer recoverer.Recover(s.Log, "external-configuration", func() { err = errDecodePanic })
+	if doc, err = s.External.Decode(value); err != nil {
+		return nil, digest, err
+	}
+	digest, err = doc.Digest()
+	return doc, digest, err
+}
+
 // deltaSizeDivisor limits the deltas that are kept: to be worth its upkeep, a
 // delta must have at most 1/deltaSizeDivisor as many entries as the document.
 const deltaSizeDivisor = 2
--- /dev/null
+++ b/spreader/malformed_test.go
@@ -0,0 +1,87 @@
+package spreader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
+)
+
+// allMessageKinds is above the highest kind of message.
+const allMessageKinds = 64
+
+// emptyMessages returns a message of every kind as it is decoded when all its fields
+// are missing.
+func emptyMessages(t *testing.T) []messenger.Message {
+	t.Helper()
+	var messages []messenger.Message
+	for kind := range allMessageKinds {
+		for _, body := range []byte{0xa0, 0x80} { // an empty map, an empty array
+			if m, err := messenger.Decode([]byte{byte(kind), body}); err == nil {
+				messages = append(messages, m)
+			}
+		}
+	}
+	if len(messages) == 0 {
+		t.Fatal("no message was decoded")
+	}
+	return messages
+}
+
+// A message whose fields are all missing must do no harm to the daemon that handles it,
+// whatever its kind: one peer's fault would otherwise end every daemon that it reaches.
+func TestEmptyMessagesDoNotPanic(t *testing.T) {
+	for _, m := range emptyMessages(t) {
+		synctest.Test(t, func(t *testing.T) {
+			defer func() {
+				if cause := recover(); cause != nil {
+					t.Errorf("empty %T: panic: %v", m, cause)
+				}
+			}()
+			s := newIdleSpreader()
+			s.handle(t.Context(), newIdleSession(s), m)
+		})
+	}
+}
+
+// Random bytes that decode as a message must do no harm to the daemon either.
+func TestRandomMessagesDoNotPanic(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.IntRange(1, allMessageKinds).Draw(rt, "kind")
+		pairs := rapid.SliceOfN(rapid.Byte(), 0, 24).Draw(rt, "bytes")
+		m, err := messenger.Decode(append([]byte{byte(kind), 0xa0 | byte(min(len(pairs)/2, 15))}, pairs...))
+		if err != nil {
+			return
+		}
+		var cause any
+		synctest.Test(t, func(t *testing.T) {
+			defer func() { cause = recover() }()
+			s := newIdleSpreader()
+			s.handle(t.Context(), newIdleSession(s), m)
+		})
+		if cause != nil {
+			rt.Fatalf("%T: panic: %v", m, cause)
+		}
+	})
+}
+
+// A panic while a session's message is handled must end that session alone.
+func TestPanicEndsOneSession(t *testing.T) {
+	s := newIdleSpreader()
+	s.Log = zap.NewNop()
+	before := recoverer.Panics.Value()
+	if s.handleSafely(context.Background(), nil, &messenger.Pull{}) {
+		t.Error("message of no session: got handled, want a contained panic")
+	}
+	if got := recoverer.Panics.Value() - before; got != 1 {
+		t.Errorf("panics: got %d, want 1", got)
+	}
+	if !s.handleSafely(context.Background(), newIdleSession(s), &messenger.Pull{}) {
+		t.Error("next session's message: got a panic, want it handled")
+	}
+}
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -169,10 +170,22 @@
 		if err != nil {
 			return err
 		}
-		s.handle(ctx, sess, m)
+		if !s.handleSafely(ctx, sess, m) {
+			return errHandling
+		}
 	}
 }
 
+// errHandling means that handling a message of a session panicked.
+var errHandling = errors.New("handling a message failed")
+
+// handleSafely handles one message and reports whether that did not panic.
+func (s *Spreader) handleSafely(ctx context.Context, sess *session, m messenger.Message) (ok bool) {
+	defer recoverer.Recover(s.Log, "session-message", nil)
+	s.handle(ctx, sess, m)
+	return true
+}
+
 // receive reads one message. It fails when none arrives for SilentAfter.
 func (s *Spreader) receive(ctx context.Context, link *messenger.Link) (messenger.Message, error) {
 	readCtx, cancel := context.WithTimeout(ctx, s.cfg.SilentAfter)
