Ask partners' consent for splits that lead to their services

Cause: the authorizer, the planner and the checker read a route's service and not its split. A split could lead any share of a partner's calls to another partner's service without that partner's approval; the plan did not show it, and the checker reported the empty service name of each split route as missing. Ruled out: the validator and exceptions' owners, which read all parts. Change: all three read every part; a greater share for another partner's service needs its approval as a new one does, a smaller one doesn't; lists of tables are decoded; the order of a route's hosts and methods doesn't matter to captured-route. Conclusion: no partner's terms change by a split without its word.

--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -70,6 +70,39 @@
 	return fmt.Sprintf("[route.new]\npartner = \"magnolia\"\nservice = %q\nclass = \"lookup\"\npath-prefix = %q\n%s", service, path, more)
 }
 
+// splitRoute returns an entry of a new route of partner magnolia that splits its calls;
+// each part is "service = weight".
+func splitRoute(parts ...string) string {
+	text := "[route.new]\npartner = \"magnolia\"\nclass = \"lookup\"\npath-prefix = \"/new\"\n"
+	for _, p := range parts {
+		service, weight, _ := strings.Cut(p, " = ")
+		text += fmt.Sprintf("[[route.new.split]]\nservice = %q\nweight = %s\n", service, weight)
+	}
+	return text
+}
+
+// A greater share of a split for another partner's service must need that partner's
+// approval, a smaller one or another order of hosts must not.
+func TestAuthorizeChangedSplit(t *testing.T) {
+	for _, tt := range []struct {
+		name, before, after, want string
+	}{
+		{"greater share", splitRoute("ledger-view = 9", "catalogue = 1"), splitRoute("ledger-view = 1", "catalogue = 9"), "foreign-service regie"},
+		{"smaller share", splitRoute("ledger-view = 9", "catalogue = 1"), splitRoute("ledger-view = 19", "catalogue = 1"), ""},
+		{"all calls in place of a part", splitRoute("ledger-view = 9", "catalogue = 1"), route("catalogue", "/new", ""), "foreign-service regie"},
+		{"hosts in another order", route("ledger-view", "/stock/canes", `hosts = ["a", "b"]`), route("ledger-view", "/stock/canes", `hosts = ["b", "a"]`), ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			from := with(t, with(t, new(versioner.Document), base), tt.before)
+			var a authorizer.Authorizer
+			got := rules(t, a.Authorize(&acceptor.Change{Token: magnoliaToken}, from, with(t, from, tt.after)))
+			if got != tt.want {
+				t.Errorf("refusals: got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestAuthorize checks which approvals each edit by partner magnolia needs, and that
 // the consent of the other partner, but not the author's own, allows the change.
 func TestAuthorize(t *testing.T) {
@@ -102,6 +135,8 @@
 		{"class default", "[class.posting]\nidempotent = true", []string{"shared-default "}, "regie"},
 		{"exception for all partners", "[exception.x]\nfailure-domain = \"moelan\"\nsetting = \"eject-ms\"\nvalue = 500\nreason = \"x\"", []string{"shared-default "}, "regie"},
 		{"route to another's service", route("catalogue", "/catalogue", ""), []string{"foreign-service regie"}, "regie"},
+		{"split that leads to another's service", splitRoute("ledger-view = 9", "catalogue = 1"), []string{"foreign-service regie"}, "regie"},
+		{"split over own services", splitRoute("ledger-view = 9", "payout-desk = 1") + "[service.payout-desk]\npartner = \"magnolia\"", nil, ""},
 		{"route below another's path", route("ledger-view", "/stock/canes", ""), []string{"captured-route regie"}, "regie"},
 		{"route above another's path, with a host", route("ledger-view", "/", `hosts = ["shop.example"]`), []string{"captured-route regie"}, "regie"},
 		{"route above another's path", route("ledger-view", "/", ""), nil, ""},
--- a/authorizer/requirements.go
+++ b/authorizer/requirements.go
@@ -108,18 +108,42 @@
 	return planner.ExceptionOwners(doc, e.Exception)
 }
 
-// addForeignService adds the approval of the partner to whose service an edited route
-// newly leads, if that is not the route's own partner.
+// addForeignService adds the approval of each partner to whose service an edited route
+// newly leads, or leads a greater share of its calls, if that is not the route's own
+// partner.
 func (r *requirements) addForeignService(e planner.Edit) {
 	route := e.After.Route
-	service, ok := r.to.Find(versioner.Key{Kind: versioner.KindService, Name: route.Service})
-	if !ok || service.Service.Partner == route.Partner {
-		return
+	for _, name := range route.Services() {
+		service, ok := r.to.Find(versioner.Key{Kind: versioner.KindService, Name: name})
+		if !ok || service.Service.Partner == route.Partner {
+			continue
+		}
+		if e.Before != nil && e.Before.Route.Partner == route.Partner && shareOf(e.Before.Route, name) >= shareOf(route, name) {
+			continue
+		}
+		r.add(e.Key, RuleService, service.Service.Partner, "calls would load service %s of partner %s", name, service.Service.Partner)
 	}
-	if e.Before != nil && e.Before.Route.Service == route.Service && e.Before.Route.Partner == route.Partner {
-		return
+}
+
+// shareOf returns the share of the route's calls that a service gets, 0 to 1.
+func shareOf(route *versioner.Route, service string) float64 {
+	if len(route.Split) == 0 {
+		if route.Service == service {
+			return 1
+		}
+		return 0
+	}
+	weight, total := 0, 0
+	for _, p := range route.Split {
+		total += p.Weight
+		if p.Service == service {
+			weight += p.Weight
+		}
+	}
+	if total == 0 {
+		return 0
 	}
-	r.add(e.Key, RuleService, service.Service.Partner, "calls would load service %s of partner %s", route.Service, service.Service.Partner)
+	return float64(weight) / float64(total)
 }
 
 // addCapturedRoutes adds the approval of each partner from whose routes the edited
@@ -163,12 +187,12 @@
 	return ok && (rest == "" || rest[0] == '/')
 }
 
-// samePattern reports whether two routes have the same path prefix, hosts and methods,
-// listed in the same order.
+// samePattern reports whether two routes have the same path prefix, hosts and methods, in
+// any order.
 func samePattern(a, b *versioner.Route) bool {
 	return a.PathPrefix == b.PathPrefix && equalLists(a.Hosts, b.Hosts) && equalLists(a.Methods, b.Methods)
 }
 
 func equalLists(a, b []string) bool {
-	return strings.Join(a, "\n") == strings.Join(b, "\n")
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
 }
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -194,9 +194,11 @@
 			if e.Route == nil {
 				continue
 			}
-			key := versioner.Key{Kind: versioner.KindService, Name: e.Route.Service}
-			if _, ok := doc.Find(key); !ok {
-				c.addViolation(ReferencesClosed, subject, "%s refers to %s, which does not exist", e.Key, key)
+			for _, service := range e.Route.Services() {
+				key := versioner.Key{Kind: versioner.KindService, Name: service}
+				if _, ok := doc.Find(key); !ok {
+					c.addViolation(ReferencesClosed, subject, "%s refers to %s, which does not exist", e.Key, key)
+				}
 			}
 		}
 	}
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -67,6 +67,12 @@
 			digest, _ := r.Documents[0].Digest()
 			r.Applied["d1"][0].Digest, r.Accepted[1] = digest.String(), digest
 		}, ReferencesClosed},
+		{"a part of a route's split names an absent service", func(r *Records) {
+			route := r.Documents[0].Entries[0].Route
+			route.Split, route.Service = []versioner.Part{{Service: route.Service, Weight: 1}, {Service: "absent", Weight: 1}}, ""
+			digest, _ := r.Documents[0].Digest()
+			r.Applied["d1"][0].Digest, r.Accepted[1] = digest.String(), digest
+		}, ReferencesClosed},
 		{"posting runs twice", func(r *Records) { addRun(r, faketarget.Run{CallID: "answered"}) }, RunsAtMostOnce},
 		{"two calls with one key run", func(r *Records) { addRun(r, faketarget.Run{CallID: "again", IdempotencyKey: "k1"}) }, RunsAtMostOnce},
 		{"refused call runs", func(r *Records) { addRun(r, faketarget.Run{CallID: "refused"}) }, NotRunIsTrue},
--- a/decoder/types.go
+++ b/decoder/types.go
@@ -46,7 +46,7 @@
 		if !ok {
 			return f.rejectValue(path, "a list", value)
 		}
-		return !slices.ContainsFunc(list, func(v any) bool { return !f.checkScalar(path, v, t.Elem()) })
+		return !slices.ContainsFunc(list, func(v any) bool { return !f.checkValue(path, v, t.Elem()) })
 	default:
 		return f.checkScalar(path, value, t)
 	}
--- a/planner/impact.go
+++ b/planner/impact.go
@@ -58,16 +58,17 @@
 	}
 }
 
-// addRoute adds a route to the impacts on its owner and on the owner of its
-// service.
+// addRoute adds a route to the impacts on its owner and on the owners of its
+// services.
 func (b *planBuilder) addRoute(doc *versioner.Document, name string, r *versioner.Route) {
 	i := b.impactOn(r.Partner)
 	i.Routes = append(i.Routes, name)
-	e, ok := doc.Find(versioner.Key{Kind: versioner.KindService, Name: r.Service})
-	if ok && e.Service.Partner != r.Partner {
-		owner := b.impactOn(e.Service.Partner)
-		owner.Routes = append(owner.Routes, name)
-		owner.Services = append(owner.Services, r.Service)
+	for _, service := range r.Services() {
+		if partner := serviceOwner(doc, service); partner != "" && partner != r.Partner {
+			owner := b.impactOn(partner)
+			owner.Routes = append(owner.Routes, name)
+			owner.Services = append(owner.Services, service)
+		}
 	}
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -70,6 +70,8 @@
 			"update service.catalogue\nmagnolia[] [stock]\nregie[catalogue] []"},
 		{"deleted route to another partner's service", "delete = [\"route.stock\"]",
 			"delete route.stock\nmagnolia[] [stock]\nregie[catalogue] [stock]"},
+		{"split that leads to another partner's service", "[route.shares]\npartner = \"magnolia\"\npath-prefix = \"/shares\"\nclass = \"lookup\"\nsplit = [{ service = \"ledger-view\", weight = 9 }, { service = \"catalogue\", weight = 1 }]",
+			"update route.shares\nmagnolia[] [shares]\nregie[catalogue] [shares]"},
 		{"default that an exception overrides", "[fleet]\neject-ms = 7000",
 			"create fleet.defaults\nmagnolia[] [] eject-ms{  }:5000->7000\nregie[] [] eject-ms{  }:5000->7000 slow=500 default 7000"},
 		{"exception", "[exception.slow]\nservice = \"catalogue\"\nsetting = \"eject-ms\"\nvalue = 600\nreason = \"slow\"",
