Answer unknown when a keyed call is refused before its key is looked up

Cause: the owner's daemon refuses a call when its table of calls or its buffers are full, and the entry daemon when the deadline has passed, before the key is looked up. The caller was told not-run although an earlier call with the key may have run, against the invariant of dispatchKeyed. Ruled out: refusals by the limiter, which come after the look-up. Change: these three causes become unknown, with the same cause. Conclusion: not-run of a keyed call means that its owner looked the key up.

--- a/forwarder/keyed.go
+++ b/forwarder/keyed.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -41,6 +42,11 @@
 	var unknown *messenger.Answer
 	for {
 		answer := f.tryKeyOwner(ctx, x, key)
+		if answer.Outcome == messenger.OutcomeNotRun && refusedUnseenCauses[answer.Cause] {
+			unseen := messenger.Unknown(x.call.ID, answer.Cause)
+			unseen.RetryAfterMS = cmp.Or(answer.RetryAfterMS, unavailableRetryAfterMS)
+			return unseen
+		}
 		if !missedKeyOwner(answer) {
 			return answer
 		}
@@ -58,6 +64,12 @@
 	}
 }
 
+// refusedUnseenCauses holds the causes of refusals that a daemon may make before the
+// key's owner has looked the key up.
+var refusedUnseenCauses = map[string]bool{
+	causeDeadline: true, executor.CauseTableFull: true, executor.CauseBuffersFull: true,
+}
+
 // missedKeyOwner reports whether the attempt did not reach the key's owner, so that it
 // can be made again.
 func missedKeyOwner(answer *messenger.Answer) bool {
--- a/forwarder/keys_test.go
+++ b/forwarder/keys_test.go
@@ -259,3 +259,15 @@
 		wantAllRuns(t, m, 1)
 	})
 }
+
+// A key's owner whose table of calls is full refuses a call before it has looked up the
+// key. If an earlier call with the key has run, the repeat must not be told that it has
+// not: its caller might post again under another key.
+func TestRefusalBeforeTheKeyIsLookedUpIsUnknown(t *testing.T) {
+	runInMesh(t, threeTargets, func(t *testing.T, m *mesh) {
+		wantResponse(t, m.post("k", "1"), "200", "ran 1")
+		m.keyOwner().executor.Calls.MaxCalls = -1
+		wantResponse(t, m.post("k", "1"), "502", "unknown", "call-table-full")
+		wantAllRuns(t, m, 1)
+	})
+}
