Leave out of answers to key queries what the asker knows

Cause: each answer to a query for a key lists every process that its sender knows. While an owner is new or a target drains, which in a large service is nearly always so, one keyed call costs n queries and n lists of n processes. Ruled out: leaving the lists out altogether; the asker needs them to learn of processes that it doesn't know (TestKeyOwnerRestartUnknownToOthers). Change: a query carries a digest of the processes that the asker knows, and an answer whose sender knows the same says so in place of the list. Processes whose records report the handover are not listed as such, and askers that have handed over their keys no longer count as known. Conclusion: a keyed call costs n short messages while it must ask, and none else.

--- a/executor/keycheck.go
+++ b/executor/keycheck.go
@@ -48,8 +48,12 @@
 	if !mustAsk {
 		return nil
 	}
-	query := &messenger.KeyQuery{Key: key, Request: request, Asker: x.InstanceID, Incarnation: x.Incarnation}
-	if refusal := x.queryPeers(ctx, call, slices.Collect(maps.Values(peers)), query); refusal != nil {
+	known := x.knownProcesses(service)
+	query := &messenger.KeyQuery{
+		Key: key, Request: request, Asker: x.InstanceID, Incarnation: x.Incarnation,
+		KnownDigest: messenger.DigestProcesses(known),
+	}
+	if refusal := x.queryPeers(ctx, call, slices.Collect(maps.Values(peers)), query, known); refusal != nil {
 		return refusal
 	}
 	// Processes may have been lost while the peers were queried, and a new daemon
@@ -103,8 +107,8 @@
 // if none of them knows the key, and every process that one of them knows has
 // answered or has handed over its keys. In that case it also extends this daemon's
 // loss-free history of keys by theirs. Otherwise it returns the answer for the
-// caller.
-func (x *Executor) queryPeers(ctx context.Context, call *messenger.Call, peers []tracker.Record, q *messenger.KeyQuery) *messenger.Answer {
+// caller. The query carries the digest of the known processes.
+func (x *Executor) queryPeers(ctx context.Context, call *messenger.Call, peers []tracker.Record, q *messenger.KeyQuery, known []messenger.Process) *messenger.Answer {
 	k := &x.KeyCoordinator
 	answers := make([]*messenger.Answer, len(peers))
 	var g errgroup.Group
@@ -134,8 +138,12 @@
 		answered[messenger.Process{InstanceID: peers[i].InstanceID, Incarnation: answer.Coverage.Incarnation}] = true
 	}
 	for _, answer := range answers {
-		for _, p := range answer.Coverage.Known {
-			if !answered[p] && !k.hasHandedOver(p) {
+		needed := answer.Coverage.Known
+		if answer.Coverage.SameKnown {
+			needed = known
+		}
+		for _, p := range needed {
+			if !answered[p] && !k.hasLeftAfterHandover(call.Service, p) {
 				return messenger.Unknown(call.ID, CauseKeyOwnerLost)
 			}
 		}
--- a/executor/keys.go
+++ b/executor/keys.go
@@ -150,6 +150,9 @@
 		}
 		unseen := messenger.NotRun(q.ID, CauseKeyUnseen)
 		unseen.Coverage = x.keyHistory()
+		if messenger.DigestProcesses(unseen.Coverage.Known) == q.KnownDigest {
+			unseen.Coverage.Known, unseen.Coverage.SameKnown = nil, true
+		}
 		k.noteAsker(messenger.Process{InstanceID: q.Asker, Incarnation: q.Incarnation})
 		return unseen
 	}
@@ -163,15 +166,33 @@
 	m := &messenger.KeyCoverage{Incarnation: x.Incarnation, HandedOver: k.handedOverProcesses(), Known: k.recentAskers()}
 	if k.Peers != nil && x.Service != nil {
 		service := x.Service()
-		for _, r := range slices.Concat(k.Peers.Service(service), k.Peers.Draining(service)) {
-			m.Known = append(m.Known, processOf(r))
-		}
+		m.Known = x.knownProcesses(service)
+		recorded := make(map[messenger.Process]bool)
 		for _, d := range k.Peers.Departed(service) {
 			if !k.isHandedOver(d.Record) {
 				lossFree = min(lossFree, time.Since(d.At))
 			}
+			recorded[processOf(d.Record)] = d.Record.HandedOver
 		}
+		m.HandedOver = slices.DeleteFunc(m.HandedOver, func(p messenger.Process) bool { return recorded[p] })
 	}
 	m.CoveredMS = lossFree.Milliseconds()
 	return m
 }
+
+// knownProcesses returns this process and those of the other targets' daemons that may
+// hold keys of the service: the ones that have not left, and those that queried keys here
+// and have not handed over theirs since. Peers must be set.
+func (x *Executor) knownProcesses(service string) []messenger.Process {
+	k := &x.KeyCoordinator
+	known := []messenger.Process{{InstanceID: x.InstanceID, Incarnation: x.Incarnation}}
+	for _, r := range slices.Concat(k.Peers.Service(service), k.Peers.Draining(service)) {
+		known = append(known, processOf(r))
+	}
+	for _, p := range k.recentAskers() {
+		if !k.hasLeftAfterHandover(service, p) {
+			known = append(known, p)
+		}
+	}
+	return known
+}
--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -146,3 +146,32 @@
 		wantAllRuns(t, m, 1)
 	})
 }
+
+// While a target drains, its service's owners query all others before they run a key.
+// Where all daemons know the same processes, the answers must not list them: the bytes of
+// one call would grow with the square of the service.
+func TestKeyQueriesDoNotListKnownProcesses(t *testing.T) {
+	names := namesOfTargets(40)
+	runInMesh(t, names, func(t *testing.T, m *mesh) {
+		listed := new(atomic.Int64)
+		for _, f := range m.targets {
+			f.executor.KeyCoordinator.Ask = func(ctx context.Context, to tracker.Record, id messenger.CallID, message messenger.Message) (*messenger.Answer, error) {
+				answer, err := m.forwarder.Ask(ctx, to, id, message)
+				if err == nil && answer.Coverage != nil {
+					listed.Add(int64(len(answer.Coverage.Known) + len(answer.Coverage.HandedOver)))
+				}
+				return answer, err
+			}
+		}
+		if err := m.targets[names[0]].leave(m.ctx); err != nil {
+			t.Fatal(err)
+		}
+		m.targets[names[1]].announce(tracker.StateDraining, false)
+		for n := range 5 {
+			wantResponse(t, m.post(fmt.Sprint("k", n), "1"), "200", "ran 1")
+		}
+		if got := listed.Load(); got != 0 {
+			t.Errorf("processes listed in answers: got %d, want none", got)
+		}
+	})
+}
--- a/messenger/keys.go
+++ b/messenger/keys.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,6 +45,9 @@
 	// identifies its process.
 	Asker       string `cbor:"4,keyasint"`
 	Incarnation uint64 `cbor:"5,keyasint"`
+	// KnownDigest is the digest of the processes that the asker knows; see
+	// DigestProcesses.
+	KnownDigest uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Process identifies one process of an instance.
@@ -53,6 +57,25 @@
 	Incarnation uint64
 }
 
+// DigestProcesses returns a digest of a set of processes. It doesn't depend on their
+// order, and a process that occurs more than once counts once.
+func DigestProcesses(processes []Process) uint64 {
+	seen := make(map[Process]bool, len(processes))
+	var sum uint64
+	for _, p := range processes {
+		if seen[p] {
+			continue
+		}
+		seen[p] = true
+		var h xxhash.Digest
+		h.Reset()
+		_, _ = h.WriteString(p.InstanceID)
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, p.Incarnation))
+		sum += h.Sum64()
+	}
+	return sum
+}
+
 // KeyCoverage states for how long a daemon knows that no key of its service was
 // lost, and which processes that depends on.
 type KeyCoverage struct {
@@ -61,11 +84,14 @@
 	// in HandedOver still exists.
 	CoveredMS int64 `cbor:"1,keyasint"`
 	// Known lists the processes of the daemons of the service's targets that the
-	// daemon knows.
-	Known []Process `cbor:"2,keyasint,omitempty"`
+	// daemon knows. In the answer to a KeyQuery it is empty if these are the ones that
+	// the query's KnownDigest describes, and SameKnown is set.
+	Known     []Process `cbor:"2,keyasint,omitempty"`
+	SameKnown bool      `cbor:"5,keyasint,omitempty"`
 	// Incarnation identifies the process of the daemon that makes this statement.
 	Incarnation uint64 `cbor:"3,keyasint"`
-	// HandedOver lists processes that left after they had handed over all their keys.
+	// HandedOver lists processes that left after they had handed over all their keys,
+	// except those whose records say so.
 	HandedOver []Process `cbor:"4,keyasint,omitempty"`
 }
 
