Hold targets to repeating request IDs once they have repeated one

Cause: a target of the product's own deployments need not repeat a request's ID, so the client accepted any response. A second copy of an answer that arrives late, on a connection that carries the next request, was delivered to that request's caller. On the users' platform every response must repeat the ID (TestStrayResponseIsDiscarded). Ruled out: copies that arrive while the connection is idle, which close it. Change: every request to a target has an ID; once a target has repeated one, a response without it or with another belongs to no request. The fake target repeats it. A caller gets the ID once where the target repeats it. Before: TestOptionalIDIsRequiredOnceRepeated does not compile (no such mode); with the strict check of IDs in its place, the target without IDs is never answered. After: passes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,7 @@
 	if cfg.Platform {
 		d.configurePlatform()
 	}
+	d.executor.Requester.IDField = d.executor.Headers.WithDefaults().RequestID
 	d.applySettings(cfg)
 	d.executor.KeyCoordinator.Peers = d.table
 	d.executor.KeyCoordinator.Ask = d.forwarder.Ask
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -110,8 +110,9 @@
 	// RunID returns the ID of the target's current run. Requests carry it so that no
 	// other run accepts them. If it is nil or returns "", they carry none.
 	RunID func() string
-	// EchoesID is set if the target repeats the request's ID on its answers, so that
-	// an answer without it belongs to no request.
+	// EchoesID is set if the target always repeats the request's ID on its answers, so
+	// that an answer without it belongs to no request. Otherwise that holds once the
+	// target has repeated one, and calls without an ID get one.
 	EchoesID bool
 	// Requester holds the connections to the target.
 	Requester requester.Requester
--- a/executor/target.go
+++ b/executor/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
@@ -43,8 +44,10 @@
 		Method: call.Method, Target: call.Target, Host: call.Host, Fields: fields, Body: call.Body,
 		IsRepeatable: call.Idempotent,
 	}
-	if x.EchoesID {
-		req.ID = call.RequestID
+	req.ID, req.IsIDOptional = call.RequestID, !x.EchoesID
+	if req.ID == "" && !x.EchoesID {
+		req.ID = hex.EncodeToString(call.ID[:])
+		req.Fields = append(req.Fields, messenger.Header{Name: names.RequestID, Value: req.ID})
 	}
 	return req, ""
 }
--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -110,6 +111,9 @@
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
+	if id := r.Header.Get(messenger.HeaderNames{}.WithDefaults().RequestID); id != "" {
+		w.Header().Set(messenger.HeaderNames{}.WithDefaults().RequestID, id)
+	}
 	i := t.beginRun(r)
 	defer t.finishRun(i)
 	if b.CrashOnCall {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -365,7 +365,13 @@
 		return
 	}
 	h := w.Header()
+	requestID := f.Headers.WithDefaults().RequestID
 	for _, field := range answer.Headers {
+		if field.Name == requestID {
+			// The target repeats the request's ID, which ServeHTTP may have set already.
+			h.Set(requestID, field.Value)
+			continue
+		}
 		h[field.Name] = append(h[field.Name], field.Value)
 	}
 	if r.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
--- a/requester/conn.go
+++ b/requester/conn.go
@@ -178,7 +178,7 @@
 			c.close(err)
 			return
 		}
-		if p.req.ID != "" && res.Header.Get(c.requester.IDField) != p.req.ID {
+		if !c.requester.isResponseTo(p.req, res) {
 			c.requester.Counters.Stray.Add(1)
 			if stray++; stray > maxStrayResponses || keep == 0 {
 				c.close(errUnsolicited)
@@ -196,6 +196,22 @@
 	}
 }
 
+// isResponseTo reports whether the response is the one to the request, and learns
+// whether the target repeats IDs.
+func (r *Requester) isResponseTo(req *Request, res *Response) bool {
+	if req.ID == "" {
+		return true
+	}
+	switch res.Header.Get(r.IDField) {
+	case req.ID:
+		r.repeatsIDs.Store(true)
+		return true
+	case "":
+		return req.IsIDOptional && !r.repeatsIDs.Load()
+	}
+	return false
+}
+
 // pendingRequest returns the request that the connection is carrying, or nil.
 func (c *conn) pendingRequest() *pending {
 	c.mu.Lock()
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -63,6 +63,9 @@
 	// ID is the value that the response must repeat in the field
 	// Requester.IDField; if it is "", any response is accepted.
 	ID string
+	// IsIDOptional accepts responses that repeat no ID, as long as the target has never
+	// repeated one.
+	IsIDOptional bool
 	// IsRepeatable says that it does no harm if the target gets the request twice.
 	IsRepeatable bool
 }
@@ -131,6 +134,8 @@
 	open int
 	// addr is the target's address; connections to other addresses are not reused.
 	addr string
+	// repeatsIDs is set once the target has repeated the ID of a request.
+	repeatsIDs atomic.Bool
 	// buffered is the total size of the response bodies that are being read.
 	buffered atomic.Int64
 }
@@ -161,6 +166,7 @@
 	if addr != r.addr {
 		r.closeIdle()
 		r.addr = addr
+		r.repeatsIDs.Store(false)
 	}
 	now := time.Now()
 	for len(r.idle) > 0 {
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -114,6 +114,48 @@
 	}
 }
 
+// A target that repeats IDs without having to must be held to it once it has: a late copy
+// of an earlier response, with that response's ID or without any, must not be delivered
+// to the next caller. A target that never repeats an ID must be served as before.
+func TestOptionalIDIsRequiredOnceRepeated(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		echoes bool
+		late   string
+	}{
+		{"late copy with its ID", true, responseText("1", "of 1")},
+		{"late copy without an ID", true, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nof 1"},
+		{"target without IDs", false, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+				id := r.Header.Get(idField)
+				if id == "2" {
+					fmt.Fprint(c, tt.late)
+				}
+				if tt.echoes {
+					fmt.Fprint(c, responseText(id, "of "+id))
+				} else {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nof %s", id)
+				}
+				return true
+			})
+			r := &Requester{IDField: idField}
+			for _, id := range []string{"1", "2"} {
+				req := newRequest(id)
+				req.IsIDOptional = true
+				res, err := r.Do(t.Context(), addr, req)
+				if err != nil {
+					t.Fatalf("request %s: got error %v, want none", id, err)
+				}
+				if got, want := string(res.Body), "of "+id; got != want {
+					t.Errorf("response to %s: got %q, want %q", id, got, want)
+				}
+			}
+		})
+	}
+}
+
 // A response that is malformed, truncated or belongs to another request must be
 // reported as a *LostError, since the request may have run.
 func TestInvalidResponsesLoseTheRequest(t *testing.T) {
