Refuse a late heartbeat of a leaving target after its daemon's restart

Cause: a daemon that had acknowledged its target's draining and is restarted knows nothing of it. A heartbeat that was sent before, and arrives late, says ready, and the target was in use again until its next heartbeat. Ruled out: other daemons' tables; they keep the old record until the new process announces one. Change: a record says whether the target itself is leaving. The first announcement of a new process that says ready is overtaken if the earlier process's record says that this run is leaving. Before: TestLateHeartbeatAfterTheDaemonsRestart fails in 'target was leaving' (no such record field; the announcement was accepted). After: passes. Left: the late heartbeat that arrives before the record does from a peer.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -51,6 +51,9 @@
 	// OnChange is called with each new record, in the order of their sequence
 	// numbers.
 	OnChange func(tracker.Record)
+	// Predecessor returns the record that an earlier process of this daemon made, if it
+	// is known; nil means that it never is.
+	Predecessor func() (tracker.Record, bool)
 	// HeartbeatTimeout is the time without an announcement after which the
 	// target is marked as gone. With 0 the target need not send heartbeats, and
 	// the announcer opens connections to test whether it is reachable.
@@ -176,6 +179,9 @@
 	if in.RunID == "" {
 		return nil
 	}
+	if a.record.Sequence == 0 && in.state() == tracker.StateReady && a.wasLeaving(in.Epoch) {
+		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
+	}
 	if at, ok := a.departedIDs[in.RunID]; ok && time.Since(at) < lateArrivalWindow {
 		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
 	}
@@ -186,6 +192,16 @@
 	return nil
 }
 
+// wasLeaving reports whether an earlier process of this daemon knew that the target's
+// run with the epoch is leaving. A late heartbeat may still say that it is ready.
+func (a *Announcer) wasLeaving(epoch uint64) bool {
+	if a.Predecessor == nil || epoch == 0 {
+		return false
+	}
+	r, ok := a.Predecessor()
+	return ok && r.TargetLeaving && r.Epoch == epoch
+}
+
 // markEnded records that a run has ended. A run without an id is not recorded.
 // The caller holds mu.
 func (a *Announcer) markEnded(r run) {
@@ -242,6 +258,8 @@
 	next.HandedOver = a.handedOver
 	next.Slots = a.current.Slots
 	next.ColdMS = a.coldMS
+	announced := a.current.state()
+	next.TargetLeaving = announced == tracker.StateDraining || announced == tracker.StateGone
 	same := a.record
 	same.Sequence++
 	if a.record.Sequence > 0 && next == same {
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -269,3 +269,38 @@
 		}
 	})
 }
+
+// A daemon that was restarted after its target announced that it is draining must not take
+// a late heartbeat of the same run, which still says ready, for the target's state. Another
+// run of the target, and the record of a daemon that drained itself, must not hold it back.
+func TestLateHeartbeatAfterTheDaemonsRestart(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		predecessor tracker.Record
+		epoch       uint64
+		wantStale   bool
+	}{
+		{"target was leaving", tracker.Record{State: tracker.StateDraining, TargetLeaving: true, Epoch: 7}, 7, true},
+		{"later run of the target", tracker.Record{State: tracker.StateGone, TargetLeaving: true, Epoch: 7}, 8, false},
+		{"only the daemon was draining", tracker.Record{State: tracker.StateGone, Epoch: 7}, 7, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRecorder()
+			r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, true }
+			late := Announcement{Service: "ledger-view", Address: "10.0.0.1:80", State: "ready", Epoch: tt.epoch, RunID: "i-1", Sequence: 3}
+			var stale *StaleError
+			if got := errors.As(r.Announce(late), &stale); got != tt.wantStale {
+				t.Errorf("late heartbeat: got stale %v, want %v", got, tt.wantStale)
+			}
+			draining := late
+			draining.State, draining.Sequence = "draining", 4
+			if err := r.Announce(draining); err != nil {
+				t.Fatal(err)
+			}
+			last := r.records[len(r.records)-1]
+			if last.State != tracker.StateDraining || !last.TargetLeaving {
+				t.Errorf("record: got %v, leaving %v, want draining, true", last.State, last.TargetLeaving)
+			}
+		})
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,6 +70,7 @@
 			InstanceID: cfg.InstanceID, Incarnation: uint64(time.Now().UnixNano()),
 			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress, LinkKbps: int(cfg.LinkMbps * 1000),
 		},
+		Predecessor: d.predecessor,
 		OnChange: func(r tracker.Record) {
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
@@ -151,3 +152,10 @@
 	d.operatorAPI.Register(e)
 	return e
 }
+
+// predecessor returns the record of an earlier process of this daemon, if this one has
+// it from its peers.
+func (d *Daemon) predecessor() (tracker.Record, bool) {
+	r, ok := d.table.Find(d.announcer.Self.InstanceID)
+	return r, ok && r.Incarnation < d.announcer.Self.Incarnation
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -66,6 +66,9 @@
 	// ColdMS is the time for which the target expected to be slow when its run
 	// first announced itself, in milliseconds.
 	ColdMS int `cbor:"23,keyasint,omitempty" json:"cold-ms,omitempty"`
+	// TargetLeaving reports that the target itself announced that it is draining or
+	// gone, and not only its daemon. A run of a target never takes that back.
+	TargetLeaving bool `cbor:"25,keyasint,omitempty" json:"target-leaving,omitempty"`
 	// LinkKbps is the bandwidth of the instance's network link in kilobits per
 	// second, or 0 if it is not known.
 	LinkKbps int `cbor:"24,keyasint,omitempty" json:"link-kbps,omitempty"`
