Fetch the answer of a lookup whose link was lost when it may not be retried

Cause: an idempotent call whose link had been silent for 900 ms ended as unknown (link-lost) when the budget of retries was spent, although its target was at work and its daemon only too busy to reply. Ruled out: raising the silent limit; a frozen daemon must be noticed while calls can still be answered elsewhere. Change: such a call is reattached in the end. The target's daemon keeps the answer of an idempotent call only if its outcome was requested while it ran. Before: TestSilentLinkDoesNotGiveUpALookup gets 502 link-lost. After: 200 with one run.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -136,6 +136,8 @@
 	mu      sync.Mutex
 	links   map[*servedLink]struct{} // open links, which Drain notifies
 	running map[messenger.CallID]*run
+	// kept holds the running idempotent calls whose answers are to be kept.
+	kept map[messenger.CallID]struct{}
 
 	// requests holds the requests that the target is running, by ID.
 	requestsMu sync.Mutex
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -190,10 +190,11 @@
 	accepted := time.Now()
 	answer := x.runSafely(runCtx, r)
 	answer.HandlingUS = max(1, time.Since(accepted).Microseconds())
+	x.finish(call, answer)
 	x.mu.Lock()
 	delete(x.running, call.ID)
+	delete(x.kept, call.ID)
 	x.mu.Unlock()
-	x.finish(call, answer)
 	x.send(ctx, l, answer)
 }
 
@@ -206,11 +207,33 @@
 	return x.withTargetState(r.call, x.countOutcome(x.runOrRepeat(ctx, r)))
 }
 
+// keepAnswer records that the answer of an idempotent call that is still running is to
+// be kept, since its entry daemon requests the outcome over another link.
+func (x *Executor) keepAnswer(id messenger.CallID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if _, ok := x.running[id]; !ok {
+		return
+	}
+	if x.kept == nil {
+		x.kept = make(map[messenger.CallID]struct{})
+	}
+	x.kept[id] = struct{}{}
+}
+
+// isKept reports whether the answer of a call is to be kept.
+func (x *Executor) isKept(id messenger.CallID) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, ok := x.kept[id]
+	return ok
+}
+
 // finish records the outcome of a call, which must happen before the answer is sent.
-// Answers of idempotent calls are not kept.
+// Answers of idempotent calls are not kept, unless their outcome has been requested.
 func (x *Executor) finish(call *messenger.Call, answer *messenger.Answer) {
 	x.Calls.Discard(call.ID)
-	if call.Idempotent && answer.Outcome == messenger.OutcomeAnswered {
+	if call.Idempotent && answer.Outcome == messenger.OutcomeAnswered && !x.isKept(call.ID) {
 		answer = messenger.Unknown(call.ID, CauseAnswerNotKept)
 	}
 	x.Calls.Finish(call.ID, answer)
@@ -242,6 +265,7 @@
 // reattach reports the outcome of a call whose link was lost, once it is known.
 func (x *Executor) reattach(ctx context.Context, l *servedLink, m *messenger.Reattach) {
 	x.Counters.Reattached.Add(1)
+	x.keepAnswer(m.ID)
 	if m.Incarnation != x.Incarnation {
 		go x.send(ctx, l, messenger.Unknown(m.ID, CauseOtherProcess))
 		return
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -58,6 +58,8 @@
 	// lastInstance and lastChoice are the target of the last attempt.
 	lastInstance string
 	lastChoice   picker.Choice
+	// lost is the call of the last attempt if its link was lost, else nil.
+	lost *lostCall
 	// sent counts the attempts that were sent to a target or may have been.
 	sent int
 	// unknownAttempts counts the attempts with an unknown outcome.
@@ -92,12 +94,41 @@
 		}
 		failure, again := classifyFailure(&x.call, answer)
 		if !again || x.reachedTargetLimit() || x.reachedUnknownLimit(f.MaxUnknownAttempts) || !x.retries.Retry(ctx, failure) {
-			return x.finalAnswer(answer)
+			return f.resumeLost(ctx, x, answer)
 		}
 		f.Counters.Redispatched.Add(1)
 	}
 }
 
+// lostCall is a call whose link was lost after the call had been handed to it.
+type lostCall struct {
+	call   *messenger.Call
+	target tracker.Record
+	link   *callLink
+}
+
+// resumeLost returns the answer to the caller after a last attempt that brought none. If
+// its link was lost, the target may still be running the call, and resumeLost waits for
+// that answer: the daemon beside the target may only have been too busy to reply.
+func (f *Forwarder) resumeLost(ctx context.Context, x *exchange, last *messenger.Answer) *messenger.Answer {
+	lost := x.lastLost()
+	if last.Cause != causeLinkLost || lost == nil {
+		return x.finalAnswer(last)
+	}
+	answer := f.reattach(ctx, lost.call, lost.target, lost.link)
+	if answer.Outcome != messenger.OutcomeAnswered || !answer.IsWhole() {
+		return x.finalAnswer(last)
+	}
+	return answer
+}
+
+// lastLost returns the call of the last attempt, if its link was lost, or nil.
+func (x *exchange) lastLost() *lostCall {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lost
+}
+
 // minRetryTimeRatio is the minimum ratio of the time left until the deadline to the
 // time since the request arrived, below which a server error is not retried: a
 // further attempt would probably not finish in time.
@@ -163,6 +194,7 @@
 	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
 	x.attempts++
 	x.lastInstance, x.lastChoice = choice.Record.InstanceID, choice
+	x.lost = nil
 	x.tried.Add(choice)
 	if marked {
 		call.Headers = append(slices.Clip(call.Headers), messenger.Header{Name: retrier.AttemptHeader, Value: attemptRetry})
@@ -221,7 +253,9 @@
 	began := time.Now()
 	answer := f.reserve(ctx, call, choice)
 	if answer == nil {
-		answer = f.callTarget(ctx, call, choice.Record, x.deadline)
+		var lost *lostCall
+		answer, lost = f.callOrLose(ctx, call, choice.Record, x.deadline)
+		x.setLost(lost)
 	}
 	took := time.Since(began)
 	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
@@ -259,43 +293,57 @@
 	f.drainingIncarnations[instanceID] = max(f.drainingIncarnations[instanceID], incarnation)
 }
 
-// callTarget runs one attempt at the target, locally or over a link, and returns its
-// outcome. A call that isn't idempotent is reattached when its link is lost.
+// setLost records whether the link of the last attempt was lost.
+func (x *exchange) setLost(lost *lostCall) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lost = lost
+}
+
+// callTarget is callOrLose without the lost call.
 func (f *Forwarder) callTarget(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
+	answer, _ := f.callOrLose(ctx, call, target, deadline)
+	return answer
+}
+
+// callOrLose runs one attempt at the target, locally or over a link, and returns its
+// outcome. A call that isn't idempotent is reattached when its link is lost; an
+// idempotent one is returned, so that it may be sent elsewhere first.
+func (f *Forwarder) callOrLose(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) (*messenger.Answer, *lostCall) {
 	call.RemainingMS = time.Until(deadline).Milliseconds()
 	if call.RemainingMS <= 0 {
-		return messenger.NotRun(call.ID, causeDeadline)
+		return messenger.NotRun(call.ID, causeDeadline), nil
 	}
 	if f.RunLocal != nil && target.InstanceID == f.InstanceID {
-		return f.RunLocal(ctx, call)
+		return f.RunLocal(ctx, call), nil
 	}
 	if f.IsDraining(target) {
-		return messenger.NotRun(call.ID, causeDraining)
+		return messenger.NotRun(call.ID, causeDraining), nil
 	}
 	if f.allLinksSilent(target, laneOf(call)) {
-		return messenger.NotRun(call.ID, causeSilent)
+		return messenger.NotRun(call.ID, causeSilent), nil
 	}
 	link, answer, err := f.send(ctx, call, target, deadline)
 	if link == nil && ctx.Err() != nil {
-		return messenger.NotRun(call.ID, causeDeadline)
+		return messenger.NotRun(call.ID, causeDeadline), nil
 	}
 	if link == nil {
-		return messenger.NotRun(call.ID, causeUnreachable)
+		return messenger.NotRun(call.ID, causeUnreachable), nil
 	}
 	var unsent *notSentError
 	switch {
 	case err == nil:
-		return answer
+		return answer, nil
 	case errors.As(err, &unsent):
-		return messenger.NotRun(call.ID, causeUnreachable)
+		return messenger.NotRun(call.ID, causeUnreachable), nil
 	case ctx.Err() != nil:
-		return contextAnswer(ctx, call.ID)
+		return contextAnswer(ctx, call.ID), nil
 	case call.Idempotent:
-		return messenger.Unknown(call.ID, causeLinkLost)
+		return messenger.Unknown(call.ID, causeLinkLost), &lostCall{call: call, target: target, link: link}
 	}
 	f.Counters.Reattached.Add(1)
 	f.logger().Info("call-reattached", zap.String("request-id", call.RequestID), zap.String("target", target.InstanceID))
-	return f.reattach(ctx, call, target, link)
+	return f.reattach(ctx, call, target, link), nil
 }
 
 // send sends the call over a link to the target's daemon and waits for the answer.
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -85,6 +86,26 @@
 	})
 }
 
+// A lookup whose target's daemon falls silent while the target runs it must not be given up
+// when no retry is allowed: the daemon may only be too busy to reply. Its answer is fetched
+// over another link.
+func TestSilentLinkDoesNotGiveUpALookup(t *testing.T) {
+	runInMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
+		m.forwarder.Retrier.SetSharedBudget(retrier.SharedBudget{Ratio: 0.0001, Window: time.Second})
+		a := m.targets["a"]
+		a.handle = func(_ *http.Request, body string) (*http.Response, error) {
+			a.links()[0].hold(true)
+			time.Sleep(3 * time.Second)
+			return respond("ran " + body), nil
+		}
+		wantResponse(t, m.call(m.ctx, "/lookups", "1"), "200", "ran 1")
+		wantRuns(t, a, "1")
+		if got := a.executor.Calls.Len(); got > 1 {
+			t.Errorf("calls kept: got %d, want at most the one that is not acknowledged yet", got)
+		}
+	})
+}
+
 // A call that the network holds back is fenced and sent again. When the network delivers
 // the first copy in the end, it must not run as well.
 func TestUndeliveredCallRunsOnce(t *testing.T) {
