Satisfy the linter in new tests and comments

Cause: errcheck, staticcheck (assignments to nil maps that force a panic) and the width of one comment. Ruled out: exceptions for test files. Change: panics are called by name, the error is dropped explicitly, the comment is wrapped. No behaviour changes; the linter reports 0 issues, where it reported 4.

--- a/executor/panic_test.go
+++ b/executor/panic_test.go
@@ -19,9 +19,7 @@
 			return func() { released++ }, nil
 		},
 		Exchange: func(context.Context, string, *requester.Request) (*requester.Response, error) {
-			var headers map[string]string
-			headers["x"] = "panics"
-			return nil, nil
+			panic("test")
 		},
 	}
 	call := &messenger.Call{RequestID: "request-1", Method: "GET", Target: "/", RemainingMS: time.Minute.Milliseconds(), BodyDigest: messenger.Digest(nil)}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -253,9 +253,9 @@
 const minNestedPrefix = 8
 
 // findParent reports whether the target of this instance makes the request while it
-// runs another one, and whether that one is a retry or belongs to one. It recognises nested requests by their IDs, which targets form
-// by appending to the ID of the request that they run. A nested request with any
-// other ID is handled as one that is not nested.
+// runs another one, and whether that one is a retry or belongs to one. It recognises
+// nested requests by their IDs, which targets form by appending to the ID of the request
+// that they run. A nested request with any other ID is handled as one that is not nested.
 func (f *Forwarder) findParent(requestID string) (isNested, isRetry bool) {
 	if f.FindRunning == nil {
 		return false, false
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -286,7 +286,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	// The limits are read before the first request, for it, and before the second one.
 	const beforeSecond = 3
 	var reads atomic.Int64
--- a/recoverer/recoverer_test.go
+++ b/recoverer/recoverer_test.go
@@ -17,8 +17,7 @@
 		func() {
 			defer Recover(zap.New(core), "call", func() { ended = true })
 			if panics {
-				var m map[string]int
-				m["x"] = 1
+				panic("test")
 			}
 		}()
 		want := 0
