List the event of contained panics

Cause: the table of events that the page of logs is compared with lacked panic-contained. Ruled out: a change of the page alone; TestEventsMatchTheCode reads the table. Change: one row. Before: TestEventsMatchTheCode and TestLogsPage fail. After: they pass. Conclusion: page, table and code agree.

--- a/logger/events.go
+++ b/logger/events.go
@@ -55,6 +55,7 @@
 		{"call-reattached", "a link was lost, and the answer to its call is requested over another link", "request-id, target"},
 		{"target-shed", "the target refused a call without running it", "request-id, status"},
 		{"other-run-answered", "another run of the target answered at its address, and did not run the call", "request-id"},
+		{"panic-contained", "handling one request, message or response failed; the daemon goes on, the call's outcome is unknown", "task, cause, stack"},
 		{"target-gave-no-answer", "the target received a call, but returned no complete answer", "request-id, cause, error"},
 	}
 }
