Share the rolling restart between the tests of keys

Cause: two tests held the same steps for services of three and of nine targets. Ruled out: other checks; both keep the ones they had. Change: the steps take the names. Conclusion: one copy.

--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -65,25 +65,7 @@
 // that were handed over, and new keys must run.
 func TestRollingRestartOfALargerServiceKeepsKeys(t *testing.T) {
 	names := namesOfTargets(9)
-	runInMesh(t, names, func(t *testing.T, m *mesh) {
-		for n := range 10 {
-			wantResponse(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200")
-		}
-		for round, name := range names {
-			f := m.targets[name]
-			if err := f.leave(m.ctx); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(time.Second)
-			f.knowsKeysFor = 0
-			f.start()
-			for n := range 10 {
-				wantResponse(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200", fmt.Sprint("ran ", n))
-			}
-			wantResponse(t, m.post(fmt.Sprint("new", round), "new"), "200", "ran new")
-		}
-		wantAllRuns(t, m, 10+len(names))
-	})
+	runInMesh(t, names, func(t *testing.T, m *mesh) { rollingRestart(t, m, names, false) })
 }
 
 // When every target of a service is restarted in turn while nobody uses keys, the
--- a/forwarder/keys_test.go
+++ b/forwarder/keys_test.go
@@ -127,19 +127,19 @@
 func TestRollingRestartKeepsKeys(t *testing.T) {
 	for _, losesGoneRecord := range []bool{false, true} {
 		t.Run(fmt.Sprintf("losesGoneRecord=%v", losesGoneRecord), func(t *testing.T) {
-			runInMesh(t, threeTargets, func(t *testing.T, m *mesh) { rollingRestart(t, m, losesGoneRecord) })
+			runInMesh(t, threeTargets, func(t *testing.T, m *mesh) { rollingRestart(t, m, threeTargets, losesGoneRecord) })
 		})
 	}
 }
 
-// rollingRestart restarts every target as planned. With losesGoneRecord, the other daemons
+// rollingRestart restarts the named targets as planned. With losesGoneRecord, the other daemons
 // never get the last record of the old process.
-func rollingRestart(t *testing.T, m *mesh, losesGoneRecord bool) {
+func rollingRestart(t *testing.T, m *mesh, names []string, losesGoneRecord bool) {
 	t.Helper()
 	for n := range 10 {
 		wantResponse(t, m.post(fmt.Sprint("k", n), fmt.Sprint(n)), "200")
 	}
-	for round, name := range threeTargets {
+	for round, name := range names {
 		f := m.targets[name]
 		f.losesGoneRecord = losesGoneRecord
 		if err := f.leave(m.ctx); err != nil {
@@ -153,7 +153,7 @@
 		}
 		wantResponse(t, m.post(fmt.Sprint("new", round), "new"), "200", "ran new")
 	}
-	wantAllRuns(t, m, 13)
+	wantAllRuns(t, m, 10+len(names))
 }
 
 // In a service all of whose daemons are new, keys must be refused until the retention has
