Name the attempt that may be reattached after what it does

Cause: a last reading found callOrLose unclear, and a comment that left out the history. Ruled out: changes of behaviour; only names and comments change, tests of forwarder pass. Conclusion: the name says that it is one attempt.

--- a/executor/handover.go
+++ b/executor/handover.go
@@ -95,7 +95,8 @@
 }
 
 // sendKeys sends records to one successor, in messages of about handoverBatchBytes
-// each. It sends at least one message, also without records.
+// each. It sends at least one message, also without records; the first one carries this
+// daemon's loss-free history of keys.
 func (x *Executor) sendKeys(ctx context.Context, successor tracker.Record, records []messenger.KeyRecord) error {
 	for first := true; first || len(records) > 0; first = false {
 		n, bytes := 0, 0
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -262,7 +262,7 @@
 	answer := f.reserve(ctx, call, choice)
 	if answer == nil {
 		var lost *lostCall
-		answer, lost = f.callOrLose(ctx, call, choice.Record, x.deadline)
+		answer, lost = f.callTargetOnce(ctx, call, choice.Record, x.deadline)
 		x.setLost(lost)
 	}
 	took := time.Since(began)
@@ -308,16 +308,17 @@
 	x.lost = lost
 }
 
-// callTarget is callOrLose without the lost call.
+// callTarget is like callTargetOnce for calls that are not reattached later.
 func (f *Forwarder) callTarget(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
-	answer, _ := f.callOrLose(ctx, call, target, deadline)
+	answer, _ := f.callTargetOnce(ctx, call, target, deadline)
 	return answer
 }
 
-// callOrLose runs one attempt at the target, locally or over a link, and returns its
-// outcome. A call that isn't idempotent is reattached when its link is lost; an
-// idempotent one is returned, so that it may be sent elsewhere first.
-func (f *Forwarder) callOrLose(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) (*messenger.Answer, *lostCall) {
+// callTargetOnce runs one attempt at the target, locally or over a link, and returns its
+// outcome. When the link is lost, a call that isn't idempotent is reattached; for an
+// idempotent one, callTargetOnce also returns what reattaching it later needs, since the
+// call may be sent elsewhere first.
+func (f *Forwarder) callTargetOnce(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) (*messenger.Answer, *lostCall) {
 	call.RemainingMS = time.Until(deadline).Milliseconds()
 	if call.RemainingMS <= 0 {
 		return messenger.NotRun(call.ID, causeDeadline), nil
