Count a retry against the shared budget for a whole window

A daemon's window has 20 steps, and the current one has only begun, so that the window was up to a step shorter than the budget's: retries of a burst that were 9.5 to 10 s old were forgotten, and as many were allowed again. Two bursts of 0.6 of the budget lie over it. Ruled out: the part of the budget that is in use (0.6 stays), the test's three windows (they allow more than the rule's one).

Change: retries count for 21 steps, calls for 20 as before. A window of under 20 ns no longer divides by zero.

--- a/retrier/shared_budget.go
+++ b/retrier/shared_budget.go
@@ -31,13 +31,17 @@
 	usableBudgetShare = 0.6
 	// windowSteps is the number of steps in which a window advances.
 	windowSteps = 20
+	// countedSteps is the number of steps whose retries count against the budget. The
+	// current step has only begun, so windowSteps alone would forget retries that are
+	// less than a window old.
+	countedSteps = windowSteps + 1
 )
 
 // serviceWindow counts the calls for one service and their retries, by step of
 // the window.
 type serviceWindow struct {
 	mu    sync.Mutex
-	steps [windowSteps]struct{ first, retries float64 }
+	steps [countedSteps]struct{ first, retries float64 }
 	// current is the number of the step that is being counted, since the clock
 	// started.
 	current int64
@@ -46,15 +50,15 @@
 // advance moves the window to the present, clears the steps that have left it
 // and returns the index of the current step. The caller holds mu.
 func (w *serviceWindow) advance(window time.Duration, elapsed time.Duration) int {
-	step := int64(elapsed / (window / windowSteps))
-	for ; w.current < step && step-w.current < windowSteps; w.current++ {
-		w.steps[(w.current+1)%windowSteps] = struct{ first, retries float64 }{}
+	step := int64(elapsed / max(1, window/windowSteps))
+	for ; w.current < step && step-w.current < countedSteps; w.current++ {
+		w.steps[(w.current+1)%countedSteps] = struct{ first, retries float64 }{}
 	}
 	if w.current < step {
-		w.steps = [windowSteps]struct{ first, retries float64 }{}
+		w.steps = [countedSteps]struct{ first, retries float64 }{}
 		w.current = step
 	}
-	return int(w.current % windowSteps)
+	return int(w.current % countedSteps)
 }
 
 // countCall counts the first attempt of a call. A call that belongs to a retry of
@@ -77,9 +81,12 @@
 	defer w.mu.Unlock()
 	current := w.advance(s.Window, elapsed)
 	first, retries := 0.0, 0.0
-	for _, step := range w.steps {
-		first += step.first
+	for i, step := range w.steps {
 		retries += step.retries
+		// The calls of the oldest step may be more than a window old.
+		if oldest := (current + 1) % countedSteps; i != oldest {
+			first += step.first
+		}
 	}
 	if retries+1 > usableBudgetShare*(s.Ratio*first+s.Allowance/float64(max(1, daemons))) {
 		return false
--- a/retrier/shared_budget_test.go
+++ b/retrier/shared_budget_test.go
@@ -144,3 +144,63 @@
 		}
 	})
 }
+
+// A burst of retries must count against the budget for a whole window, wherever it lies
+// between two steps in which the window advances.
+func TestBurstOfRetriesCountsForWholeWindow(t *testing.T) {
+	share := SharedBudget{Ratio: 0.1, Window: 10 * time.Second}
+	policy := &applier.Policy{Service: "payout-desk", Idempotent: true, MaxRetries: 3}
+	const calls = 1000
+	tests := []struct {
+		name  string
+		burst time.Duration // from the start of a step
+		after time.Duration // from the burst
+		want  bool
+	}{
+		{name: "burst late in a step, nearly a window ago", burst: 400 * time.Millisecond, after: 9900 * time.Millisecond, want: false},
+		{name: "burst early in a step, nearly a window ago", burst: 0, after: 9900 * time.Millisecond, want: false},
+		{name: "burst late in a step, over a window and a step ago", burst: 400 * time.Millisecond, after: 10600 * time.Millisecond, want: true},
+		{name: "burst early in a step, over a window and a step ago", burst: 0, after: 10600 * time.Millisecond, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := new(Retrier)
+				r.SetSharedBudget(share)
+				deposit := func() {
+					for range calls {
+						r.Begin("shares", policy, http.Header{})
+					}
+				}
+				// withdraw makes retries until the budget refuses one.
+				withdraw := func() (retries int) {
+					c := r.Begin("shares", policy, http.Header{})
+					for c.withdrawRetry() {
+						retries++
+					}
+					return retries
+				}
+				deposit()
+				time.Sleep(share.Window/2 + tt.burst)
+				if withdraw() == 0 {
+					t.Fatal("burst: got no retry, want some")
+				}
+				time.Sleep(tt.after)
+				deposit() // the first calls are over a window old
+				if got := withdraw() > 0; got != tt.want {
+					t.Errorf("retries %v after the burst, with as many calls: got %v, want %v", tt.after, got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// A window with fewer nanoseconds than steps must be counted like any other.
+func TestShortestWindow(t *testing.T) {
+	r := new(Retrier)
+	r.SetSharedBudget(SharedBudget{Ratio: 0.1, Window: time.Nanosecond, Allowance: 10})
+	c := r.Begin("shares", &applier.Policy{Service: "payout-desk"}, http.Header{})
+	if !c.withdrawRetry() {
+		t.Error("first retry within the allowance: got false, want true")
+	}
+}
