Prefer domains that can be reached as the last resort

Ruled out: the loss of the domain being noticed late (the log shows it lost before).

Change: the last resort prefers targets of domains that are not lost, and among them those not tried. A lost domain is used only where there is no other.

Tests: TestLastResortAvoidsLostDomain, four cases, all failed before.

--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -256,3 +256,52 @@
 		}
 	})
 }
+
+// When no target may get a call, one of a domain that can be reached must be the last
+// resort, tried before or ejected, and not one of a lost domain: calls that were sent there
+// instead have ended as not run, although a target was ready.
+func TestLastResortAvoidsLostDomain(t *testing.T) {
+	tests := []struct {
+		name          string
+		tried, eject  bool
+		withObjective bool
+	}{
+		{name: "the reachable target was tried", tried: true},
+		{name: "the reachable target is ejected", eject: true},
+		{name: "tried and ejected", tried: true, eject: true},
+		{name: "tried, with an objective", tried: true, withObjective: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[string]int{"selma-row": 3, "natchez-hall": 1})
+				f.policy.MaxEjectedPercent = 100
+				var need Need
+				if tt.withObjective {
+					need.Objective = time.Second
+				}
+				var lost []Choice
+				for i := range 3 {
+					lost = append(lost, f.pickUntil(t, fmt.Sprintf("selma-row-%d", i)))
+				}
+				for _, c := range lost {
+					c.Done(Result{Outcome: Unreachable})
+				}
+				var tried Tried
+				c := f.pickUntil(t, "natchez-hall-0")
+				if tt.tried {
+					tried.Add(c)
+				}
+				if tt.eject {
+					c.Done(Result{Outcome: Unreachable})
+				}
+				for range 50 {
+					c, ok := f.Pick(f.policy, need, tried)
+					if !ok || c.Record.InstanceID != "natchez-hall-0" || c.Reason != ReasonLastResort {
+						t.Fatalf("got %s (%v), %v, want natchez-hall-0 as last resort", c.Record.InstanceID, c.Reason, ok)
+					}
+				}
+			})
+		})
+	}
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -313,23 +313,31 @@
 	return nil, false
 }
 
-// lastResort returns any target that is not draining, even if it is ejected or
-// its domain is lost. It prefers targets that were not tried.
+// lastResort returns any target that is not draining, even if it is ejected or its
+// domain is lost. It prefers targets of domains that are not lost, since an attempt at
+// the others mostly fails, and among these targets that were not tried.
 func (p *Picker) lastResort(all []*target, tried *Tried) *target {
 	if len(all) == 0 {
 		return nil
 	}
 	first := p.randIntN(len(all))
-	var alreadyTried *target
+	var best *target
+	bestRank := 0
 	for i := range all {
 		t := all[(first+i)%len(all)]
 		if t.isDraining() {
 			continue
 		}
+		rank := 1
 		if !tried.has(t) {
-			return t
+			rank += 1
+		}
+		if !t.domain.lost.Load() {
+			rank += 2
+		}
+		if rank > bestRank {
+			best, bestRank = t, rank
 		}
-		alreadyTried = t
 	}
-	return alreadyTried
+	return best
 }
