Wait for a silent daemon where it is the last resort of a lookup

Where it is the only target's daemon, the call was sent to nobody, three times within a millisecond, and refused: 7 of 959 lookups with 20 s left were refused within 20 ms because the only target's daemon got no processor for that long.

Change: an idempotent call for which such a target is the last resort is sent over its silent link. If the daemon replies, the call is answered; if not, the link is closed after 900 ms as before and the call goes on like any whose link was lost. Postings stay refused: they have not run, and after the wait that would be uncertain.

Test: TestCallsDuringShortSilence (failed with exactly that refusal).

--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -262,7 +262,7 @@
 	answer := f.reserve(ctx, call, choice)
 	if answer == nil {
 		var lost *lostCall
-		answer, lost = f.callTargetOnce(ctx, call, choice.Record, x.deadline)
+		answer, lost = f.callTargetOnce(ctx, call, choice.Record, x.deadline, choice.Reason == picker.ReasonLastResort)
 		x.setLost(lost)
 	}
 	took := time.Since(began)
@@ -310,15 +310,16 @@
 
 // callTarget is like callTargetOnce for calls that are not reattached later.
 func (f *Forwarder) callTarget(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
-	answer, _ := f.callTargetOnce(ctx, call, target, deadline)
+	answer, _ := f.callTargetOnce(ctx, call, target, deadline, false)
 	return answer
 }
 
 // callTargetOnce runs one attempt at the target, locally or over a link, and returns its
 // outcome. When the link is lost, a call that isn't idempotent is reattached; for an
 // idempotent one, callTargetOnce also returns what reattaching it later needs, since the
-// call may be sent elsewhere first.
-func (f *Forwarder) callTargetOnce(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) (*messenger.Answer, *lostCall) {
+// call may be sent elsewhere first. An idempotent call for which the target is the last resort
+// is also sent over links that are silent: their daemon may only be too busy to reply.
+func (f *Forwarder) callTargetOnce(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time, isLastResort bool) (*messenger.Answer, *lostCall) {
 	call.RemainingMS = time.Until(deadline).Milliseconds()
 	if call.RemainingMS <= 0 {
 		return messenger.NotRun(call.ID, causeDeadline), nil
@@ -329,7 +330,7 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining), nil
 	}
-	if f.allLinksSilent(target, laneOf(call)) {
+	if f.allLinksSilent(target, laneOf(call)) && !(isLastResort && call.Idempotent) {
 		return messenger.NotRun(call.ID, causeSilent), nil
 	}
 	link, answer, err := f.send(ctx, call, target, deadline)
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -106,6 +106,29 @@
 	})
 }
 
+// Lookups that arrive while the only target's daemon is silent for a while must be answered
+// once it replies again.
+func TestCallsDuringShortSilence(t *testing.T) {
+	runInMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
+		a := m.targets["a"]
+		wantResponse(t, m.call(m.ctx, "/lookups", "0"), "200", "ran 0")
+		for _, link := range a.links() {
+			link.hold(true)
+		}
+		inFlight := m.start("/lookups", "1")
+		time.Sleep(probeAfter + 2*probeReplyWait)
+		lookup := m.start("/lookups", "2")
+		synctest.Wait()
+		time.AfterFunc(20*time.Millisecond, func() {
+			for _, link := range a.links() {
+				link.hold(false)
+			}
+		})
+		wantResponse(t, <-lookup, "200", "ran 2")
+		wantResponse(t, <-inFlight, "200", "ran 1")
+	})
+}
+
 // A lookup whose target's daemon is gone must be given up at once when no retry is allowed,
 // not at its deadline: its caller may try again itself.
 func TestLookupOfAGoneDaemonIsGivenUpAtOnce(t *testing.T) {
