Find a relay gone that died before it had a session

Cause (red list, TestRestartedDaemonIsInvitedWhileTheStoreIsDown): a relay that dies before another has a session with it leaves no lost session behind, so that no grace time starts. The other relay of its domain marks daemons that are in no tree, but only while it is linked to every relay whose slot it knows; with the store down the dead relay's slot stays known, and nobody ever marked it gone: "still ready, want gone" after 30 s, as seen.

Change: a relay that refuses connections does not count as missing: its process is gone, and it can know no daemons. The mark needs the same suspicion over twice the grace time as before and is refuted by a daemon that is back.

--- a/spreader/failure_test.go
+++ b/spreader/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -264,3 +266,40 @@
 		return got == 4, fmt.Sprint(got)
 	})
 }
+
+// A relay that dies before any other has a session with it must be found to be gone by the
+// other relay of its failure domain, also while the store is down and its slot stays known.
+func TestRelayThatDiesUnlinkedIsFoundWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	l, err := net.Listen("tcp", f.ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	deadAddr := l.Addr().String()
+	_ = l.Close()
+	f.acceptVersion()
+	f.startMembers(1, "mobile-bay", "selma-row")
+	f.waitConverged()
+	f.waitFor("a relay of selma-row", func() (bool, string) { return len(f.relays()) == 2, fmt.Sprint(len(f.relays())) })
+	if _, err := f.store.CompareAndSwap(t.Context(), slotKey("selma-row", 1), []byte(deadAddr), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	relay := f.members[1]
+	f.waitFor("the dead relay's slot is known", func() (bool, string) {
+		relay.mu.Lock()
+		defer relay.mu.Unlock()
+		return slices.ContainsFunc(relay.slots, func(o slot) bool { return o.addr == deadAddr }), fmt.Sprint(relay.slots)
+	})
+	f.setStore(fakestorer.Fault{IsDown: true})
+	dead := tracker.Record{
+		InstanceID: "selma-row-9", Incarnation: 1, Sequence: 1, Service: "ledger-view", Domain: "selma-row",
+		PeerAddress: deadAddr, State: tracker.StateReady,
+	}
+	relay.Table.Merge([]tracker.Record{dead})
+	for _, m := range f.members {
+		f.waitFor("the departure is known to "+m.InstanceID, func() (bool, string) {
+			r, ok := m.Table.Find(dead.InstanceID)
+			return ok && r.State == tracker.StateGone, r.State.String()
+		})
+	}
+}
--- a/spreader/neighbor.go
+++ b/spreader/neighbor.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
@@ -32,9 +34,15 @@
 			refreshed = time.Now()
 			wait = around(2 * s.cfg.LeaseTTL)
 		}
+		refusing := make(map[string]bool)
 		for _, addr := range s.missingNeighbors(key) {
-			s.linkNeighbor(ctx, addr)
+			if err := s.linkNeighbor(ctx, addr); errors.Is(err, syscall.ECONNREFUSED) {
+				refusing[addr] = true
+			}
 		}
+		s.mu.Lock()
+		s.refusingRelays = refusing
+		s.mu.Unlock()
 		_ = sleeper.Sleep(ctx, around(s.cfg.Heartbeat/2))
 	}
 }
@@ -50,24 +58,24 @@
 
 // linkNeighbor opens a link to another relay and serves the session in the
 // background. A daemon that is not a root redirects to the root above it, which
-// is then dialed instead.
-func (s *Spreader) linkNeighbor(ctx context.Context, addr string) {
+// is then dialed instead. The error is that of the first link.
+func (s *Spreader) linkNeighbor(ctx context.Context, addr string) error {
 	began := time.Now()
 	link, reply, err := s.handshake(ctx, addr, messenger.PurposeNeighbor)
 	if err != nil {
-		return
+		return err
 	}
 	if m, ok := reply.(*messenger.Redirect); ok && len(m.Nodes) > 0 {
 		link.Close()
 		began = time.Now()
 		if link, reply, err = s.handshake(ctx, m.Nodes[0].PeerAddress, messenger.PurposeNeighbor); err != nil {
-			return
+			return nil
 		}
 	}
 	m, ok := reply.(*messenger.Welcome)
 	if !ok {
 		link.Close()
-		return
+		return nil
 	}
 	sess := &session{role: roleNeighbor, link: link, node: m.Node, domain: m.Domain, remote: m.Position, dialed: true}
 	s.mu.Lock()
@@ -79,6 +87,7 @@
 	s.mu.Unlock()
 	s.handleConfirmation(m.Confirm, began)
 	go func() { _ = s.runSession(ctx, sess) }()
+	return nil
 }
 
 // missingNeighbors returns the addresses that this relay should link with and
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -96,6 +96,9 @@
 	// suspicions holds the instances that are in no relay's tree, while this
 	// daemon is a relay.
 	suspicions map[string]suspicion
+	// refusingRelays holds the addresses of relays that refused connections in the last
+	// round of keepNeighbors.
+	refusingRelays map[string]bool
 	// fleetSize is the size of the fleet when this daemon last checked whether
 	// to watch the external configuration.
 	fleetSize int
--- a/spreader/unreachable.go
+++ b/spreader/unreachable.go
@@ -53,9 +53,13 @@
 
 // isLinkedToAllRelays reports whether this daemon has a session with every
 // other relay of its failure domain, including a relay that lost its slot and
-// still is the root of a tree. The caller holds mu.
+// still is the root of a tree. A relay that refuses connections does not count: its
+// process is gone, and while the store is down its slot stays known. The caller holds mu.
 func (s *Spreader) isLinkedToAllRelays() bool {
 	linked := map[string]bool{s.PeerAddress: true}
+	for addr := range s.refusingRelays {
+		linked[addr] = true
+	}
 	for _, sess := range s.sessions {
 		if sess.role == roleNeighbor {
 			linked[sess.node.PeerAddress] = true
