Estimate run times and waits from the calls that run

Cause: after all daemons of the large site lose power, the targets start cold (twice the run time for 3 s) with empty slots. The limiter knows no run time then and queues calls for up to their whole objective; later it expects a slot after a share of a run although all running calls began together, and tells the refused callers to return after some 60 ms, when they are refused again and give up. And a target that becomes slow with all its slots in use is noticed only when its first slow run ends.

Ruled out: knowledge of targets (99.9 % of the attempts stay local and find a daemon), a longer Retry-After for all (under a load of 1.2 times the capacity a retry at once finds a slot in three of five cases, later it would be late).

Change: limiter/runs.go keeps the starts of running calls. Calls that run over 2.5 times the mean count with the time so far; the first calls at a target that says it is warming up are assumed to run for 70 % of their objective; the wait and Retry-After reach at least to the next probable end of a running call. A waiting call no longer counts itself (suspected fault "expectedWait"), so that the whole expected wait, not 60 % of it, decides whether it is refused later; those behind a refused call are judged without it.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -123,6 +123,8 @@
 	announcement Announcement
 	baseURL      string
 	state        tracker.State
+	// warmUntil is the time until which the target said that it is slow after its start.
+	warmUntil time.Time
 }
 
 // Register adds the announcement resource to the router.
@@ -249,7 +251,10 @@
 // from the previous one in more than its sequence number. The caller holds mu,
 // which keeps the calls of OnChange in order.
 func (a *Announcer) publish() {
-	a.view.Store(&view{announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state()})
+	a.view.Store(&view{
+		announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state(),
+		warmUntil: a.announcedAt.Add(time.Duration(a.current.ColdMS) * time.Millisecond),
+	})
 	next := a.Self
 	next.Sequence = a.record.Sequence + 1
 	next.Service = a.current.Service
@@ -343,6 +348,9 @@
 // announced none.
 func (a *Announcer) Slots() int { return a.Current().Slots }
 
+// WarmsUp reports whether the target has said that it is still slow after its start.
+func (a *Announcer) WarmsUp() bool { return time.Now().Before(a.load().warmUntil) }
+
 // ReportReachable records that the target answered a call. The target is not
 // checked for the next checkInterval.
 func (a *Announcer) ReportReachable() { a.lastReached.Store(time.Now().UnixNano()) }
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -304,3 +304,30 @@
 		})
 	}
 }
+
+// A target warms up for as long as its newest announcement says, whenever it arrived.
+func TestWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Announcer{OnChange: func(tracker.Record) {}}
+		if a.WarmsUp() {
+			t.Error("before the first announcement: got true, want false")
+		}
+		announce := func(coldMS int) {
+			t.Helper()
+			if err := a.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: "ready", ColdMS: coldMS}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, step := range []struct {
+			coldMS int
+			after  time.Duration
+			want   bool
+		}{{3000, 2 * time.Second, true}, {1000, 999 * time.Millisecond, true}, {1000, time.Millisecond, false}, {0, 0, false}} {
+			announce(step.coldMS)
+			time.Sleep(step.after)
+			if got := a.WarmsUp(); got != step.want {
+				t.Errorf("%v after an announcement of %d ms: got %v, want %v", step.after, step.coldMS, got, step.want)
+			}
+		}
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,7 +75,7 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
-	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots}
+	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots, WarmsUp: d.announcer.WarmsUp}
 	d.executor = &executor.Executor{
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Log: log,
 		Target: d.announcer.TargetURL, Draining: d.announcer.Draining,
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -38,9 +38,6 @@
 	maxBorrowedRun = 50 * time.Millisecond
 	// activeWindow is how long a partner counts as active after its last call.
 	activeWindow = 10 * time.Second
-	// inverseRunWeight is the inverse weight of the newest sample in the moving
-	// average of run times: the newest run counts for 1/inverseRunWeight.
-	inverseRunWeight = 8
 )
 
 // Limiter admits calls to one target. Applier and Service must be set before
@@ -57,7 +54,10 @@
 	// configured number, or replaces it if the service is configured without one. If
 	// Announced is nil or returns 0, the configuration applies.
 	Announced func() int
-	Counters  Counters
+	// WarmsUp reports whether the target said that it is still slow after its start. If
+	// WarmsUp is nil, it never is.
+	WarmsUp  func() bool
+	Counters Counters
 
 	mu       sync.Mutex
 	snapshot *applier.Snapshot
@@ -71,10 +71,7 @@
 	running         int
 	generalRunning  int
 	reservedRunning [classCount]int
-	// meanRun is the mean run time of each class, 0 if it is not known yet. runs
-	// holds the recent run times by class and priority level.
-	meanRun [classCount]time.Duration
-	runs    [classCount][priorityCount]runTime
+	runs            runTimes
 	// runningByPriority counts the running calls by priority level.
 	runningByPriority [priorityCount]int
 }
@@ -83,17 +80,6 @@
 // last level.
 const priorityCount = 4
 
-// runTime is the recent run time of calls of one class and priority level.
-type runTime struct {
-	mean time.Duration
-	// updatedAt is when the latest of these calls ended.
-	updatedAt time.Time
-}
-
-// runTimeMaxAge is how long a mean run time is used without a new sample. A slow
-// target may have recovered while its calls were sent elsewhere.
-const runTimeMaxAge = 2 * time.Second
-
 // Request describes a call that needs a slot. The call's deadline is that of the
 // context passed to Admit.
 type Request struct {
@@ -143,7 +129,7 @@
 	}
 	if len(a.queues[c]) == 0 {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
-			slot := l.takeSlot(a, c, r.level(), kind, now)
+			slot := l.takeSlot(a, c, r.level(), r.Objective, kind, now)
 			l.mu.Unlock()
 			return slot, nil
 		}
@@ -174,7 +160,7 @@
 		l.generalRunning--
 	}
 	l.runningByPriority[s.level]--
-	l.recordRun(s.class, s.level, now.Sub(s.start), now)
+	l.runs.end(s.class, s.level, s.start, now)
 	l.refreshLimits()
 	l.shed(now)
 	l.dispatch(now)
@@ -189,35 +175,6 @@
 	l.dispatch(time.Now())
 }
 
-// recordRun adds the run time of a call that has ended to the mean run times. The
-// caller holds mu.
-func (l *Limiter) recordRun(c class, level int, run time.Duration, now time.Time) {
-	l.meanRun[c] = updateMean(l.meanRun[c], run)
-	known := &l.runs[c][level]
-	if now.Sub(known.updatedAt) > runTimeMaxAge {
-		known.mean = 0
-	}
-	known.mean, known.updatedAt = updateMean(known.mean, run), now
-}
-
-// updateMean returns the moving average after the sample run. It never returns 0,
-// which means that no run time is known.
-func updateMean(mean, run time.Duration) time.Duration {
-	if mean == 0 {
-		return max(run, 1)
-	}
-	return max(1, mean+(run-mean)/inverseRunWeight)
-}
-
-// recentRun returns the mean run time of calls of a class and priority level, or
-// 0 if there is no sample younger than runTimeMaxAge. The caller holds mu.
-func (l *Limiter) recentRun(c class, level int, now time.Time) time.Duration {
-	if known := l.runs[c][level]; known.mean > 0 && now.Sub(known.updatedAt) <= runTimeMaxAge {
-		return known.mean
-	}
-	return 0
-}
-
 // MeanRun returns the mean run time at the target of calls of a class and
 // priority, or 0 if there is no recent sample.
 func (l *Limiter) MeanRun(className string, priority int) time.Duration {
@@ -227,7 +184,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.recentRun(c, Request{Priority: priority}.level(), time.Now())
+	return l.runs.recent(c, Request{Priority: priority}.level(), time.Now())
 }
 
 // minRunShare is the fraction of the mean run time that must remain until the
@@ -243,7 +200,7 @@
 	if !ok || r.Objective == 0 {
 		return false
 	}
-	needed := time.Duration(float64(l.recentRun(c, r.level(), now)) * minRunShare)
+	needed := time.Duration(float64(l.runs.recent(c, r.level(), now)) * minRunShare)
 	return deadline.Sub(now) < needed
 }
 
@@ -316,16 +273,21 @@
 // runsLong reports whether the mean run time of the class exceeds maxBorrowedRun.
 // While it is unknown, postings and scans are assumed to run long.
 func (l *Limiter) runsLong(c class) bool {
-	if l.meanRun[c] == 0 {
+	if l.runs.ofClass[c] == 0 {
 		return classNames[c] == versioner.ClassPosting || classNames[c] == versioner.ClassScan
 	}
-	return l.meanRun[c] > maxBorrowedRun
+	return l.runs.ofClass[c] > maxBorrowedRun
 }
 
 // takeSlot marks a slot of the given kind as in use and returns it. The caller
 // holds mu.
-func (l *Limiter) takeSlot(a *account, c class, level int, kind slotKind, now time.Time) Slot {
+func (l *Limiter) takeSlot(a *account, c class, level int, objective time.Duration, kind slotKind, now time.Time) Slot {
 	l.running++
+	assumedRun := time.Duration(0)
+	if l.WarmsUp != nil && l.WarmsUp() {
+		assumedRun = objective * warmupRunPercent / 100
+	}
+	l.runs.begin(c, level, assumedRun, now)
 	l.runningByPriority[level]++
 	if kind == slotReserved {
 		a.reservedRunning[c]++
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -48,9 +48,9 @@
 	isNested bool
 	// isLate is set if the answer will miss its objective even without waiting.
 	isLate bool
-	// hasObjective is set if the call has a latency objective. It is then refused
-	// as soon as it can no longer be expected to start in time.
-	hasObjective bool
+	// objective is the call's latency objective, 0 for none. A call with an objective is
+	// refused as soon as it can no longer be expected to start in time.
+	objective time.Duration
 	// result receives the slot or the refusal; its buffer has room for one.
 	result chan admitResult
 }
@@ -79,27 +79,30 @@
 // enqueue adds a call to the queue of its partner and class, or refuses it at once
 // if it cannot be expected to get a slot in time. The caller holds mu.
 func (l *Limiter) enqueue(ctx context.Context, a *account, c class, r Request, now time.Time) (*waiter, error) {
-	w := &waiter{account: a, class: c, level: r.level(), hasObjective: r.Objective > 0, isNested: r.IsNested, result: make(chan admitResult, 1)}
+	w := &waiter{account: a, class: c, level: r.level(), objective: r.Objective, isNested: r.IsNested, result: make(chan admitResult, 1)}
 	maxLength := l.limits.queueLength[c]
-	if w.hasObjective {
+	if w.objective > 0 {
 		maxLength = maxObjectiveQueue
 		w.expires, w.isLate = l.latestStart(ctx, c, r, now)
 	} else {
 		limit := l.limits.queueWait[c]
 		if maxLength == 0 || limit == 0 {
-			return nil, l.refuse(CauseNoSlot, l.meanRun[c])
+			return nil, l.refuse(CauseNoSlot, l.runs.means(now)[c])
 		}
 		w.expires = now.Add(limit)
 		if deadline, ok := ctx.Deadline(); ok && deadline.Before(w.expires) {
 			w.expires = deadline
 		}
 	}
-	expected := l.expectedWait(w)
+	means := l.runs.means(now)
+	expected, ahead := l.expectedWait(w, &means)
+	// Calls that began together also end together.
+	nextEnd := l.runs.nextEnd(ahead, &means, now)
 	switch {
 	case len(a.queues[c]) >= maxLength:
-		return nil, l.refuse(CauseQueueFull, expected)
-	case now.Add(l.worstExpectedWait(w, r, expected)).After(w.expires):
-		return nil, l.refuse(CauseExpectedWait, l.retryAfter(w, expected, now))
+		return nil, l.refuse(CauseQueueFull, max(expected, nextEnd))
+	case now.Add(max(l.worstExpectedWait(w, r, expected), nextEnd)).After(w.expires):
+		return nil, l.refuse(CauseExpectedWait, max(nextEnd, l.retryAfter(w, expected, means[c], now)))
 	}
 	q := a.queues[c]
 	at := len(q)
@@ -119,7 +122,7 @@
 // worstExpectedWait returns how long a call may have to wait, given its expected
 // wait.
 func (l *Limiter) worstExpectedWait(w *waiter, r Request, expected time.Duration) time.Duration {
-	if !w.hasObjective || r.IsNested {
+	if w.objective == 0 || r.IsNested {
 		return expected
 	}
 	return expected * worstWaitPercent / 100
@@ -129,7 +132,7 @@
 // and whether it would miss the objective even if it started now. A nested call
 // may start as long as it can meet its deadline. The caller holds mu.
 func (l *Limiter) latestStart(ctx context.Context, c class, r Request, now time.Time) (time.Time, bool) {
-	run := l.recentRun(c, r.level(), now)
+	run := l.runs.recent(c, r.level(), now)
 	left := r.Objective - r.Waited
 	// Under overload, calls wait until their latest start. If only the mean run time
 	// were subtracted, half of their answers would be late.
@@ -162,27 +165,28 @@
 
 // retryAfter returns how long the caller of a refused call should wait before it
 // retries: until the queue is short enough that the call could have waited in it.
-func (l *Limiter) retryAfter(w *waiter, expected time.Duration, now time.Time) time.Duration {
-	if !w.hasObjective {
+func (l *Limiter) retryAfter(w *waiter, expected, meanRun time.Duration, now time.Time) time.Duration {
+	if w.objective == 0 {
 		return expected
 	}
-	return max(expected-max(0, w.expires.Sub(now)), l.meanRun[w.class]/time.Duration(max(1, l.limits.slots)))
+	return max(expected-max(0, w.expires.Sub(now)), meanRun/time.Duration(max(1, l.limits.slots)))
 }
 
 // expectedWait estimates the wait of a call from the mean run times of its
-// partner's calls that go before it and the number of slots that serve them. The
-// caller holds mu.
-func (l *Limiter) expectedWait(w *waiter) time.Duration {
+// partner's calls that go before it and the number of slots that serve them. It
+// also returns the number of these calls. The caller holds mu.
+func (l *Limiter) expectedWait(w *waiter, means *[classCount]time.Duration) (wait time.Duration, ahead int) {
 	a := w.account
-	work := l.meanRun[w.class]
+	work := means[w.class]
 	for c := range classCount {
 		for _, other := range a.queues[c] {
-			if !w.goesBefore(other) {
-				work += l.meanRun[c]
+			if other != w && !w.goesBefore(other) {
+				work += means[c]
+				ahead++
 			}
 		}
 	}
-	return work / time.Duration(l.usableSlots(w))
+	return work / time.Duration(l.usableSlots(w)), ahead
 }
 
 // usableSlots returns the number of slots that calls like w can expect to get when
@@ -190,7 +194,7 @@
 // priority, which mostly pass to other calls of higher priority.
 func (l *Limiter) usableSlots(w *waiter) int {
 	slots := max(w.account.guarantee, w.account.generalRunning)
-	if w.hasObjective {
+	if w.objective > 0 {
 		for level := range w.level {
 			slots -= l.runningByPriority[level]
 		}
@@ -269,7 +273,7 @@
 			return
 		}
 		w.account.queues[w.class] = w.account.queues[w.class][1:]
-		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, w.level, kind, now)}
+		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, w.level, w.objective, kind, now)}
 	}
 }
 
@@ -277,26 +281,24 @@
 // to start in time, because other calls went before them or run times increased.
 // The caller holds mu.
 func (l *Limiter) shed(now time.Time) {
+	means := l.runs.means(now)
 	for _, a := range l.accounts {
 		for c := range a.queues {
-			var overdue []*waiter
-			for _, w := range a.queues[c] {
-				if w.hasObjective && now.Add(l.expectedWait(w)*shedThresholdPercent/100).After(w.expires) {
-					overdue = append(overdue, w)
+			// The waits of those behind a call that is refused become shorter.
+			for i := 0; i < len(a.queues[c]); {
+				w := a.queues[c][i]
+				expected, _ := l.expectedWait(w, &means)
+				if w.objective == 0 || !now.Add(expected).After(w.expires) {
+					i++
+					continue
 				}
+				a.queues[c] = slices.Delete(a.queues[c], i, i+1)
+				w.result <- admitResult{err: l.refuse(CauseExpectedWait, l.retryAfter(w, expected, means[c], now))}
 			}
-			for _, w := range overdue {
-				w.result <- admitResult{err: l.refuse(CauseExpectedWait, l.retryAfter(w, l.expectedWait(w), now))}
-			}
-			a.queues[c] = slices.DeleteFunc(a.queues[c], func(w *waiter) bool { return slices.Contains(overdue, w) })
 		}
 	}
 }
 
-// shedThresholdPercent is the part of its expected wait, in percent, that must fit
-// before the latest start of a waiting call. Otherwise shed refuses the call.
-const shedThresholdPercent = 60
-
 // nextWaiter returns the waiting call that gets the next slot, and the kind of the
 // slot, or nil if no waiting call may be admitted. Calls are preferred in the order
 // of slotKind, so those that borrow a slot come last. Among borrowing calls, those
