Keep requests waiting for the first configuration, and join relays sooner

Cause: after a power failure the 296 daemons of the large site listen at 6.2 to 6.4 s and have a configuration at 7.0 to 7.2 s. Until then 2,600 callers were refused and told to return after 1 s, while the targets were idle; they came back together with the next ones, at twice the load that cold targets carry. Daemons with narrow links (95 % there) wait for two jitters before they read the relay slots.

Ruled out: the relays (they begin at 6.55 to 6.64 s), processor time (a daemon that may join has its version 60 ms later).

A daemon with a narrow link asks the known relays after one jitter, and waits for another one only before it claims a slot itself.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -81,15 +81,31 @@
 	// Domain is the failure domain of this daemon.
 	Domain string
 
-	// mu serialises Offer and guards history.
+	// mu serialises Offer and guards history and hasFirst.
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
 	history []Applied
+	// hasFirst is closed when the first snapshot is in force; nil while nobody waits
+	// for it.
+	hasFirst chan struct{}
 }
 
 // Current returns the snapshot in force, or nil when there is none yet.
 func (a *Applier) Current() *Snapshot { return a.current.Load() }
 
+// HasFirst returns a channel that is closed when the first snapshot is in force.
+func (a *Applier) HasFirst() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hasFirst == nil {
+		a.hasFirst = make(chan struct{})
+		if a.current.Load() != nil {
+			close(a.hasFirst)
+		}
+	}
+	return a.hasFirst
+}
+
 // Offer puts a document in force if its version is higher than the version in
 // force, and reports whether it did. It fails with an *OlderVersionError, a
 // *ForkedVersionError or a *validator.InvalidError; the snapshot in force then
@@ -109,7 +125,10 @@
 	if err != nil {
 		return false, err
 	}
-	a.current.Store(snapshot)
+	isFirst := a.current.Swap(snapshot) == nil
+	if isFirst && a.hasFirst != nil {
+		close(a.hasFirst)
+	}
 	a.record(snapshot)
 	return true, nil
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -111,6 +111,7 @@
 	// budgetSnapshot is the snapshot for which dropStaleBudgets last ran.
 	budgetSnapshot atomic.Pointer[applier.Snapshot]
 	waits          waitEstimator
+	startup        startup
 	// stopping is set by Drain.
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -136,10 +137,21 @@
 		f.refuse(w, r, causeDraining)
 		return
 	}
+	size := r.ContentLength
+	if size < 0 {
+		size = maxBodyBytes
+	}
+	defer f.buffered.Add(-size)
+	if f.buffered.Add(size) > maxBufferedBytes && size > 0 {
+		f.refuse(w, r, causeBuffersFull)
+		return
+	}
 	snapshot := f.Applier.Current()
 	if snapshot == nil {
-		f.refuse(w, r, causeNoConfiguration)
-		return
+		if snapshot = f.awaitConfiguration(r); snapshot == nil {
+			f.refuse(w, r, causeNoConfiguration)
+			return
+		}
 	}
 	f.dropStaleBudgets(snapshot)
 	path, _, _ := strings.Cut(requestTarget(r), "?")
@@ -148,15 +160,6 @@
 		f.refuse(w, r, causeNoRoute)
 		return
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = maxBodyBytes
-	}
-	defer f.buffered.Add(-size)
-	if f.buffered.Add(size) > maxBufferedBytes && size > 0 {
-		f.refuse(w, r, causeBuffersFull)
-		return
-	}
 	x, cause := f.newExchange(w, r, snapshot, route)
 	if cause != "" {
 		f.refuse(w, r, cause)
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -52,9 +52,15 @@
 	retry.Reset()
 	wait := jitter(s.cfg.JoinJitter)
 	if s.cfg.HasNarrowLink {
-		// Daemons with wider links that start at the same time then claim the relay
-		// slots first.
-		wait += 2 * s.cfg.JoinJitter
+		// Daemons with wider links that start at the same time claim the relay slots
+		// first. They have mostly done so after one JoinJitter.
+		if sleeper.Sleep(ctx, s.cfg.JoinJitter+wait) != nil {
+			return
+		}
+		wait = s.cfg.JoinJitter
+		if s.joinKnownRelay(ctx) {
+			wait = 0
+		}
 	}
 	if sleeper.Sleep(ctx, wait) != nil {
 		return
@@ -97,6 +103,14 @@
 	s.joinAny(ctx, s.candidates())
 }
 
+// joinKnownRelay joins a relay of this failure domain that the store names, if it answers,
+// and reports whether there was a session. It claims no slot.
+func (s *Spreader) joinKnownRelay(ctx context.Context) bool {
+	slots, err := s.readSlots(ctx)
+	s.firstSlotReadOnce.Do(func() { close(s.firstSlotRead) })
+	return err == nil && s.joinRelay(ctx, s.ownSlots(slots))
+}
+
 // joinRelay joins a relay of this failure domain, and reports whether there was
 // a session. It clears the address in own of a relay that refuses connections:
 // its process is gone, so its slot may be claimed.
