Keep a target that has just announced itself, and drain one that vanished

And a draining target that vanished counted as accepting calls again, as did one whose daemon had left.

Change: a failed call marks the target as gone only if no announcement has arrived since; the age of the announcement is checked and the mark set under one lock, so that a repeated equal announcement cannot come between. Draining depends on what was announced and on Drain and Leave, not on whether the target has vanished.

Tests: TestUnreachableCallDoesNotMarkTheNextRunGone, TestDrainingAfterVanishingAndLeaving; both failed before.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -68,6 +68,9 @@
 	// lastReached is when the target last answered a call, in nanoseconds of
 	// Unix time. It is 0 after a call that failed to reach the target.
 	lastReached atomic.Int64
+	// unreachableAt is when a call last failed to reach the target, in nanoseconds of
+	// Unix time.
+	unreachableAt atomic.Int64
 	// wakeMu guards the creation of checkNow.
 	wakeMu sync.Mutex
 	// checkNow wakes Run after a call that failed to reach the target.
@@ -123,6 +126,8 @@
 	announcement Announcement
 	baseURL      string
 	state        tracker.State
+	// daemonDraining is set after Drain and Leave.
+	daemonDraining bool
 	// warmUntil is the time until which the target said that it is slow after its start.
 	warmUntil time.Time
 }
@@ -252,7 +257,7 @@
 // which keeps the calls of OnChange in order.
 func (a *Announcer) publish() {
 	a.view.Store(&view{
-		announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state(),
+		announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state(), daemonDraining: a.daemonDraining,
 		warmUntil: a.announcedAt.Add(time.Duration(a.current.ColdMS) * time.Millisecond),
 	})
 	next := a.Self
@@ -321,12 +326,13 @@
 // TargetURL returns the target's base URL, or "" before the first announcement.
 func (a *Announcer) TargetURL() string { return a.load().baseURL }
 
-// Draining reports whether the target accepts no new calls, because it announced
-// so or because Drain was called. For a target that has vanished, and after
-// Leave, it returns true only if the target announced that it is gone.
+// Draining reports whether the target accepts no new calls, because it announced that it
+// drains or is gone, or because Drain or Leave was called. That a target has vanished does
+// not matter: it may come back.
 func (a *Announcer) Draining() bool {
 	v := a.load()
-	return v.state == tracker.StateDraining || v.announcement.state() == tracker.StateGone
+	announced := v.announcement.state()
+	return v.daemonDraining || announced == tracker.StateDraining || announced == tracker.StateGone
 }
 
 // Current returns the newest announcement, or the zero value before the first.
@@ -360,6 +366,7 @@
 // too. If HeartbeatTimeout is set, Run marks it as gone without a check.
 func (a *Announcer) ReportUnreachable() {
 	a.lastReached.Store(0)
+	a.unreachableAt.Store(time.Now().UnixNano())
 	select {
 	case a.checkNowChan() <- struct{}{}:
 	default:
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -331,3 +331,71 @@
 		}
 	})
 }
+
+// A call that failed to reach the target's last process must not mark the next one as gone,
+// which has announced itself since.
+func TestUnreachableCallDoesNotMarkTheNextRunGone(t *testing.T) {
+	tests := []struct {
+		name string
+		// announces is set if a new run announces itself after the failed call.
+		announces bool
+		want      tracker.State
+	}{{"no announcement since", false, tracker.StateGone}, {"a new run has announced itself", true, tracker.StateReady}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var newest tracker.Record
+				a := &Announcer{HeartbeatTimeout: 3 * time.Second, OnChange: func(r tracker.Record) { newest = r }}
+				announce := func(epoch uint64) {
+					t.Helper()
+					if err := a.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: "ready", Epoch: epoch}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				announce(1)
+				time.Sleep(time.Second)
+				a.ReportUnreachable()
+				if tt.announces {
+					time.Sleep(time.Millisecond)
+					announce(2)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go a.Run(ctx)
+				synctest.Wait()
+				if newest.State != tt.want {
+					t.Errorf("state: got %v, want %v", newest.State, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// A target that announced that it drains accepts no new calls after it has vanished either,
+// and a daemon that has left accepts none.
+func TestDrainingAfterVanishingAndLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Announcer{OnChange: func(tracker.Record) {}}
+		announce := func(state string) {
+			t.Helper()
+			if err := a.Announce(Announcement{Service: "ledger-view", Address: "127.0.0.1:80", State: state}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		announce("ready")
+		a.setVanished(a.Current(), true)
+		if a.Draining() {
+			t.Error("a ready target that has vanished: got true, want false")
+		}
+		announce("draining")
+		a.setVanished(a.Current(), true)
+		if !a.Draining() {
+			t.Error("a draining target that has vanished: got false, want true")
+		}
+		announce("ready")
+		a.Leave(false)
+		if !a.Draining() {
+			t.Error("after Leave: got false, want true")
+		}
+	})
+}
--- a/announcer/check.go
+++ b/announcer/check.go
@@ -56,8 +56,8 @@
 const timeoutTicks = 8
 
 // watchHeartbeats marks the target as gone if its newest announcement is older
-// than HeartbeatTimeout, or if a call could not reach it. The next announcement
-// restores the target's state.
+// than HeartbeatTimeout, or if a call could not reach it since then. The next
+// announcement restores the target's state.
 func (a *Announcer) watchHeartbeats(ctx context.Context) {
 	tick := time.NewTicker(a.HeartbeatTimeout / timeoutTicks)
 	defer tick.Stop()
@@ -71,11 +71,13 @@
 			unreachable = true
 		}
 		a.mu.Lock()
-		current, silent := a.current, time.Since(a.announcedAt)
-		a.mu.Unlock()
-		if current.Address != "" && (unreachable || silent > a.HeartbeatTimeout) {
-			a.setVanished(current, true)
+		isSilent := time.Since(a.announcedAt) > a.HeartbeatTimeout
+		// The call may have failed before the target announced that it is back.
+		unreachable = unreachable && a.announcedAt.UnixNano() <= a.unreachableAt.Load()
+		if a.current.Address != "" && (unreachable || isSilent) {
+			a.setVanishedLocked(true)
 		}
+		a.mu.Unlock()
 	}
 }
 
@@ -136,7 +138,14 @@
 func (a *Announcer) setVanished(checked Announcement, vanished bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current != checked || a.vanished == vanished {
+	if a.current == checked {
+		a.setVanishedLocked(vanished)
+	}
+}
+
+// setVanishedLocked records whether the target has vanished. The caller holds mu.
+func (a *Announcer) setVanishedLocked(vanished bool) {
+	if a.vanished == vanished {
 		return
 	}
 	a.vanished = vanished
