Pay for a retry only if its deadline leaves time for it

Calls near their deadlines spent the budget without a retry: after three of them a route that is hardly used has none left.

Change: the wait is drawn first; without time for it nothing is withdrawn.

--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -187,10 +187,11 @@
 		// another target once.
 		limit = max(limit, 1)
 	}
-	if c.retries >= limit || !c.withdrawRetry() {
+	wait := c.nextWait()
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
 		return false
 	}
-	if !c.backOff(ctx) {
+	if c.retries >= limit || !c.withdrawRetry() || sleeper.Sleep(ctx, wait) != nil {
 		return false
 	}
 	c.retries++
@@ -234,18 +235,13 @@
 	return true
 }
 
-// backOff waits before a retry and reports whether the retry can start before
-// the deadline of ctx. The wait is random between 0 and twice its mean, so that
-// calls that failed together are not retried together.
-func (c *Call) backOff(ctx context.Context) bool {
+// nextWait returns the time to wait before the next retry. It is random between 0 and twice
+// its mean, so that calls that failed together are not retried together.
+func (c *Call) nextWait() time.Duration {
 	if c.backoff == nil {
 		c.backoff = backoff.NewExponentialBackOff()
 		c.backoff.InitialInterval, c.backoff.MaxInterval = initialBackoff, maxBackoff
 		c.backoff.RandomizationFactor, c.backoff.Multiplier = 1, 2
 	}
-	wait := c.backoff.NextBackOff()
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
-		return false
-	}
-	return sleeper.Sleep(ctx, wait) == nil
+	return c.backoff.NextBackOff()
 }
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -230,3 +230,26 @@
 		}
 	}
 }
+
+// A retry that its deadline leaves no time for must not be paid for.
+func TestRetryWithoutTimeIsNotPaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := new(Retrier)
+		policy := &applier.Policy{Service: "payout-desk", Idempotent: true, MaxRetries: 100}
+		for range 20 {
+			c := r.Begin("shares", policy, http.Header{})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+			if c.Retry(ctx, FailureUnknown) {
+				t.Error("retry without time: got true, want false")
+			}
+			cancel()
+		}
+		if got := r.Counters.Exhausted.Value(); got != 0 {
+			t.Errorf("retries that the budget refused: got %d, want 0", got)
+		}
+		c := r.Begin("shares", policy, http.Header{})
+		if !c.Retry(t.Context(), FailureUnknown) {
+			t.Error("retry with time: got false, want true")
+		}
+	})
+}
