Send a call elsewhere, once, when its target has become too slow for it

Cause: an entry daemon learns that a target is slow from that target's answers. Of 296 daemons each sends a call to it every few seconds, and each of them learns by a call that is late.

Change: the target's daemon, which sees all its runs, refuses a call on its first attempt with slow-target where most of the running calls, or the recent mean, exceed both the call's objective and twice the usual run time. Any later attempt is accepted, so that calls are served late where all targets are slow or the fast ones full, at the cost of one hop. Single calls find out when the target is fast again. Keyed calls stay: a refusal before their key is looked up would be unknown. The number of the attempt is read from the call's id, whose last two bytes count it from 0 now.

Tests: TestSlowTargetSendsCallsElsewhere, TestUsuallyLateCallsStay.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -20,7 +20,7 @@
 	request := limiter.Request{
 		Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner), Priority: call.Priority,
 		Objective: loader.Milliseconds(int(call.ObjectiveMS)), IsNested: call.IsNested,
-		Waited: loader.Milliseconds(int(call.WaitedMS)),
+		Waited: loader.Milliseconds(int(call.WaitedMS)), MayGoElsewhere: call.ID.Attempt() == 0 && !call.IsKeyed(),
 	}
 	slot, err := d.limiter.Admit(ctx, request)
 	if err == nil {
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
 	"errors"
 	"slices"
 	"sync"
@@ -199,7 +198,7 @@
 	defer x.mu.Unlock()
 	call := x.call
 	call.WaitedMS = x.call.WaitedMS + time.Since(x.arrived).Milliseconds()
-	binary.BigEndian.PutUint16(call.ID[14:], x.attempts)
+	call.ID = call.ID.WithAttempt(x.attempts)
 	x.attempts++
 	x.lastInstance, x.lastChoice = choice.Record.InstanceID, choice
 	x.lost = nil
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -36,6 +36,7 @@
 	limiter.CauseExpectedWait: true,
 	limiter.CauseQueueTime:    true,
 	limiter.CauseExpectedRun:  true,
+	limiter.CauseSlowTarget:   true,
 }
 
 // classifyFailure returns the kind of an attempt's failure, by which the retrier decides,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -228,6 +228,7 @@
 		x.call.CallingPartner = partner
 	}
 	_, _ = rand.Read(x.call.ID[:])
+	x.call.ID = x.call.ID.WithAttempt(0)
 	x.retries = f.Retrier.Begin(matched.Name, policy, r.Header)
 	return x, ""
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -90,6 +90,8 @@
 	Objective time.Duration
 	// Waited is how much of the objective the caller has already spent waiting.
 	Waited time.Duration
+	// MayGoElsewhere is set if the call has been to no other target and may be sent to one.
+	MayGoElsewhere bool
 	// IsNested is set if a target makes the call while it runs another one.
 	IsNested bool
 }
@@ -127,6 +129,10 @@
 		l.mu.Unlock()
 		return Slot{}, l.refuse(CauseExpectedRun, 0)
 	}
+	if r.MayGoElsewhere && l.runs.isTooSlow(c, r.level(), r.Objective, now) {
+		l.mu.Unlock()
+		return Slot{}, l.refuse(CauseSlowTarget, 0)
+	}
 	if len(a.queues[c]) == 0 {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
 			slot := l.takeSlot(a, c, r.level(), r.Objective, kind, now)
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -14,6 +14,7 @@
 	CauseExpectedWait = "expected-wait"   // the call would wait too long
 	CauseQueueTime    = "queue-time"      // the call has waited for as long as it may
 	CauseExpectedRun  = "expected-run"    // the call would be cut off by its deadline
+	CauseSlowTarget   = "slow-target"     // another target can probably meet the objective, this one can't
 	CauseDeadline     = "deadline-passed" // the deadline has passed or the caller has left
 	CauseUnknownClass = "unknown-class"
 )
--- a/limiter/runs.go
+++ b/limiter/runs.go
@@ -14,6 +14,11 @@
 	// inverseRunWeight is the inverse weight of the newest sample in the moving
 	// average of run times: the newest run counts for 1/inverseRunWeight.
 	inverseRunWeight = 8
+	// inverseUsualWeight is the inverse weight of the newest run in the usual run time.
+	inverseUsualWeight = 128
+	// slowFactor is how many times the usual run time the recent mean of a slow target is
+	// at least.
+	slowFactor = 2
 	// overdueFactor is how many times the mean a call must have run for its time to
 	// count before it ends. Shorter times are common among running calls.
 	overdueFactor = 2.5
@@ -38,6 +43,8 @@
 // runTime is the recent run time of calls of one class and priority level.
 type runTime struct {
 	mean time.Duration
+	// usual is the mean over far more calls, 0 if none has ended.
+	usual time.Duration
 	// updatedAt is when the latest of these calls ended.
 	updatedAt time.Time
 }
@@ -76,6 +83,10 @@
 		known.mean = 0
 	}
 	known.mean, known.updatedAt = updateMean(known.mean, run), now
+	if known.usual == 0 {
+		known.usual = run
+	}
+	known.usual += (run - known.usual) / inverseUsualWeight
 }
 
 // means returns the mean run time of each class, 0 if it is not known yet.
@@ -102,6 +113,33 @@
 	return mean
 }
 
+// isTooSlow reports whether calls of a class and priority level run for longer than their
+// objective, and than usual at this target: by the recent mean, or because most of those that
+// run have already done so. A mean without a recent sample still counts while such a call runs:
+// one at a time shows when the target has become faster. It reports false for calls without
+// an objective.
+func (r *runTimes) isTooSlow(c class, level int, objective time.Duration, now time.Time) bool {
+	known := r.ofLevel[c][level]
+	if objective == 0 || known.usual == 0 {
+		return false
+	}
+	limit := max(objective, slowFactor*known.usual)
+	running, overdue := 0, 0
+	for _, call := range r.running {
+		if call.class != c || call.level != level {
+			continue
+		}
+		running++
+		if now.Sub(call.start) > limit {
+			overdue++
+		}
+	}
+	if overdue*2 > running {
+		return true
+	}
+	return known.mean > limit && (running > 0 || now.Sub(known.updatedAt) <= runTimeMaxAge)
+}
+
 // minResidualShare is the inverse of the least share of a mean run that is expected to remain
 // of a running call, however long it has run.
 const minResidualShare = 8
--- a/limiter/runs_test.go
+++ b/limiter/runs_test.go
@@ -182,3 +182,69 @@
 		time.Sleep(run)
 	})
 }
+
+// A target that has become slower than the objective must send calls elsewhere at once, once
+// each, and let single calls find out when it is fast again.
+func TestSlowTargetSendsCallsElsewhere(t *testing.T) {
+	const usual, slow, objective = 20 * time.Millisecond, 400 * time.Millisecond, 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		l := newOnePartnerLimiter(t, 12)
+		first := Request{Class: lookup, Partner: "magnolia", Objective: objective, MayGoElsewhere: true}
+		// admit admits a call that runs for the given time, and returns the cause of a refusal.
+		admit := func(r Request, run time.Duration) string {
+			slot, err := l.Admit(t.Context(), r)
+			var refused *RefusedError
+			if errors.As(err, &refused) {
+				return refused.Cause
+			}
+			time.AfterFunc(run, slot.Release)
+			return ""
+		}
+		wantCause := func(what string, r Request, run time.Duration, want string) {
+			t.Helper()
+			if got := admit(r, run); got != want {
+				t.Errorf("%s: got cause %q, want %q", what, got, want)
+			}
+		}
+		for range 5 {
+			wantCause("usual run", first, usual, "")
+			time.Sleep(2 * usual)
+		}
+		for range 6 {
+			wantCause("start of a slow run", first, slow, "")
+		}
+		time.Sleep(slow - time.Millisecond)
+		wantCause("slow runs not ended", first, slow, CauseSlowTarget)
+		time.Sleep(10 * time.Millisecond)
+		wantCause("slow runs ended", first, slow, CauseSlowTarget)
+		second := first
+		second.MayGoElsewhere = false
+		wantCause("a call that was elsewhere", second, slow, "")
+		noObjective := first
+		noObjective.Objective = 0
+		wantCause("a call without an objective", noObjective, slow, "")
+		time.Sleep(slow + runTimeMaxAge + time.Millisecond)
+		wantCause("single call after a while", first, usual, "")
+		wantCause("another one beside it", first, usual, CauseSlowTarget)
+		time.Sleep(2 * usual)
+		for range 6 {
+			wantCause("fast again", first, usual, "")
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Calls whose objective is shorter than their usual run time must not all make a detour.
+func TestUsuallyLateCallsStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newOnePartnerLimiter(t, 12)
+		for range 20 {
+			slot, err := l.Admit(t.Context(), Request{Class: lookup, Partner: "magnolia", Objective: 10 * time.Millisecond, MayGoElsewhere: true})
+			if err != nil {
+				t.Fatalf("got %v, want a slot", err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			slot.Release()
+		}
+	})
+}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"encoding/binary"
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,18 @@
 // CallID identifies one attempt of a call. It is unique across daemons and time.
 type CallID [16]byte
 
+// Attempt returns the number of the attempt, counted from 0.
+func (id CallID) Attempt() uint16 { return binary.BigEndian.Uint16(id[attemptOffset:]) }
+
+// WithAttempt returns the id of another attempt of the same call.
+func (id CallID) WithAttempt(n uint16) CallID {
+	binary.BigEndian.PutUint16(id[attemptOffset:], n)
+	return id
+}
+
+// attemptOffset is where the number of the attempt begins in a CallID.
+const attemptOffset = 14
+
 // String returns the id in hexadecimal.
 func (id CallID) String() string { return hex.EncodeToString(id[:]) }
 
