--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -329,7 +329,8 @@
 	if f.IsDraining(target) {
 		return messenger.NotRun(call.ID, causeDraining), nil
 	}
-	if f.allLinksSilent(target, laneOf(call)) && !(isLastResort && call.Idempotent) {
+	mayWait := isLastResort && call.Idempotent
+	if !mayWait && f.allLinksSilent(target, laneOf(call)) {
 		return messenger.NotRun(call.ID, causeSilent), nil
 	}
 	link, answer, err := f.send(ctx, call, target, deadline)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -330,7 +330,7 @@
 		}
 		rank := 1
 		if !tried.has(t) {
-			rank += 1
+			rank++
 		}
 		if !t.domain.lost.Load() {
 			rank += 2
