Count a lost relay lease once, and let gone replace warming

After a failed claim it renewed the new lease, which holds no slot, and went on as relay without one. After a conflict, which means that another daemon has the slot, it went on too, until it read the slots 12 s later, and counted a store failure. - Of two records with the same sequence the one with the higher number of its state applied. Warming has the highest number, so that a target whose daemon died while it warmed up could not be marked gone.

Change: keepLease knows that the lease is lost until the slot is claimed again; a failed claim revokes its lease, and a conflict ends the relay. States are compared by how final they are; their numbers in messages stay.

Tests: TestRelayWithExpiredLease, TestGoneReplacesEveryState.

--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -111,14 +111,22 @@
 
 // keepLease renews the lease, and returns once another daemon holds the slot.
 func (s *Spreader) keepLease(ctx context.Context, key string, lease storer.LeaseID) {
+	isLost := false
 	for sleeper.Sleep(ctx, s.cfg.LeaseTTL/3) == nil {
-		err := s.Store.Renew(ctx, lease)
-		var missing *storer.NotFoundError
-		if errors.As(err, &missing) {
-			s.Counters.LeasesLost.Add(1)
-			if lease, err = s.reclaimSlot(ctx, key); errors.Is(err, errSlotTaken) {
+		var err error
+		if !isLost {
+			err = s.Store.Renew(ctx, lease)
+			var missing *storer.NotFoundError
+			if isLost = errors.As(err, &missing); isLost {
+				s.Counters.LeasesLost.Add(1)
+			}
+		}
+		if isLost {
+			lease, err = s.reclaimSlot(ctx, key)
+			if errors.Is(err, errSlotTaken) {
 				return
 			}
+			isLost = err != nil
 		}
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
@@ -128,7 +136,9 @@
 			break
 		}
 	}
-	s.revokeLease(ctx, lease)
+	if !isLost {
+		s.revokeLease(ctx, lease)
+	}
 }
 
 var errSlotTaken = errors.New("another daemon holds the relay slot")
@@ -154,7 +164,12 @@
 		return 0, err
 	}
 	if _, err := s.Store.CompareAndSwap(ctx, key, []byte(s.PeerAddress), free.revision, lease); err != nil {
-		return lease, err
+		s.revokeLease(ctx, lease)
+		var conflict *storer.ConflictError
+		if errors.As(err, &conflict) {
+			return 0, errSlotTaken
+		}
+		return 0, err
 	}
 	s.Counters.LeasesTaken.Add(1)
 	return lease, nil
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -11,8 +11,7 @@
 // State is the lifecycle state of a target.
 type State uint8
 
-// The states of a target. The numbers are part of the protocol between daemons,
-// and Newer compares them.
+// The states of a target. The numbers are part of the protocol between daemons.
 const (
 	StateReady State = iota + 1
 	StateDraining
@@ -21,6 +20,21 @@
 	StateWarming
 )
 
+// finality orders the states of one record for Newer: a target that is held to be gone
+// replaces any other state, so that its daemon learns of it.
+func (s State) finality() int {
+	switch s {
+	case StateWarming:
+		return 0
+	case StateReady:
+		return 1
+	case StateDraining:
+		return 2
+	default:
+		return 3
+	}
+}
+
 // String returns the name of the state, as announcements and status output use
 // it.
 func (s State) String() string {
@@ -43,7 +57,7 @@
 // Invariant: of two records with the same InstanceID the one with the higher
 // Incarnation applies, and within an incarnation the one with the higher
 // Sequence. If a target's own daemon and a daemon that lost contact with it made
-// records with the same Sequence, the one with the higher State applies, so that
+// records with the same Sequence, the one with the more final State applies, so that
 // the target's daemon receives the other's record and can refute it.
 type Record struct {
 	InstanceID  string `cbor:"1,keyasint" json:"instance-id"`
@@ -79,6 +93,6 @@
 	return cmp.Or(
 		cmp.Compare(r.Incarnation, other.Incarnation),
 		cmp.Compare(r.Sequence, other.Sequence),
-		cmp.Compare(r.State, other.State),
+		cmp.Compare(r.State.finality(), other.State.finality()),
 	) > 0
 }
