Name too long log lines, answers and wrong arguments for what they are

Change: the rest of a long line is passed over with it, a long answer is an error, and the arguments of all commands below the root are checked alike.

Tests: TestTooLongLine, TestTooLongAnswer, TestUsageErrors.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -25,7 +25,7 @@
 const (
 	tokenVariable  = "BAMBOOWEIR_TOKEN" // environment variable that holds the partner's token
 	attemptTimeout = 20 * time.Second   // for one HTTP request with its answer
-	maxAnswerBytes = 64 << 20           // the rest of a longer answer is not read
+	maxAnswerBytes = 64 << 20           // a longer answer is an error
 )
 
 // client calls the operator API of a daemon.
@@ -138,7 +138,7 @@
 		return nil, &unansweredError{cause: err, sent: connected.Load()}
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	b, err := readAnswer(res.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, &unansweredError{cause: err, sent: true}
 	}
@@ -153,6 +153,15 @@
 	return nil, &problemError{problem: p}
 }
 
+// readAnswer reads an answer, and fails if it has more than limit bytes.
+func readAnswer(r io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		return nil, fmt.Errorf("the answer is longer than %d bytes", limit)
+	}
+	return b, err
+}
+
 // withStatus adds the exit status to an error of do, if the daemon answered with
 // a problem.
 func withStatus(err error) error {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -23,8 +23,7 @@
 }
 
 // newRoot returns the root command with all subcommands. Errors in parsing flags, and
-// errors in the arguments of its direct subcommands, have the exit status
-// statusBadInput.
+// errors in the arguments of its subcommands, have the exit status statusBadInput.
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "bambooweir",
@@ -58,12 +57,18 @@
 		new(explainCommand).command(),
 	)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
-	for _, c := range root.Commands() {
-		c.Args = badInputArgs(c.Args)
-	}
+	wrapArgs(root)
 	return root
 }
 
+// wrapArgs wraps the checks of arguments of all commands below c with badInputArgs.
+func wrapArgs(c *cobra.Command) {
+	for _, sub := range c.Commands() {
+		sub.Args = badInputArgs(sub.Args)
+		wrapArgs(sub)
+	}
+}
+
 // unknownCommand prints the help if there are no arguments, and otherwise returns
 // an error that suggests commands with similar names.
 func unknownCommand(c *cobra.Command, args []string) error {
--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -263,6 +263,8 @@
 		{[]string{"apply"}, statusBadInput, "accepts 1 arg(s), received 0"},
 		{[]string{"apply", "--frob"}, statusBadInput, "unknown flag: --frob"},
 		{[]string{"show", "x"}, statusBadInput, "x"},
+		{[]string{"measure", "calls", "x"}, statusBadInput, "x"},
+		{[]string{"measure", "convergence", "--frob"}, statusBadInput, "unknown flag: --frob"},
 		{[]string{"history", "--limit", "x"}, statusBadInput, "invalid argument"},
 		{[]string{"check", "--help"}, statusOK, "Examples:"},
 		{[]string{"completion", "bash"}, statusOK, "bash completion"},
@@ -279,3 +281,16 @@
 		t.Errorf("got %d, want %d", got, want)
 	}
 }
+
+// An answer that is too long must be an error, since its first part may be valid by itself.
+func TestTooLongAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		answer string
+		want   string // "" means an error
+	}{{"", ""}, {"1234", "1234"}, {"12345", ""}} {
+		got, err := readAnswer(strings.NewReader(tt.answer), 4)
+		if isError := len(tt.answer) > 4; isError != (err != nil) || !isError && string(got) != tt.want {
+			t.Errorf("%q: got %q, %v", tt.answer, got, err)
+		}
+	}
+}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -13,8 +13,7 @@
 	"time"
 )
 
-// maxLineBytes bounds the length of a log line. A longer line is read in pieces of
-// this size: each piece but the last is skipped, and the last is parsed like a line.
+// maxLineBytes bounds the length of a log line. A longer line is skipped.
 const maxLineBytes = 1 << 20
 
 // Line is one event of a request.
@@ -36,8 +35,7 @@
 	// Cause is the cause in the last line of the request itself that has one; it is
 	// "" when none does.
 	Cause string `json:"cause"`
-	// SkippedLines counts the lines that were not events, and each skipped piece of a
-	// line longer than maxLineBytes.
+	// SkippedLines counts the lines that were not events or longer than maxLineBytes.
 	SkippedLines int `json:"passed-over"`
 }
 
@@ -50,6 +48,7 @@
 	t := &Timeline{RequestID: id}
 	for _, log := range logs {
 		r := bufio.NewReaderSize(log, maxLineBytes)
+		isRest := false // the text is the rest of a line that was too long
 		for {
 			text, isCut, err := r.ReadLine()
 			if err == io.EOF {
@@ -58,9 +57,10 @@
 			if err != nil {
 				return nil, err
 			}
-			if isCut || !t.addLine(text) {
+			if !isRest && (isCut || !t.addLine(text)) {
 				t.SkippedLines++
 			}
+			isRest = isCut
 		}
 	}
 	slices.SortStableFunc(t.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -54,3 +54,16 @@
 		t.Errorf("got %q, want the message that no line names the request", got)
 	}
 }
+
+// A line that is too long must be skipped as one, with its end, which may look like an event.
+func TestTooLongLine(t *testing.T) {
+	event := `{"time":"2026-01-02T03:04:05Z","event":"call-late","request-id":"r1"}`
+	log := strings.Repeat("x", 3*maxLineBytes) + event + "\n" + event + "\n"
+	timeline, err := Explain("r1", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(timeline.Lines) != 1 || timeline.SkippedLines != 1 {
+		t.Errorf("got %d lines and %d skipped, want 1 and 1", len(timeline.Lines), timeline.SkippedLines)
+	}
+}
