--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -55,6 +55,7 @@
 		new(demoCommand).command(),
 		new(soakCommand).command(),
 		new(explainCommand).command(),
+		new(reportCommand).command(),
 	)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
 	wrapArgs(root)
