Report a target as reached only where it was, and publish lost log lines

The number of lost log lines was published nowhere.

Change: only a failed connection or a response is reported, once; metric bambooweir_log_lines_lost.

Not a fault: the first pause after a failed call of the store's watch is 100 ms, as its comment says (base shifted by the number of failures, which is 1 then). TCP keep-alive to the store takes 3 s on Linux, which has whole seconds; its comment says so.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/logger"
 	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/publisher"
 	"bambooweir.example/bambooweir/recoverer"
@@ -37,6 +38,7 @@
 	}
 	m.Set("version", expvar.Func(d.versionInForce))
 	m.Set("panics", &recoverer.Panics)
+	m.Set("log-lines-lost", &logger.LostLines)
 	m.Set("key-table", publisher.Counters(&d.executor.KeyCoordinator.Keys.Counters))
 	m.Set("daemons", expvar.Func(func() any { return d.fleetSize() }))
 	m.Set("calls-running", expvar.Func(func() any { return d.limiter.Load().Running }))
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -83,6 +83,7 @@
 	"bambooweir_calls_running":      "Calls that this daemon's target is running.",
 	"bambooweir_calls_waiting":      "Calls that wait for a slot at the target.",
 	"bambooweir_slots":              "Number of calls that the target runs at a time.",
+	"bambooweir_log_lines_lost":     "Log lines that were not written: the reader was too slow, or the log could not be written.",
 	"bambooweir_requests_in_flight": "Callers' requests that are not yet answered.",
 }
 
--- a/executor/target.go
+++ b/executor/target.go
@@ -66,7 +66,11 @@
 	res, err := x.exchange(ctx, base, req)
 	var notSent *requester.NotSentError
 	if errors.As(err, &notSent) {
-		x.reportReached(!notSent.IsUnreachable)
+		if notSent.IsUnreachable {
+			// Other reasons, as a caller that has left or no free connection, say
+			// nothing about the target.
+			x.reportReached(false)
+		}
 		if ctx.Err() != nil {
 			return messenger.NotRun(id, failureCause(ctx, CauseUnreachable))
 		}
@@ -82,7 +86,7 @@
 		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause), zap.Error(err))
 		return markSent(answer)
 	}
-	x.reportReached(true)
+	x.reportReached(res.Status != http.StatusMisdirectedRequest)
 	return markSent(x.answerFromResponse(id, r.call.RequestID, req, res))
 }
 
@@ -118,7 +122,6 @@
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
 		x.logger().Info("other-run-answered", zap.String("request-id", requestID))
-		x.reportReached(false)
 		return messenger.NotRun(id, CauseOtherRun)
 	case res.Header.Get(x.Headers.WithDefaults().NotRun) != "":
 		x.logger().Info("target-shed", zap.String("request-id", requestID), zap.Int("status", res.Status))
--- a/executor/target_test.go
+++ b/executor/target_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -10,6 +12,7 @@
 	"testing"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/requester"
 )
 
 // listenRaw starts a TCP server that passes each connection to serve, and returns
@@ -186,3 +189,33 @@
 		t.Errorf("connections to the target: got %d, want 0", got)
 	}
 }
+
+// Only what says something about the target may count as reaching it or not: a target that a
+// call did not get to would otherwise not be checked for a while.
+func TestReportsOfReachability(t *testing.T) {
+	tests := []struct {
+		name string
+		res  *requester.Response
+		err  error
+		want string
+	}{
+		{"answered", &requester.Response{Status: http.StatusOK}, nil, "[true]"},
+		{"answered by another run", &requester.Response{Status: http.StatusMisdirectedRequest}, nil, "[false]"},
+		{"unreachable", nil, &requester.NotSentError{IsUnreachable: true}, "[false]"},
+		{"caller left before it was sent", nil, &requester.NotSentError{Cause: context.Canceled}, "[]"},
+		{"no free connection", nil, &requester.NotSentError{}, "[]"},
+		{"no answer", nil, io.ErrUnexpectedEOF, "[]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []bool
+			x := newExecutor("http://target")
+			x.Reached = func(answered bool) { got = append(got, answered) }
+			x.Exchange = func(context.Context, string, *requester.Request) (*requester.Response, error) { return tt.res, tt.err }
+			x.sendToTarget(t.Context(), "http://target", &requester.Request{Method: http.MethodGet}, &run{call: newKeyedCall(http.MethodGet, "")})
+			if fmt.Sprint(got) != tt.want {
+				t.Errorf("reports: got %v, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -7,6 +7,7 @@
 package logger
 
 import (
+	"expvar"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,9 @@
 	return &Log{Logger: zap.New(limited), Level: parsed, sink: s}, nil
 }
 
+// LostLines counts the log lines of this process that were not written.
+var LostLines expvar.Int
+
 // Lost returns the number of lines that were not written: the queue was full, the log
 // was closed, or the write failed.
 func (l *Log) Lost() int64 { return l.sink.lost.Load() }
@@ -82,17 +86,23 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.closed {
-		s.lost.Add(1)
+		s.countLost()
 		return len(b), nil
 	}
 	select {
 	case s.lines <- line:
 	default:
-		s.lost.Add(1)
+		s.countLost()
 	}
 	return len(b), nil
 }
 
+// countLost counts a line that was not written.
+func (s *sink) countLost() {
+	s.lost.Add(1)
+	LostLines.Add(1)
+}
+
 // Sync implements zapcore.WriteSyncer.
 func (s *sink) Sync() error { return nil }
 
@@ -103,7 +113,7 @@
 		if _, err := s.w.Write(line); err != nil {
 			// The log itself can't be written, so the count is the only place to
 			// report this.
-			s.lost.Add(1)
+			s.countLost()
 		}
 	}
 }
