Contain panics in what the store holds and in putting a version in force

Loops that may hold a lock are left to end the process.

Ruled out: entries without a value, which the validator refuses (tried for every kind).

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -6,10 +6,12 @@
 package applier
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
 
+	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -121,7 +123,7 @@
 			return false, checkSameContent(current, doc)
 		}
 	}
-	snapshot, err := Build(doc, a.Domain)
+	snapshot, err := a.build(doc)
 	if err != nil {
 		return false, err
 	}
@@ -133,6 +135,16 @@
 	return true, nil
 }
 
+// errBuildPanic means that building the snapshot of a document panicked.
+var errBuildPanic = errors.New("the document could not be put in force because of an internal error")
+
+// build is Build for the daemon's failure domain. A panic is an error: every daemon gets the
+// same document, and it would end them all.
+func (a *Applier) build(doc *versioner.Document) (s *Snapshot, err error) {
+	defer recoverer.Recover(nil, "configuration", func() { s, err = nil, errBuildPanic })
+	return Build(doc, a.Domain)
+}
+
 // checkSameContent returns a *ForkedVersionError if the document differs from the
 // document of the snapshot, which has the same version.
 func checkSameContent(current *Snapshot, doc *versioner.Document) error {
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -10,6 +10,7 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/validator"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -55,16 +56,25 @@
 	if head.Version <= base.position().Version {
 		return nil
 	}
-	next, err := base.applyDeltas(head.Recent)
-	if err != nil || next.digest != head.Digest {
-		if next, err = s.readDocument(ctx, head); err != nil {
-			return err
-		}
+	next, err := s.documentOf(ctx, base, head)
+	if err != nil {
+		return err
 	}
 	s.stageOrApply(next, head.Recent, nil)
 	return nil
 }
 
+// documentOf returns the document that the head names, from its deltas if these lead there
+// from base, and otherwise from the store. A panic is an error.
+func (s *Spreader) documentOf(ctx context.Context, base digestedDoc, head acceptor.Head) (next digestedDoc, err error) {
+	defer recoverer.Recover(s.Log, "document", func() { err = errDecodePanic })
+	next, err = base.applyDeltas(head.Recent)
+	if err == nil && next.digest == head.Digest {
+		return next, nil
+	}
+	return s.readDocument(ctx, head)
+}
+
 // readDocument reads the document that the head names from the store and
 // verifies its digest.
 func (s *Spreader) readDocument(ctx context.Context, head acceptor.Head) (digestedDoc, error) {
--- a/spreader/malformed_test.go
+++ b/spreader/malformed_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/recoverer"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 // allMessageKinds is above the highest kind of message.
@@ -85,3 +88,13 @@
 		t.Error("next session's message: got a panic, want it handled")
 	}
 }
+
+// A store that cannot be read because of a fault of ours must not end the process.
+func TestPanicInReadingTheStoreIsAnError(t *testing.T) {
+	s := newIdleSpreader()
+	s.Store = nil // reading it panics
+	head := acceptor.Head{Version: 7, Digest: versioner.Digest{1}}
+	if _, err := s.documentOf(t.Context(), digestedDoc{}, head); !errors.Is(err, errDecodePanic) {
+		t.Errorf("got %v, want %v", err, errDecodePanic)
+	}
+}
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -13,6 +13,7 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/versioner"
@@ -277,7 +278,7 @@
 	if s.External != nil {
 		return s.handleExternalItem(item, began), nil
 	}
-	head, err := acceptor.DecodeHead(item.Value)
+	head, err := s.decodeHead(item.Value)
 	if err != nil {
 		s.Counters.Malformed.Add(1)
 		return 0, err
@@ -289,6 +290,12 @@
 	return head.Version, nil
 }
 
+// decodeHead returns the head that the value holds. A panic is an error.
+func (s *Spreader) decodeHead(value []byte) (head acceptor.Head, err error) {
+	defer recoverer.Recover(s.Log, "head", func() { err = errDecodePanic })
+	return acceptor.DecodeHead(value)
+}
+
 // handleAppointment ends the session with the parent that appointed this
 // daemon, in order to claim the vacant relay slot key.
 func (s *Spreader) handleAppointment(sess *session, key string) {
