Bound the membership table

Change: a table holds 65,536 records (13 times the largest fleet planned for); beyond, records of unknown instances are rejected and counted (bambooweir_tracker_rejected), while known ones change as before. A full table exchanges no digests: it can't hold what its peers hold, and the exchange would be repeated with each second ping.

Not solved: the flood takes the room of targets that join after it, and is passed on until the tables are full (docs/PROOF.md).

Tests: TestFloodOfRecordsIsBounded, TestFullTableExchangesNoRecords.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -25,6 +25,7 @@
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
+	m.Set("tracker", publisher.Counters(&d.table.Counters))
 	m.Set("spreader", publisher.Counters(&d.spreader.Counters))
 	m.Set("acceptor", publisher.Counters(&d.operatorAPI.Acceptor.Counters))
 	if policy, ok := d.operatorAPI.Acceptor.Policy.(*authorizer.Authorizer); ok {
--- a/spreader/malformed_test.go
+++ b/spreader/malformed_test.go
@@ -12,6 +12,7 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/recoverer"
+	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -98,3 +99,24 @@
 		t.Errorf("got %v, want %v", err, errDecodePanic)
 	}
 }
+
+// While the table is full its digests differ from those of the peers for good, so that records
+// must not be exchanged with each mismatch.
+func TestFullTableExchangesNoRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newIdleSpreader()
+		s.Table.MaxRecords = 2
+		s.Table.Merge([]tracker.Record{
+			{InstanceID: "d1", Incarnation: 1, Sequence: 1, Domain: "selma-row", State: tracker.StateReady},
+			{InstanceID: "d2", Incarnation: 1, Sequence: 1, Domain: "selma-row", State: tracker.StateReady},
+		})
+		sess := newIdleSession(s)
+		before := len(sess.queue)
+		for range 10 {
+			s.handle(t.Context(), sess, &messenger.MemberDigests{Reply: true})
+		}
+		if got := len(sess.queue) - before; got != 0 {
+			t.Errorf("messages queued for ten mismatches: got %d, want 0", got)
+		}
+	})
+}
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -138,8 +138,13 @@
 }
 
 // queueDigests queues the membership digests of all failure domains. If reply
-// is set, the peer answers with its own digests. The caller holds mu.
+// is set, the peer answers with its own digests. It queues nothing while the table is
+// full: the table can't hold what the peers hold, and exchanging that again and again would
+// fill the links. The caller holds mu.
 func (s *Spreader) queueDigests(sess *session, reply bool) {
+	if s.Table.IsFull() {
+		return
+	}
 	s.Counters.DigestExchanges.Add(1)
 	m := &messenger.MemberDigests{Reply: reply}
 	for domain, digest := range s.Table.Digests() {
@@ -151,6 +156,9 @@
 // handleDigests queues the records of the failure domains whose digests differ
 // from the peer's.
 func (s *Spreader) handleDigests(sess *session, m *messenger.MemberDigests) {
+	if s.Table.IsFull() {
+		return
+	}
 	theirs := make(map[string]uint64, len(m.Domains))
 	for _, d := range m.Domains {
 		theirs[d.Domain] = d.Digest
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"expvar"
 	"maps"
 	"slices"
 	"sync"
@@ -19,8 +20,17 @@
 	// departureRetention is how long Departed returns a departure, counted from
 	// its At.
 	departureRetention = time.Hour
+	// DefaultMaxRecords bounds the records of a table whose MaxRecords is 0. It is many
+	// times the number of targets and tombstones of the largest fleets.
+	DefaultMaxRecords = 65_536
 )
 
+// Counters count what a Table decides.
+type Counters struct {
+	// Rejected counts records of unknown instances that arrived while the table was full.
+	Rejected expvar.Int
+}
+
 // Source identifies the session over which a record arrived. 0 means this
 // daemon.
 type Source uint64
@@ -73,6 +83,11 @@
 // All methods are safe for concurrent use. Service, Draining and Departed take
 // no lock.
 type Table struct {
+	// MaxRecords bounds the records; 0 means DefaultMaxRecords. A member that invents
+	// instances can then not take all memory of the fleet.
+	MaxRecords int
+	Counters   Counters
+
 	mu        sync.Mutex
 	entries   map[string]*entry
 	byService map[string]map[string]*entry
@@ -105,6 +120,10 @@
 		if ok && !r.Newer(old.record) {
 			continue
 		}
+		if !ok && t.isFull() {
+			t.Counters.Rejected.Add(1)
+			continue
+		}
 		if ok {
 			touched[old.record.Service] = struct{}{}
 			t.recordPastDeparture(old.record, r)
@@ -119,6 +138,16 @@
 	return changed
 }
 
+// IsFull reports whether the table takes no records of unknown instances.
+func (t *Table) IsFull() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isFull()
+}
+
+// isFull implements IsFull. The caller holds mu.
+func (t *Table) isFull() bool { return len(t.entries) >= cmp.Or(t.MaxRecords, DefaultMaxRecords) }
+
 // recordPastDeparture records the departure of old if next belongs to a new
 // process and old did not hand over its keys, or if next shows that a process
 // marked as gone has returned. The caller holds mu.
--- a/tracker/table_test.go
+++ b/tracker/table_test.go
@@ -166,3 +166,28 @@
 		t.Errorf("live instances: got %d, want %d", got, want)
 	}
 }
+
+// Records that a member invents must not grow the table beyond its bound, and must not keep
+// known targets from changing.
+func TestFloodOfRecordsIsBounded(t *testing.T) {
+	const bound = 1000
+	table := &Table{MaxRecords: bound}
+	known := Record{InstanceID: "d1", Incarnation: 1, Sequence: 1, Service: "ledger-view", Domain: "selma-row", State: StateReady}
+	table.Merge([]Record{known})
+	for i := range 10 * bound {
+		table.Merge([]Record{{InstanceID: fmt.Sprint("x", i), Incarnation: 1, Sequence: 1, Service: fmt.Sprint("s", i), Domain: fmt.Sprint("z", i), State: StateReady}})
+	}
+	if got := len(table.All()); got != bound {
+		t.Errorf("records: got %d, want %d", got, bound)
+	}
+	if got := table.Counters.Rejected.Value(); got != 9*bound+1 {
+		t.Errorf("rejected: got %d, want %d", got, 9*bound+1)
+	}
+	if !table.IsFull() {
+		t.Error("full: got false, want true")
+	}
+	known.Sequence, known.State = 2, StateDraining
+	if got := table.Merge([]Record{known}); len(got) != 1 {
+		t.Errorf("a known target's change: got %d changed records, want 1", len(got))
+	}
+}
