Do not let one hanging call keep the others out

Cause, found in reading the diff: with run times estimated from running calls, a single call that hangs (its answer lost, or a target that is mute) counted with all of its time. Where no other run was known, later calls were refused with expected-run although all other slots were free; with a known mean of 50 ms one call of 20 s took it to seconds; and one hanging call out of one running made the target count as slow.

Change: an unknown mean stays unknown, a running call counts for four times the mean at most (many of them still multiply: eleven slow runs reach 33 times), and a target counts as slow before its runs end only if three calls exceed the objective.

--- a/limiter/runs.go
+++ b/limiter/runs.go
@@ -22,6 +22,11 @@
 	// overdueFactor is how many times the mean a call must have run for its time to
 	// count before it ends. Shorter times are common among running calls.
 	overdueFactor = 2.5
+	// maxOverdueFactor bounds what one such call counts for.
+	maxOverdueFactor = 4
+	// minOverdue is the number of running calls that must exceed their objective for the
+	// target to count as slow before any of them has ended.
+	minOverdue = 3
 	// warmupRunPercent is the run time assumed for the first calls at a target that is
 	// warming up, in percent of their objective.
 	warmupRunPercent = 70
@@ -134,7 +139,7 @@
 			overdue++
 		}
 	}
-	if overdue*2 > running {
+	if overdue >= minOverdue && overdue*2 > running {
 		return true
 	}
 	return known.mean > limit && (running > 0 || now.Sub(known.updatedAt) <= runTimeMaxAge)
@@ -161,12 +166,14 @@
 }
 
 // includeOverdue returns the mean as if a call that has run for elapsed ended now, if that is
-// overdueFactor times the mean or more.
+// overdueFactor times the mean or more. A single call that hangs counts for
+// maxOverdueFactor times the mean at most; many of them multiply. An unknown mean stays
+// unknown.
 func includeOverdue(mean, elapsed time.Duration) time.Duration {
-	if float64(elapsed) < overdueFactor*float64(mean) || elapsed <= 0 {
+	if mean == 0 || float64(elapsed) < overdueFactor*float64(mean) {
 		return mean
 	}
-	return updateMean(mean, elapsed)
+	return updateMean(mean, min(elapsed, maxOverdueFactor*mean))
 }
 
 // updateMean returns the moving average after the sample run. It never returns 0,
--- a/limiter/runs_test.go
+++ b/limiter/runs_test.go
@@ -151,6 +151,47 @@
 	}
 }
 
+// A single call that hangs, as one whose answer is lost, must not keep the others out.
+func TestHangingCallKeepsNoneOut(t *testing.T) {
+	const run, hangs = 50 * time.Millisecond, 20 * time.Second
+	tests := []struct {
+		name string
+		// before is the number of calls that ended before the one that hangs, and pause the
+		// time without a call after it.
+		before int
+		pause  time.Duration
+	}{{"the only call so far", 0, 5 * time.Second}, {"after others", 20, time.Second}, {"after others, long ago", 20, 5 * time.Second}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newOnePartnerLimiter(t, 12)
+				request := Request{Class: lookup, Partner: "magnolia", Objective: 200 * time.Millisecond, MayGoElsewhere: true}
+				call := func(run time.Duration) {
+					t.Helper()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					slot, err := l.Admit(ctx, request)
+					if err != nil {
+						t.Fatalf("got %v, want a slot", err)
+					}
+					time.AfterFunc(run, slot.Release)
+				}
+				for range tt.before {
+					call(run)
+					time.Sleep(2 * run)
+				}
+				call(hangs)
+				time.Sleep(tt.pause)
+				for range 20 {
+					call(run)
+					time.Sleep(2 * run)
+				}
+				time.Sleep(hangs)
+			})
+		})
+	}
+}
+
 // Calls that began together end together. A caller that comes meanwhile must be told to
 // return when they end, and not after a share of a run, when it would be refused again.
 func TestRetryAfterOfCallsThatBeganTogether(t *testing.T) {
