--- a/limiter/runs.go
+++ b/limiter/runs.go
@@ -145,9 +145,9 @@
 	return known.mean > limit && (running > 0 || now.Sub(known.updatedAt) <= runTimeMaxAge)
 }
 
-// minResidualShare is the inverse of the least share of a mean run that is expected to remain
-// of a running call, however long it has run.
-const minResidualShare = 8
+// inverseMinResidual is the inverse of the least share of a mean run that a running call is
+// expected to take yet, however long it has run.
+const inverseMinResidual = 8
 
 // nextEnd returns the time until n more of the running calls, besides the next one, have
 // probably ended, or 0 if no more than n run. Until then no further slot becomes free. The
@@ -159,7 +159,7 @@
 	residuals := make([]time.Duration, len(r.running))
 	for i, call := range r.running {
 		mean := means[call.class]
-		residuals[i] = max(mean-now.Sub(call.start), mean/minResidualShare)
+		residuals[i] = max(mean-now.Sub(call.start), mean/inverseMinResidual)
 	}
 	slices.Sort(residuals)
 	return residuals[n]
