Log and count the limits and departures that targets name in their answers

When targets named a limit in their answers, no line or counter showed it, so that the hypotheses on the broken limits could not be told apart. The daemon beside a target now reads both header fields, logs each change (target-notice) with the number of requests sent under the limit so far, and publishes the limit in force. Nothing acts on them yet.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -45,6 +45,7 @@
 	m.Set("calls-running", expvar.Func(func() any { return d.limiter.Load().Running }))
 	m.Set("calls-waiting", expvar.Func(func() any { return d.limiter.Load().Waiting }))
 	m.Set("slots", expvar.Func(func() any { return d.limiter.Load().Slots }))
+	m.Set("target-rate-limit", expvar.Func(d.targetRateLimit))
 	m.Set("requests-in-flight", expvar.Func(func() any { return d.forwarder.InFlight() }))
 	publisher.Publish(d.cfg.Load().InstanceID, m)
 	d.metrics, d.histograms = m, metrics.NewSet()
@@ -81,6 +82,15 @@
 	return uint64(0)
 }
 
+// targetRateLimit returns the calls per second that the target takes, as it says on its
+// answers, or -1 if it names no limit.
+func (d *Daemon) targetRateLimit() any {
+	if notice := d.executor.Notice(); notice.IsLimited {
+		return notice.CallsPerSecond
+	}
+	return -1.0
+}
+
 // ControlBytes returns the numbers of bytes that this daemon has sent and received
 // over control links.
 func (d *Daemon) ControlBytes() (sent, received int64) {
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -84,6 +84,7 @@
 	"bambooweir_calls_waiting":      "Calls that wait for a slot at the target.",
 	"bambooweir_slots":              "Number of calls that the target runs at a time.",
 	"bambooweir_log_lines_lost":     "Log lines that were not written: the reader was too slow, or the log could not be written.",
+	"bambooweir_target_rate_limit":  "Calls per second that the target takes from all daemons, as it says on its answers; -1 if it names no limit.",
 	"bambooweir_requests_in_flight": "Callers' requests that are not yet answered.",
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -78,6 +78,11 @@
 	Cancelled, Reattached, Malformed expvar.Int
 	// BodiesRefused counts bodies that were refused because the link was busy.
 	BodiesRefused expvar.Int
+	// Notices counts changes of what the target says about itself on its answers,
+	// MalformedNotices the answers with a rate limit that can't be read.
+	Notices, MalformedNotices expvar.Int
+	// SentLimited counts the requests that were sent while the target named a rate limit.
+	SentLimited expvar.Int
 }
 
 // Executor runs calls at one target. Target must be set; InstanceID and
@@ -110,6 +115,9 @@
 	// RunID returns the ID of the target's current run. Requests carry it so that no
 	// other run accepts them. If it is nil or returns "", they carry none.
 	RunID func() string
+	// Epoch returns when the target's current run started, by the target's own clock; 0
+	// means that it is not known. It may be nil.
+	Epoch func() uint64
 	// EchoesID is set if the target always repeats the request's ID on its answers, so
 	// that an answer without it belongs to no request. Otherwise that holds once the
 	// target has repeated one, and calls without an ID get one.
@@ -128,6 +136,7 @@
 	KeyCoordinator KeyCoordinator
 	Counters       Counters
 
+	notice   targetNotice
 	stopping atomic.Bool // set by Drain
 	inFlight atomic.Int64
 	// buffered is the total size in bytes of the bodies of accepted calls from links.
--- a/executor/target.go
+++ b/executor/target.go
@@ -62,7 +62,10 @@
 
 // sendToTarget sends the request of a call that has begun, and returns the answer.
 func (x *Executor) sendToTarget(ctx context.Context, base string, req *requester.Request, r *run) *messenger.Answer {
-	id := r.call.ID
+	id, run := r.call.ID, x.currentRun()
+	if x.Notice().IsLimited {
+		x.Counters.SentLimited.Add(1)
+	}
 	res, err := x.exchange(ctx, base, req)
 	var notSent *requester.NotSentError
 	if errors.As(err, &notSent) {
@@ -87,6 +90,9 @@
 		return markSent(answer)
 	}
 	x.reportReached(res.Status != http.StatusMisdirectedRequest)
+	if res.Status != http.StatusMisdirectedRequest {
+		x.observeNotice(run, res.Header)
+	}
 	return markSent(x.answerFromResponse(id, r.call.RequestID, req, res))
 }
 
--- a/messenger/header_names.go
+++ b/messenger/header_names.go
@@ -18,6 +18,11 @@
 	// NotRun marks a target's answer to a call that it did not run and never
 	// will.
 	NotRun string
+	// RateLimit is the number of calls per second, a decimal number, that a target
+	// takes from all daemons together for as long as its answers carry the field.
+	RateLimit string
+	// Leaving is "1" on every answer of a target that is shutting down.
+	Leaving string
 }
 
 // WithDefaults returns n with bambooweir's own names in its empty fields.
@@ -28,5 +33,7 @@
 		CallingService: cmp.Or(n.CallingService, "Bambooweir-Calling-Service"),
 		Target:         cmp.Or(n.Target, "Bambooweir-Target"),
 		NotRun:         cmp.Or(n.NotRun, "Bambooweir-Not-Run"),
+		RateLimit:      cmp.Or(n.RateLimit, "Bambooweir-Rate-Limit"),
+		Leaving:        cmp.Or(n.Leaving, "Bambooweir-Leaving"),
 	}
 }
