--- /dev/null
+++ b/daemon/notice_test.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/announcer"
+	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/loader"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/requester"
+	"bambooweir.example/bambooweir/tracker"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// limitedTarget is a target that names a rate limit on its answers and records when
+// requests arrive.
+type limitedTarget struct {
+	start time.Time
+	run   time.Duration
+	// limit returns the calls per second that the target takes at a time after start.
+	limit func(at time.Duration) (perSecond float64, limited bool)
+
+	mu       sync.Mutex
+	arrivals []time.Duration
+}
+
+// exchange replaces the executor's Requester.
+func (l *limitedTarget) exchange(ctx context.Context, _ string, req *requester.Request) (*requester.Response, error) {
+	l.mu.Lock()
+	l.arrivals = append(l.arrivals, time.Since(l.start))
+	l.mu.Unlock()
+	select {
+	case <-time.After(l.run):
+	case <-ctx.Done():
+		return nil, &requester.LostError{Cause: ctx.Err()}
+	}
+	names := messenger.HeaderNames{}.WithDefaults()
+	h := http.Header{}
+	h.Set(names.RequestID, req.ID)
+	if perSecond, limited := l.limit(time.Since(l.start)); limited {
+		h.Set(names.RateLimit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
+	return &requester.Response{Status: http.StatusOK, Header: h, Body: []byte("ok")}, nil
+}
+
+// countWithin returns the number of arrivals from the given time on, for d.
+func (l *limitedTarget) countWithin(from, d time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, at := range l.arrivals {
+		if at >= from && at < from+d {
+			n++
+		}
+	}
+	return n
+}
+
+// newLimitedDaemon returns a daemon that is not running, with the target as its own.
+func newLimitedDaemon(t *testing.T, target *limitedTarget) *Daemon {
+	t.Helper()
+	d := New(&loader.Daemon{InstanceID: "limited", FailureDomain: "mobile-bay"}, new(fakestorer.Store), zap.NewNop())
+	if _, err := d.applier.Offer(testDocument()); err != nil {
+		t.Fatal(err)
+	}
+	d.executor.Exchange = target.exchange
+	err := d.announcer.Announce(announcer.Announcement{
+		Service: "payout-desk", Address: "127.0.0.1:1", State: tracker.StateReady.String(), RunID: "r1", Epoch: 1, Slots: 12,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// offerCalls sends the daemon a call in each interval until the target's clock shows end.
+func offerCalls(ctx context.Context, d *Daemon, target *limitedTarget, interval, end time.Duration) {
+	var wg sync.WaitGroup
+	for time.Since(target.start) < end {
+		time.Sleep(interval)
+		wg.Go(func() {
+			call := &messenger.Call{
+				ID: messenger.NewCallID(), Class: versioner.ClassLookup, Partner: "magnolia", Service: "payout-desk",
+				Method: http.MethodGet, Target: "/lookups", RemainingMS: 1500, ObjectiveMS: 400, Idempotent: true,
+			}
+			d.executor.Run(ctx, call)
+		})
+	}
+	wg.Wait()
+}
+
+// always returns a limit that holds from the start on.
+func always(perSecond float64) func(time.Duration) (float64, bool) {
+	return func(time.Duration) (float64, bool) { return perSecond, true }
+}
+
+// TestTargetGetsNoMoreCallsThanItsLimit guards against a target in need being flooded.
+func TestTargetGetsNoMoreCallsThanItsLimit(t *testing.T) {
+	const (
+		window = 4 * time.Second
+		// toleranceFactor and toleranceCalls are what the users' rule allows beyond a limit.
+		toleranceFactor = 1.5
+		toleranceCalls  = 5
+	)
+	tests := []struct {
+		name  string
+		limit func(at time.Duration) (float64, bool)
+		// most is the highest limit in the window that begins at a time.
+		most func(from time.Duration) float64
+	}{
+		{"half of the calls", always(50), func(time.Duration) float64 { return 50 }},
+		{"a call in two and a half seconds", always(0.4), func(time.Duration) float64 { return 0.4 }},
+		{"no call", always(0), func(time.Duration) float64 { return 0 }},
+		{
+			"a limit that falls",
+			func(at time.Duration) (float64, bool) {
+				if at < 8*time.Second {
+					return 60, true
+				}
+				return 3, true
+			},
+			func(from time.Duration) float64 {
+				if from < 8*time.Second+100*time.Millisecond {
+					return 60
+				}
+				return 3
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := &limitedTarget{start: time.Now(), run: 50 * time.Millisecond, limit: tt.limit}
+				d := newLimitedDaemon(t, target)
+				offerCalls(t.Context(), d, target, 10*time.Millisecond, 20*time.Second)
+				for from := time.Second; from < 16*time.Second; from += 100 * time.Millisecond {
+					limit := tt.most(from)
+					most := int(toleranceFactor*window.Seconds()*limit) + toleranceCalls
+					if got := target.countWithin(from, window); got > most {
+						t.Fatalf("in 4 s from %v: got %d calls, want at most %d at %v calls a second", from, got, most, limit)
+					}
+					if least := int(0.9*window.Seconds()*limit) - 1; limit < 60 && target.countWithin(from, window) < least {
+						t.Fatalf("in 4 s from %v: got %d calls, want at least %d at %v calls a second", from, target.countWithin(from, window), least, limit)
+					}
+				}
+			})
+		})
+	}
+}
