Keep the rate limits that targets name in their answers

What callers saw: nothing.

Cause: the header field was passed on to callers and read by nobody. Admission knew slots only, and a target in need has slots to spare.

Ruled out: limits kept by each daemon with too high a sum (the rate did not change at all), limits lost by the restart at 13 s (broken at 9 s).

Why this works: all calls to a target pass the daemon beside it, so one gate spaces all of them; nothing has to be shared out among daemons, however small the limit. The limiter asks for the limit of the target's current run at each decision. Calls wait for their turn in the order that holds for slots, partners take turns by their guarantees, and a call whose turn comes too late is refused at once, with the time at which it could wait. A limit that changes with each answer gives no credit. At a limit of 0 one call in 10 s shows when it ends.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -20,6 +20,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -350,6 +351,12 @@
 // Service returns the target's service, or "" before the first announcement.
 func (a *Announcer) Service() string { return a.Current().Service }
 
+// TargetRun returns the target's current run.
+func (a *Announcer) TargetRun() messenger.TargetRun {
+	current := a.Current()
+	return messenger.TargetRun{ID: current.RunID, Epoch: current.Epoch}
+}
+
 // Slots returns the number of slots that the target announced, or 0 if it
 // announced none.
 func (a *Announcer) Slots() int { return a.Current().Slots }
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -35,6 +35,13 @@
 	return nil, answer
 }
 
+// rateLimit returns the calls per second that the target takes, as it says on its answers,
+// and whether it limits them.
+func (d *Daemon) rateLimit() (perSecond float64, limited bool) {
+	notice := d.executor.Notice()
+	return notice.CallsPerSecond, notice.IsLimited
+}
+
 // targetLoad returns the target's present load and mean run time for calls like
 // this one. The executor reports it with each answer.
 func (d *Daemon) targetLoad(call *messenger.Call) executor.Load {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -29,7 +29,6 @@
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
 	d.executor.RunID = func() string { return d.announcer.Current().RunID }
-	d.executor.Epoch = func() uint64 { return d.announcer.Current().Epoch }
 	d.announcer.HeartbeatTimeout = missedHeartbeats * loader.Milliseconds(d.cfg.Load().TargetHeartbeatMS)
 	d.spreader.External = &spreader.External{Key: platform.ConfigKey, Decode: platform.DecodeConfig}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -115,9 +115,8 @@
 	// RunID returns the ID of the target's current run. Requests carry it so that no
 	// other run accepts them. If it is nil or returns "", they carry none.
 	RunID func() string
-	// Epoch returns when the target's current run started, by the target's own clock; 0
-	// means that it is not known. It may be nil.
-	Epoch func() uint64
+	// TargetRun returns the target's current run; nil means that runs are not told apart.
+	TargetRun func() messenger.TargetRun
 	// EchoesID is set if the target always repeats the request's ID on its answers, so
 	// that an answer without it belongs to no request. Otherwise that holds once the
 	// target has repeated one, and calls without an ID get one.
--- a/executor/notice.go
+++ b/executor/notice.go
@@ -18,14 +18,10 @@
 
 // currentRun returns the run of the target that announced itself last.
 func (x *Executor) currentRun() messenger.TargetRun {
-	var run messenger.TargetRun
-	if x.RunID != nil {
-		run.ID = x.RunID()
+	if x.TargetRun == nil {
+		return messenger.TargetRun{}
 	}
-	if x.Epoch != nil {
-		run.Epoch = x.Epoch()
-	}
-	return run
+	return x.TargetRun()
 }
 
 // Notice returns what the target's current run last said about itself.
--- a/limiter/counters.go
+++ b/limiter/counters.go
@@ -24,11 +24,5 @@
 func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := Load{Running: l.running, Slots: l.limits.slots}
-	for _, a := range l.accounts {
-		for c := range classCount {
-			load.Waiting += len(a.queues[c])
-		}
-	}
-	return load
+	return Load{Running: l.running, Waiting: l.waiting(), Slots: l.limits.slots}
 }
--- a/limiter/flood_test.go
+++ b/limiter/flood_test.go
@@ -141,13 +141,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if w, kind := l.nextWaiter(time.Now()); w != nil {
+	if w, kind := l.nextWaiter(time.Now()); w != nil && l.gate.wait(0, time.Now()) == 0 {
 		t.Fatalf("a call of partner %s is waiting although it may be admitted with slot kind %d", w.account.partner, kind)
 	}
 }
 
 // TestLimiterStateMachine checks the limiter's invariants after each of a random
-// sequence of admissions, releases, pauses and changes of the number of slots.
+// sequence of admissions, releases, pauses and changes of the number of slots and of the rate limit.
 func TestLimiterStateMachine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Inside a synctest bubble, rapid may use only the methods of rapid.TB.
@@ -176,8 +176,15 @@
 					applyConfig(t, m.limiter.Applier, rapid.IntRange(1, 16).Draw(rt, "slots"))
 					m.limiter.Update()
 				},
+				"limit": func(rt *rapid.T) {
+					perSecond := rapid.SampledFrom([]float64{-1, 0, 0.5, 20, 100, 1000}).Draw(rt, "per-second")
+					m.limiter.RateLimit = func() (float64, bool) { return perSecond, perSecond >= 0 }
+					m.limiter.Update()
+				},
 				"": m.check,
 			})
+			m.limiter.RateLimit = func() (float64, bool) { return 0, false }
+			m.limiter.Update()
 			for m.settle(); len(m.held) > 0; m.settle() {
 				m.release(0)
 			}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -19,6 +19,10 @@
 // another call, may wait until its deadline, since refusing it would waste the
 // work done for its parent.
 //
+// A target in need may limit how many calls it takes a second. Calls then also wait for
+// their turn, which partners take in proportion to their guarantees; the first to be refused
+// are those whose turn comes too late.
+//
 // A call that is refused has not run. On a narrow link, a BodyPacer decides
 // beforehand which large bodies are sent to the instance, and when.
 package limiter
@@ -43,9 +47,9 @@
 // Limiter admits calls to one target. Applier and Service must be set before
 // the first call.
 //
-// Invariants: no call is admitted while running calls occupy all slots; a general
-// call never occupies a reserved slot; when a method returns, no call is waiting
-// that could be admitted.
+// Invariants: no call is admitted while running calls occupy all slots, or before its
+// turn under the target's rate limit; a general call never occupies a reserved slot; when
+// a method returns, no call is waiting that could be admitted.
 type Limiter struct {
 	Applier *applier.Applier
 	// Service returns the name of the target's service.
@@ -56,8 +60,12 @@
 	Announced func() int
 	// WarmsUp reports whether the target said that it is still slow after its start. If
 	// WarmsUp is nil, it never is.
-	WarmsUp  func() bool
-	Counters Counters
+	WarmsUp func() bool
+	// RateLimit returns the calls per second that the target takes from all daemons
+	// together, and whether it limits them. All calls to a target pass this Limiter. If
+	// RateLimit is nil, the target never limits them.
+	RateLimit func() (perSecond float64, limited bool)
+	Counters  Counters
 
 	mu       sync.Mutex
 	snapshot *applier.Snapshot
@@ -66,6 +74,12 @@
 	announced int
 	accounts  []*account
 
+	// gate spaces the calls while the target limits their rate, and gateTimer admits the
+	// next waiting call in time. virtualTime is that of the last call that it let through.
+	gate        rateGate
+	gateTimer   *time.Timer
+	virtualTime float64
+
 	// running is the number of running calls: generalRunning in general slots, and
 	// reservedRunning in the reserved slots of each class.
 	running         int
@@ -123,6 +137,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.refreshLimits()
+	l.refreshRate(now)
 	a := l.account(r.Partner)
 	a.lastCall[c] = now
 	if l.willMissDeadline(ctx, c, r, now) {
@@ -133,7 +148,7 @@
 		l.mu.Unlock()
 		return Slot{}, l.refuse(CauseSlowTarget, 0)
 	}
-	if len(a.queues[c]) == 0 {
+	if len(a.queues[c]) == 0 && l.isNextAtGate(now) {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
 			slot := l.takeSlot(a, c, r.level(), r.Objective, kind, now)
 			l.mu.Unlock()
@@ -141,6 +156,9 @@
 		}
 	}
 	w, err := l.enqueue(ctx, a, c, r, now)
+	if l.gate.isLimited() {
+		l.dispatch(now)
+	}
 	l.mu.Unlock()
 	if err != nil {
 		return Slot{}, err
@@ -168,6 +186,7 @@
 	l.runningByPriority[s.level]--
 	l.runs.end(s.class, s.level, s.start, now)
 	l.refreshLimits()
+	l.refreshRate(now)
 	l.shed(now)
 	l.dispatch(now)
 }
@@ -175,10 +194,12 @@
 // Update applies the limits of the current configuration snapshot. Waiting calls
 // keep their positions in the queues. Admit and Release also apply them.
 func (l *Limiter) Update() {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshLimits()
-	l.dispatch(time.Now())
+	l.refreshRate(now)
+	l.dispatch(now)
 }
 
 // MeanRun returns the mean run time at the target of calls of a class and
@@ -302,6 +323,7 @@
 		a.generalRunning++
 		l.generalRunning++
 	}
+	l.passGate(a, now)
 	l.Counters.Admitted.Add(1)
 	if kind == slotBorrowed {
 		l.Counters.Borrowed.Add(1)
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -45,6 +45,9 @@
 	generalRunning    int
 	reservedRunning   [classCount]int
 	queues            [classCount][]*waiter
+	// virtualTime is when the partner's next call would have its turn if only calls under
+	// a rate limit counted, in calls per slot of its guarantee.
+	virtualTime float64
 	// lastCall is when the partner's last call of each class arrived.
 	lastCall [classCount]time.Time
 }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -88,7 +88,7 @@
 	} else {
 		limit := l.limits.queueWait[c]
 		if maxLength == 0 || limit == 0 {
-			return nil, l.refuse(CauseNoSlot, l.runs.means(now)[c])
+			return nil, l.refuse(CauseNoSlot, max(l.gate.wait(0, now), l.runs.means(now)[c]))
 		}
 		w.expires = now.Add(limit)
 		if deadline, ok := ctx.Deadline(); ok && deadline.Before(w.expires) {
@@ -96,14 +96,12 @@
 		}
 	}
 	means := l.runs.means(now)
-	expected, ahead := l.expectedWait(w, &means)
-	// Calls that began together also end together.
-	nextEnd := l.runs.nextEnd(ahead, &means, now)
+	wait := l.expectedWait(w, &means, now)
 	switch {
 	case len(a.queues[c]) >= maxLength:
-		return nil, l.refuse(CauseQueueFull, max(expected, nextEnd))
-	case now.Add(max(l.worstExpectedWait(w, r, expected), nextEnd)).After(w.expires):
-		return nil, l.refuse(CauseExpectedWait, max(nextEnd, l.retryAfter(w, expected, means[c], now)))
+		return nil, l.refuse(CauseQueueFull, max(wait.expected(), wait.nextEnd))
+	case now.Add(max(l.worstExpectedWait(w, r, wait.slot), wait.nextEnd, wait.worstTurn)).After(w.expires):
+		return nil, l.refuse(CauseExpectedWait, max(wait.nextEnd, wait.worstTurn-w.expires.Sub(now), l.retryAfter(w, wait.expected(), means[c], now)))
 	}
 	q := a.queues[c]
 	at := len(q)
@@ -173,12 +171,27 @@
 	return max(expected-max(0, w.expires.Sub(now)), meanRun/time.Duration(max(1, l.limits.slots)))
 }
 
+// waitEstimate holds the times that a call is expected to wait, from now.
+type waitEstimate struct {
+	// slot is the wait for a slot, by the mean run times.
+	slot time.Duration
+	// nextEnd is the time until enough running calls have ended: calls that began together
+	// also end together.
+	nextEnd time.Duration
+	// turn is the wait under the target's rate limit, and worstTurn the wait if more calls
+	// go before this one.
+	turn, worstTurn time.Duration
+}
+
+// expected returns the expected wait.
+func (e waitEstimate) expected() time.Duration { return max(e.slot, e.turn) }
+
 // expectedWait estimates the wait of a call from the mean run times of its
-// partner's calls that go before it and the number of slots that serve them. It
-// also returns the number of these calls. The caller holds mu.
-func (l *Limiter) expectedWait(w *waiter, means *[classCount]time.Duration) (wait time.Duration, ahead int) {
+// partner's calls that go before it and the number of slots that serve them, and from
+// the target's rate limit. The caller holds mu.
+func (l *Limiter) expectedWait(w *waiter, means *[classCount]time.Duration, now time.Time) waitEstimate {
 	a := w.account
-	work := means[w.class]
+	ahead, work := 0, means[w.class]
 	for c := range classCount {
 		for _, other := range a.queues[c] {
 			if other != w && !w.goesBefore(other) {
@@ -187,7 +200,20 @@
 			}
 		}
 	}
-	return work / time.Duration(l.usableSlots(w)), ahead
+	slot := work / time.Duration(l.usableSlots(w))
+	if !l.gate.isLimited() {
+		return waitEstimate{slot: slot, nextEnd: l.runs.nextEnd(ahead, means, now)}
+	}
+	aheadAtGate := l.aheadAtGate(w, ahead)
+	worstAhead := aheadAtGate
+	if w.objective > 0 && !w.isNested {
+		worstAhead = aheadAtGate * worstWaitPercent / 100
+	}
+	e := waitEstimate{turn: l.gate.wait(aheadAtGate, now), worstTurn: l.gate.wait(worstAhead, now)}
+	if free := l.limits.slots - l.running; ahead >= free {
+		e.slot, e.nextEnd = slot, l.runs.nextEnd(ahead-max(0, free), means, now)
+	}
+	return e
 }
 
 // usableSlots returns the number of slots that calls like w can expect to get when
@@ -266,9 +292,14 @@
 	return &RefusedError{Cause: cause, RetryAfter: after}
 }
 
-// dispatch gives free slots to waiting calls. The caller holds mu.
+// dispatch gives free slots to waiting calls, as far as the target's rate limit allows.
+// The caller holds mu.
 func (l *Limiter) dispatch(now time.Time) {
 	for {
+		if wait := l.gate.wait(0, now); wait > 0 {
+			l.dispatchLater(wait)
+			return
+		}
 		w, kind := l.nextWaiter(now)
 		if w == nil {
 			return
@@ -288,7 +319,7 @@
 			// The waits of those behind a call that is refused become shorter.
 			for i := 0; i < len(a.queues[c]); {
 				w := a.queues[c][i]
-				expected, _ := l.expectedWait(w, &means)
+				expected := l.expectedWait(w, &means, now).expected()
 				if w.objective == 0 || !now.Add(expected).After(w.expires) {
 					i++
 					continue
@@ -315,7 +346,7 @@
 			}
 			w := a.queues[c][0]
 			kind := l.slotFor(a, c, now)
-			if kind < bestKind || kind == bestKind && best != nil && takesSlotBefore(w, best, kind) {
+			if kind < bestKind || kind == bestKind && best != nil && l.takesSlotBefore(w, best, kind) {
 				best, bestKind = w, kind
 			}
 		}
@@ -324,7 +355,10 @@
 }
 
 // takesSlotBefore reports whether w gets a slot of the given kind before other.
-func takesSlotBefore(w, other *waiter, kind slotKind) bool {
+func (l *Limiter) takesSlotBefore(w, other *waiter, kind slotKind) bool {
+	if l.gate.isLimited() && w.account != other.account {
+		return l.turn(w.account) < l.turn(other.account)
+	}
 	if kind == slotBorrowed {
 		borrowed, otherBorrowed := w.account.borrowed(), other.account.borrowed()
 		if borrowed != otherBorrowed {
