Keep a target's limit when its daemon is restarted

What callers saw: nothing; a target at a limit of half a call a second got 11 calls in 4 s after its daemon was killed and started, where the users' rule allows 8.

Cause: only the process beside the target remembered the limit. A new one runs as many calls as the target has slots until the first answer names the limit again, and a run time of 0.2 s is long enough for twelve.

Evidence: TestRestartedDaemonKeepsTheLimitOfItsTarget, failing before (11 calls in 4 s from 4.1 s, most 8).

Why this works: the daemons that called the target know the limit from its answers. Each call of theirs repeats it together with the run that named it, and the new process adopts it until that run has answered it itself. A refusal of a daemon that knows nothing does not end a limit, an answer of the target does.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -202,6 +202,7 @@
 // perform admits the call, sends it to the target and returns the answer.
 func (x *Executor) perform(ctx context.Context, r *run) *messenger.Answer {
 	id := r.call.ID
+	x.adoptNotice(r.call.Notice)
 	if x.isDraining() {
 		return messenger.NotRun(id, CauseDraining)
 	}
@@ -248,6 +249,7 @@
 func (x *Executor) withTargetState(call *messenger.Call, answer *messenger.Answer) *messenger.Answer {
 	labeled := *answer
 	labeled.Draining = answer.Draining || x.isDraining()
+	labeled.Notice = x.restrictingNotice()
 	if x.Load != nil {
 		load := x.Load(call)
 		labeled.Running, labeled.Waiting = load.Running, load.Waiting
--- a/executor/notice.go
+++ b/executor/notice.go
@@ -14,6 +14,9 @@
 type targetNotice struct {
 	mu     sync.Mutex
 	latest messenger.TargetNotice
+	// isAnswered is set once an answer of the run of latest has arrived. Until then, what
+	// other daemons learned from the run before this process started is the best source.
+	isAnswered bool
 }
 
 // currentRun returns the run of the target that announced itself last.
@@ -50,15 +53,52 @@
 	x.notice.mu.Lock()
 	defer x.notice.mu.Unlock()
 	known := x.notice.latest
-	if known.Run == run && malformed != nil {
+	if known.Run != run {
+		known = messenger.TargetNotice{Run: run}
+	}
+	if malformed != nil {
 		notice.IsLimited, notice.CallsPerSecond = known.IsLimited, known.CallsPerSecond
 	}
-	if known == notice || known.Run != run && !notice.IsRestricting() {
+	x.notice.isAnswered = true
+	x.setNotice(known, notice, "target")
+}
+
+// adoptNotice records what an entry daemon learned about the target's current run, unless
+// the run has answered this process itself.
+func (x *Executor) adoptNotice(notice *messenger.TargetNotice) {
+	if !notice.IsRestricting() || notice.Run != x.currentRun() {
 		return
 	}
+	x.notice.mu.Lock()
+	defer x.notice.mu.Unlock()
+	known := x.notice.latest
+	switch {
+	case known.Run != notice.Run:
+		x.notice.isAnswered = false
+		x.setNotice(messenger.TargetNotice{Run: notice.Run}, *notice, "daemon")
+	case !x.notice.isAnswered && !known.IsRestricting():
+		x.setNotice(known, *notice, "daemon")
+	}
+}
+
+// setNotice replaces the notice and logs the change. The caller holds notice.mu.
+func (x *Executor) setNotice(known, notice messenger.TargetNotice, source string) {
 	x.notice.latest = notice
+	if known == notice {
+		return
+	}
 	x.Counters.Notices.Add(1)
-	x.logger().Info("target-notice", zap.String("run-id", run.ID), zap.Uint64("epoch", run.Epoch),
-		zap.Bool("limited", notice.IsLimited), zap.Float64("calls-per-second", notice.CallsPerSecond),
+	x.logger().Info("target-notice", zap.String("run-id", notice.Run.ID), zap.Uint64("epoch", notice.Run.Epoch),
+		zap.String("source", source), zap.Bool("limited", notice.IsLimited), zap.Float64("calls-per-second", notice.CallsPerSecond),
 		zap.Bool("leaving", notice.IsLeaving), zap.Int64("sent-limited", x.Counters.SentLimited.Value()))
 }
+
+// restrictingNotice returns the notice of the target's current run, or nil if it restricts
+// no calls.
+func (x *Executor) restrictingNotice() *messenger.TargetNotice {
+	notice := x.Notice()
+	if !notice.IsRestricting() {
+		return nil
+	}
+	return &notice
+}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -126,6 +126,7 @@
 	if err != nil || answer.Outcome != messenger.OutcomeAnswered || !answer.IsWhole() {
 		return x.finalAnswer(last)
 	}
+	f.notices.observe(lost.target.InstanceID, answer)
 	return answer
 }
 
@@ -319,6 +320,14 @@
 // call may be sent elsewhere first. An idempotent call for which the target is the last resort
 // is also sent over links that are silent: their daemon may only be too busy to reply.
 func (f *Forwarder) callTargetOnce(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time, isLastResort bool) (*messenger.Answer, *lostCall) {
+	call.Notice = f.notices.find(target.InstanceID)
+	answer, lost := f.tryTarget(ctx, call, target, deadline, isLastResort)
+	f.notices.observe(target.InstanceID, answer)
+	return answer, lost
+}
+
+// tryTarget implements callTargetOnce.
+func (f *Forwarder) tryTarget(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time, isLastResort bool) (*messenger.Answer, *lostCall) {
 	call.RemainingMS = time.Until(deadline).Milliseconds()
 	if call.RemainingMS <= 0 {
 		return messenger.NotRun(call.ID, causeDeadline), nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,6 +112,7 @@
 	budgetSnapshot atomic.Pointer[applier.Snapshot]
 	waits          waitEstimator
 	startup        startup
+	notices        noticeTable
 	// stopping is set by Drain.
 	stopping atomic.Bool
 	inFlight atomic.Int64
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/requester"
@@ -71,6 +73,10 @@
 	losesGoneRecord bool
 	// runs holds the bodies of the requests that ran.
 	runs []string
+	// epoch is that of the target's current run, slots the number of calls that its daemon
+	// admits at a time; with 0 it admits all.
+	epoch uint64
+	slots int
 	// handle runs a request at the target; nil answers "ran " and the request's body.
 	handle func(*http.Request, string) (*http.Response, error)
 }
@@ -121,8 +127,12 @@
 	f.down = false
 	f.executor = &executor.Executor{
 		InstanceID: f.name, Incarnation: uint64(time.Now().UnixNano()), Exchange: f.exchange,
-		Target:  func() string { return "http://target" },
-		Service: func() string { return "payout-desk" },
+		Target:    func() string { return "http://target" },
+		Service:   func() string { return "payout-desk" },
+		TargetRun: func() messenger.TargetRun { return messenger.TargetRun{ID: f.name, Epoch: f.currentEpoch()} },
+	}
+	if f.slots > 0 {
+		f.executor.Admit = f.newAdmission(f.executor)
 	}
 	f.table = f.mesh.newTable(f.name)
 	f.executor.KeyCoordinator.Peers = f.table
@@ -135,6 +145,32 @@
 	f.announce(tracker.StateReady, false)
 }
 
+// currentEpoch returns the epoch of the target's current run.
+func (f *fakeTarget) currentEpoch() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.epoch
+}
+
+// newAdmission returns the admission control of a new process of the target's daemon.
+func (f *fakeTarget) newAdmission(x *executor.Executor) func(context.Context, *messenger.Call) (func(), *messenger.Answer) {
+	l := &limiter.Limiter{
+		Applier: f.mesh.forwarder.Applier, Service: x.Service, Announced: func() int { return f.slots },
+		RateLimit: func() (float64, bool) {
+			notice := x.Notice()
+			return notice.CallsPerSecond, notice.IsLimited
+		},
+	}
+	return func(ctx context.Context, call *messenger.Call) (func(), *messenger.Answer) {
+		slot, err := l.Admit(ctx, limiter.Request{Class: call.Class, Partner: call.Partner, Objective: 400 * time.Millisecond})
+		var refused *limiter.RefusedError
+		if errors.As(err, &refused) {
+			return nil, messenger.NotRun(call.ID, refused.Cause)
+		}
+		return slot.Release, nil
+	}
+}
+
 // announce puts a record with a new state of the target into the mesh's table and that of
 // the target's daemon.
 func (f *fakeTarget) announce(state tracker.State, handedOver bool) {
@@ -142,7 +178,7 @@
 	f.sequence++
 	r := tracker.Record{
 		InstanceID: f.name, Incarnation: f.executor.Incarnation, Sequence: f.sequence, Service: "payout-desk",
-		PeerAddress: f.name, State: state, HandedOver: handedOver,
+		PeerAddress: f.name, State: state, HandedOver: handedOver, Epoch: f.epoch,
 	}
 	f.mu.Unlock()
 	f.mesh.table.Merge([]tracker.Record{r})
--- a/logger/events.go
+++ b/logger/events.go
@@ -56,7 +56,7 @@
 		{"target-shed", "the target refused a call without running it", "request-id, status"},
 		{"other-run-answered", "another run of the target answered at its address, and did not run the call", "request-id"},
 		{"panic-contained", "handling one request, message or response failed; the daemon goes on, the call's outcome is unknown", "task, cause, stack"},
-		{"target-notice", "the target names another rate limit on its answers, or none any more, or says that it is leaving", "run-id, epoch, limited, calls-per-second, leaving, sent-limited"},
+		{"target-notice", "the target names another rate limit on its answers, or none any more, or says that it is leaving; source is the target itself, or a daemon that called it before this one was restarted", "run-id, epoch, source, limited, calls-per-second, leaving, sent-limited"},
 		{"target-notice-malformed", "an answer of the target has a rate limit that is not a number of calls per second; the former one holds", "run-id, error"},
 		{"target-gave-no-answer", "the target received a call, but returned no complete answer", "request-id, cause, error"},
 	}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -81,6 +81,9 @@
 	// in milliseconds. It includes the caller's earlier attempts of the same
 	// request as far as the entry daemon can infer them.
 	WaitedMS int64 `cbor:"23,keyasint,omitempty"`
+	// Notice is what the entry daemon last learned that the target said about itself, if
+	// that restricts calls. The target's daemon may have been restarted since.
+	Notice *TargetNotice `cbor:"24,keyasint,omitempty"`
 }
 
 // IsKeyed reports whether the call must run at the owner of its idempotency key.
@@ -149,6 +152,8 @@
 	HandlingUS int64 `cbor:"17,keyasint,omitempty"`
 	// Reservation is set in the answer to a Reserve that is granted.
 	Reservation *Reservation `cbor:"18,keyasint,omitempty"`
+	// Notice is what the target last said about itself, if that restricts calls.
+	Notice *TargetNotice `cbor:"19,keyasint,omitempty"`
 }
 
 // Reserve asks for a time at which the body of a call may be sent over the
