Take a target's departure from its answers, too

What callers saw: calls sent to a target whose answers already said that it was leaving, until its heartbeat said so; after a restart of its daemon, also for as long as only an outdated heartbeat had arrived.

What a target says about itself in its answers was passed on and read by nobody.

Evidence: TestLeavingTargetGetsNoNewCallsWhateverItsHeartbeatsSay (two requests, want one) and TestLeavingTargetGetsNothingAfterItsDaemonRestarts (two, want one) failed before; the latter also shows that a new run gets calls.

Why this works: the daemon beside the target marks the run as leaving with the first such answer, publishes it, and no heartbeat of that run takes it back. A daemon that passed such an answer on sends that run nothing more, and tells a restarted daemon with its next call. A run that announces neither an id nor an epoch can't be told apart from the next one, so its mark ends with the next announcement.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -99,6 +99,10 @@
 	// departedIDs holds, by run id, the time of each departure that named no
 	// epoch and did not belong to the current run.
 	departedIDs map[string]time.Time
+	// leaving is the run that said on an answer that it is leaving, whatever it announces.
+	// It is valid if hasLeaving is set.
+	leaving    run
+	hasLeaving bool
 	// handedOver reports that this daemon gave its idempotency keys to others.
 	handedOver bool
 }
@@ -127,8 +131,9 @@
 	announcement Announcement
 	baseURL      string
 	state        tracker.State
-	// daemonDraining is set after Drain and Leave.
-	daemonDraining bool
+	// daemonDraining is set after Drain and Leave, targetLeaving if the run said on an
+	// answer that it is leaving.
+	daemonDraining, targetLeaving bool
 	// warmUntil is the time until which the target said that it is slow after its start.
 	warmUntil time.Time
 }
@@ -163,7 +168,12 @@
 	}
 	a.Counters.Announced.Add(1)
 	a.announcedAt = time.Now()
-	if in == a.current && !a.vanished {
+	wasLeaving := a.isLeaving()
+	if in.run() == (run{}) {
+		// Runs without an identity can't be told apart; this one may be new.
+		a.hasLeaving = false
+	}
+	if in == a.current && !a.vanished && wasLeaving == a.isLeaving() {
 		a.Counters.Repeated.Add(1)
 		return nil
 	}
@@ -258,7 +268,7 @@
 // which keeps the calls of OnChange in order.
 func (a *Announcer) publish() {
 	a.view.Store(&view{
-		announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state(), daemonDraining: a.daemonDraining,
+		announcement: a.current, baseURL: "http://" + a.current.Address, state: a.state(), daemonDraining: a.daemonDraining, targetLeaving: a.isLeaving(),
 		warmUntil: a.announcedAt.Add(time.Duration(a.current.ColdMS) * time.Millisecond),
 	})
 	next := a.Self
@@ -270,7 +280,7 @@
 	next.Slots = a.current.Slots
 	next.ColdMS = a.coldMS
 	announced := a.current.state()
-	next.TargetLeaving = announced == tracker.StateDraining || announced == tracker.StateGone
+	next.TargetLeaving = a.isLeaving() || announced == tracker.StateDraining || announced == tracker.StateGone
 	same := a.record
 	same.Sequence++
 	if a.record.Sequence > 0 && next == same {
@@ -293,13 +303,30 @@
 	switch {
 	case a.daemonLeft || a.vanished || state == tracker.StateGone:
 		return tracker.StateGone
-	case a.daemonDraining:
+	case a.daemonDraining || a.isLeaving():
 		return tracker.StateDraining
 	default:
 		return state
 	}
 }
 
+// MarkLeaving records that a run of the target has said on an answer that it is leaving.
+// The run gets no new calls, whatever it announces later.
+func (a *Announcer) MarkLeaving(target messenger.TargetRun) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := run{target.ID, target.Epoch}
+	if a.record.Sequence == 0 || r != a.current.run() || a.isLeaving() {
+		return
+	}
+	a.leaving, a.hasLeaving = r, true
+	a.publish()
+}
+
+// isLeaving reports whether the current run has said on an answer that it is leaving. The
+// caller holds mu.
+func (a *Announcer) isLeaving() bool { return a.hasLeaving && a.leaving == a.current.run() }
+
 // Drain publishes that this daemon accepts no new calls, whatever its target
 // announces later.
 func (a *Announcer) Drain() {
@@ -328,12 +355,13 @@
 func (a *Announcer) TargetURL() string { return a.load().baseURL }
 
 // Draining reports whether the target accepts no new calls, because it announced that it
-// drains or is gone, or because Drain or Leave was called. That a target has vanished does
+// drains or is gone, because it said on an answer that it is leaving, or because Drain or
+// Leave was called. That a target has vanished does
 // not matter: it may come back.
 func (a *Announcer) Draining() bool {
 	v := a.load()
 	announced := v.announcement.state()
-	return v.daemonDraining || announced == tracker.StateDraining || announced == tracker.StateGone
+	return v.daemonDraining || v.targetLeaving || announced == tracker.StateDraining || announced == tracker.StateGone
 }
 
 // Current returns the newest announcement, or the zero value before the first.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,7 @@
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Log: log,
 		Target: d.announcer.TargetURL, Draining: d.announcer.Draining,
 		Service: d.announcer.Service, Admit: d.admit, Load: d.targetLoad, Reached: d.recordReachability,
-		TargetRun: d.announcer.TargetRun,
+		TargetRun: d.announcer.TargetRun, OnLeaving: d.announcer.MarkLeaving,
 	}
 	d.limiter.RateLimit = d.rateLimit
 	d.executor.Requester.MaxConnections = d.maxConnections
--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -155,3 +155,59 @@
 		})
 	}
 }
+
+// leavingExchange answers each request with the word that the target is leaving, and counts
+// the requests.
+func leavingExchange(arrived *int) func(context.Context, string, *requester.Request) (*requester.Response, error) {
+	names := messenger.HeaderNames{}.WithDefaults()
+	return func(_ context.Context, _ string, req *requester.Request) (*requester.Response, error) {
+		*arrived++
+		h := http.Header{}
+		h.Set(names.RequestID, req.ID)
+		h.Set(names.Leaving, "1")
+		return &requester.Response{Status: http.StatusOK, Header: h, Body: []byte("ok")}, nil
+	}
+}
+
+// TestLeavingTargetGetsNoNewCallsWhateverItsHeartbeatsSay guards against calls to a target
+// whose answers say that it is leaving before its heartbeats do.
+func TestLeavingTargetGetsNoNewCallsWhateverItsHeartbeatsSay(t *testing.T) {
+	target := &limitedTarget{}
+	d := newLimitedDaemon(t, target)
+	arrived := 0
+	d.executor.Exchange = leavingExchange(&arrived)
+	call := func() *messenger.Answer {
+		return d.executor.Run(t.Context(), &messenger.Call{
+			ID: messenger.NewCallID(), Class: versioner.ClassLookup, Partner: "magnolia", Service: "payout-desk",
+			Method: http.MethodGet, Target: "/lookups", RemainingMS: 1500, ObjectiveMS: 400, Idempotent: true,
+		})
+	}
+	announce := func(epoch, sequence uint64) {
+		t.Helper()
+		err := d.announcer.Announce(announcer.Announcement{
+			Service: "payout-desk", Address: "127.0.0.1:1", State: tracker.StateReady.String(), RunID: "r1", Epoch: epoch,
+			Sequence: sequence, Slots: 12,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := call(); got.Outcome != messenger.OutcomeAnswered || !got.Draining {
+		t.Errorf("first call: got %v, draining %t, want an answer that reports the target as draining", got.Outcome, got.Draining)
+	}
+	announce(1, 2)
+	if got := call(); got.Outcome != messenger.OutcomeNotRun || got.Cause != "draining" {
+		t.Errorf("call after a late heartbeat: got %v %s, want not-run, draining", got.Outcome, got.Cause)
+	}
+	r, ok := d.table.Find("limited")
+	if !ok || r.State != tracker.StateDraining || !r.TargetLeaving {
+		t.Errorf("record: got %+v, want a target that is draining and leaving", r)
+	}
+	if arrived != 1 {
+		t.Errorf("requests at the target: got %d, want 1", arrived)
+	}
+	announce(2, 1)
+	if got := call(); got.Outcome != messenger.OutcomeAnswered {
+		t.Errorf("call to a new run: got %v %s, want an answer", got.Outcome, got.Cause)
+	}
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -109,6 +109,9 @@
 	// It is not called for a call that failed, was cancelled or ran out of time
 	// after it was sent.
 	Reached func(answered bool)
+	// OnLeaving, unless nil, is called when the target's current run is found to be
+	// leaving, by its answers or by those that other daemons got.
+	OnLeaving func(messenger.TargetRun)
 	// Headers is the naming scheme for the header fields of calls; the zero value is
 	// bambooweir's own.
 	Headers messenger.HeaderNames
@@ -261,7 +264,7 @@
 
 // isDraining reports whether new calls are refused.
 func (x *Executor) isDraining() bool {
-	return x.stopping.Load() || x.Draining != nil && x.Draining()
+	return x.stopping.Load() || x.Draining != nil && x.Draining() || x.hasTargetLeft()
 }
 
 // countOutcome counts the outcome of an answer and returns the answer.
--- a/executor/notice.go
+++ b/executor/notice.go
@@ -59,31 +59,42 @@
 	if malformed != nil {
 		notice.IsLimited, notice.CallsPerSecond = known.IsLimited, known.CallsPerSecond
 	}
+	// A run never takes its departure back.
+	notice.IsLeaving = notice.IsLeaving || known.HasLeft()
 	x.notice.isAnswered = true
 	x.setNotice(known, notice, "target")
 }
 
-// adoptNotice records what an entry daemon learned about the target's current run, unless
-// the run has answered this process itself.
+// adoptNotice records what an entry daemon learned about the target's current run: its
+// departure, and its limit unless the run has answered this process itself.
 func (x *Executor) adoptNotice(notice *messenger.TargetNotice) {
-	if !notice.IsRestricting() || notice.Run != x.currentRun() {
+	if notice == nil || notice.Run != x.currentRun() {
 		return
 	}
+	adopted := *notice
+	adopted.IsLeaving = notice.HasLeft()
 	x.notice.mu.Lock()
 	defer x.notice.mu.Unlock()
 	known := x.notice.latest
-	switch {
-	case known.Run != notice.Run:
+	if known.Run != notice.Run {
+		known = messenger.TargetNotice{Run: notice.Run}
 		x.notice.isAnswered = false
-		x.setNotice(messenger.TargetNotice{Run: notice.Run}, *notice, "daemon")
-	case !x.notice.isAnswered && !known.IsRestricting():
-		x.setNotice(known, *notice, "daemon")
+	}
+	if x.notice.isAnswered {
+		adopted.IsLimited, adopted.CallsPerSecond = known.IsLimited, known.CallsPerSecond
+	}
+	adopted.IsLeaving = adopted.IsLeaving || known.IsLeaving
+	if adopted.IsRestricting() {
+		x.setNotice(known, adopted, "daemon")
 	}
 }
 
 // setNotice replaces the notice and logs the change. The caller holds notice.mu.
 func (x *Executor) setNotice(known, notice messenger.TargetNotice, source string) {
 	x.notice.latest = notice
+	if notice.IsLeaving && x.OnLeaving != nil {
+		x.OnLeaving(notice.Run)
+	}
 	if known == notice {
 		return
 	}
@@ -102,3 +113,9 @@
 	}
 	return &notice
 }
+
+// hasTargetLeft reports whether the target's current run is known to be leaving.
+func (x *Executor) hasTargetLeft() bool {
+	notice := x.Notice()
+	return notice.HasLeft()
+}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -335,7 +335,7 @@
 	if f.RunLocal != nil && target.InstanceID == f.InstanceID {
 		return f.RunLocal(ctx, call), nil
 	}
-	if f.IsDraining(target) {
+	if f.IsDraining(target) || f.notices.isLeaving(target) {
 		return messenger.NotRun(call.ID, causeDraining), nil
 	}
 	mayWait := isLastResort && call.Idempotent
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -60,3 +60,44 @@
 		}
 	})
 }
+
+// TestLeavingTargetGetsNothingAfterItsDaemonRestarts guards against a daemon that was
+// restarted, and has only heard an outdated heartbeat, sending calls to a target whose
+// departure other daemons know from its answers.
+func TestLeavingTargetGetsNothingAfterItsDaemonRestarts(t *testing.T) {
+	tests := []struct {
+		name  string
+		epoch uint64
+		want  int
+	}{
+		{"the same run", 7, 1},
+		{"a new run", 8, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runInMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
+				a := m.targets["a"]
+				a.kill()
+				a.epoch = 7
+				time.Sleep(time.Second)
+				a.start()
+				a.handle = func(*http.Request, string) (*http.Response, error) {
+					res := respond("ok")
+					res.Header.Set(messenger.HeaderNames{}.WithDefaults().Leaving, "1")
+					return res, nil
+				}
+				m.call(m.ctx, "/lookups", "1")
+				a.kill()
+				a.epoch = tt.epoch
+				time.Sleep(time.Second)
+				a.start()
+				time.Sleep(time.Second)
+				m.start("/lookups", "2")
+				time.Sleep(time.Second)
+				if got := len(a.ran()); got != tt.want {
+					t.Errorf("requests at the target: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/forwarder/notices.go
+++ b/forwarder/notices.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/tracker"
 )
 
 const (
@@ -42,6 +43,12 @@
 	return &known.TargetNotice
 }
 
+// isLeaving reports whether the run that the record names has said that it is leaving.
+func (t *noticeTable) isLeaving(r tracker.Record) bool {
+	notice := t.find(r.InstanceID)
+	return notice != nil && notice.IsLeaving && notice.Run.Epoch != 0 && notice.Run.Epoch == r.Epoch
+}
+
 // observe records the notice of an answer from an instance. An answer of the target without
 // a notice ends the former one; a refusal by its daemon does not, since the daemon may have
 // been restarted and know nothing.
--- a/messenger/notice.go
+++ b/messenger/notice.go
@@ -24,10 +24,14 @@
 	// daemons together to CallsPerSecond, which is finite and not negative.
 	IsLimited      bool    `cbor:"2,keyasint,omitempty"`
 	CallsPerSecond float64 `cbor:"3,keyasint,omitempty"`
-	// IsLeaving reports that the target is shutting down. A run never takes it back.
+	// IsLeaving reports that the target is shutting down, which a run never takes back.
 	IsLeaving bool `cbor:"4,keyasint,omitempty"`
 }
 
+// HasLeft reports whether the notice says that a run is leaving that can be told apart from
+// later ones: no later notice or announcement of that run counts.
+func (n *TargetNotice) HasLeft() bool { return n.IsLeaving && n.Run != (TargetRun{}) }
+
 // IsRestricting reports whether the notice restricts the calls to the target.
 func (n *TargetNotice) IsRestricting() bool { return n != nil && (n.IsLimited || n.IsLeaving) }
 
