Choose targets by the wait under their limits, too

What callers saw: calls were sent first to targets that had slots to spare and no turn for them, and were refused there: up to three futile hops before a target that could serve them, or a 503.

Cause: the estimate of a target's latency knows its run time and its load over its slots. A target under a rate limit runs few calls, so that it looks idle.

The case "idle under a rate limit" of TestPickByEstimate fails without the change.

Why this works: a target's daemon reports with each answer how long one more call would wait for its turn, and the estimate adds that wait.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -48,7 +48,7 @@
 	load := d.limiter.Load()
 	return executor.Load{
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots,
-		Run: d.limiter.MeanRun(call.Class, call.Priority),
+		Turn: load.Turn, Run: d.limiter.MeanRun(call.Class, call.Priority),
 	}
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -162,6 +162,8 @@
 	Running, Waiting int
 	// Slots is the number of calls that the target runs at a time.
 	Slots int
+	// Turn is how long one more call would wait under the target's rate limit.
+	Turn time.Duration
 	// Run is the mean run time at the target of calls like the answered one, 0 if it
 	// is not known.
 	Run time.Duration
@@ -257,6 +259,7 @@
 		load := x.Load(call)
 		labeled.Running, labeled.Waiting = load.Running, load.Waiting
 		labeled.Slots, labeled.RunUS = load.Slots, load.Run.Microseconds()
+		labeled.TurnUS = load.Turn.Microseconds()
 		labeled.HasLoad = true
 	}
 	return &labeled
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -63,6 +63,7 @@
 		Outcome: picker.Failed, Running: answer.Running, Waiting: answer.Waiting,
 		HasLoad: answer.HasLoad, Draining: answer.Draining, Slots: answer.Slots, Bytes: len(answer.Body),
 		Run:           time.Duration(answer.RunUS) * time.Microsecond,
+		Turn:          time.Duration(answer.TurnUS) * time.Microsecond,
 		IsServerError: answer.Outcome == messenger.OutcomeAnswered,
 	}
 	switch {
--- a/limiter/counters.go
+++ b/limiter/counters.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "expvar"
+import (
+	"expvar"
+	"time"
+)
 
 // Counters count the admission decisions of a Limiter.
 type Counters struct {
@@ -18,11 +21,14 @@
 // answers: the running and the waiting calls, and the slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Turn is how long one more call would wait under the target's rate limit.
+	Turn time.Duration
 }
 
 // Load returns the current load.
 func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Load{Running: l.running, Waiting: l.waiting(), Slots: l.limits.slots}
+	waiting := l.waiting()
+	return Load{Running: l.running, Waiting: waiting, Slots: l.limits.slots, Turn: l.gate.wait(waiting, time.Now())}
 }
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -154,6 +154,9 @@
 	Reservation *Reservation `cbor:"18,keyasint,omitempty"`
 	// Notice is what the target last said about itself, if that restricts calls.
 	Notice *TargetNotice `cbor:"19,keyasint,omitempty"`
+	// TurnUS is how long one more call would wait under the target's rate limit, in
+	// microseconds. It is set if HasLoad is.
+	TurnUS int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Reserve asks for a time at which the body of a call may be sent over the
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -228,7 +228,19 @@
 	if success := (1 - t.failureShare.value()) / max(e.meanSuccess, minWeight); success < 1 {
 		run /= max(minWeight, success*success)
 	}
-	return run + e.transit(t)
+	return run + e.transit(t) + e.turn(t)
+}
+
+// turn returns the time that a call is expected to wait under the target's rate limit: as
+// last reported, fading to none while the target reports nothing, because a target with a
+// limit would otherwise never get another call.
+func (e *estimator) turn(t *target) float64 {
+	turn := float64(t.reported.turn.Load())
+	if turn == 0 {
+		return 0
+	}
+	age := e.now.sub(instant(t.reported.at.Load()))
+	return turn * max(0, 1-float64(age)/float64(loadFadeTime))
 }
 
 // transit estimates the time on the way to and from the target's daemon: the
--- a/picker/estimate_test.go
+++ b/picker/estimate_test.go
@@ -43,6 +43,7 @@
 	running, waiting int
 	run              time.Duration
 	failureShare     float64
+	turn             time.Duration
 }
 
 // reportLoad records the load of a target as if an answer had reported it.
@@ -55,6 +56,7 @@
 		t.reported.observe(calls, calls, 12, p.now())
 		t.reported.slots.Store(12)
 		t.reported.meanRuns[classIndex(estimatePolicy())].Store(int64(report.run))
+		t.reported.turn.Store(int64(report.turn))
 		t.failureShare.add(report.failureShare, 1)
 	}
 }
@@ -98,6 +100,11 @@
 			"target that fails more often than others is not chosen",
 			loadReport{run: 100 * ms, failureShare: 0.5}, loadReport{run: 170 * ms}, loadReport{run: 170 * ms}, Need{Objective: testObjective}, 5000, "near-2", ReasonLocal,
 		},
+		{
+			"idle under a rate limit: goes to the busy target",
+			loadReport{run: 100 * ms, turn: 300 * ms}, loadReport{running: 9, run: 100 * ms}, loadReport{run: 100 * ms},
+			Need{Objective: testObjective}, 5000, "near-2", ReasonLocal,
+		},
 		{
 			"all equally late: stays in the local domain",
 			loadReport{running: 12, waiting: 12, run: 300 * ms}, loadReport{running: 12, waiting: 24, run: 300 * ms}, loadReport{running: 12, waiting: 11, run: 300 * ms},
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -45,6 +45,9 @@
 	// is set; 0 means unknown.
 	Slots int
 	Run   time.Duration
+	// Turn is how long one more call would wait under the target's rate limit. It is valid
+	// when HasLoad is set.
+	Turn time.Duration
 	// Transit is the time that the call spent on its way to and from the
 	// target's daemon; 0 means unknown.
 	Transit time.Duration
@@ -84,6 +87,7 @@
 		calls := int64(r.Running + r.Waiting)
 		t.reported.observe(calls, max(0, calls-inFlight), int64(r.Slots), now)
 		t.reported.slots.Store(int64(r.Slots))
+		t.reported.turn.Store(int64(r.Turn))
 		t.reported.meanRuns[classIndex(c.policy)].Store(int64(r.Run))
 	}
 	if r.Transit > 0 {
--- a/picker/target.go
+++ b/picker/target.go
@@ -75,6 +75,9 @@
 	at atomic.Int64
 	// slots is the number of calls that the target runs at a time, 0 if unknown.
 	slots atomic.Int64
+	// turn is how long one more call would wait under the target's rate limit, in
+	// nanoseconds.
+	turn atomic.Int64
 	// meanShare is the moving average of the reported loads, as a share of the slots.
 	meanShare average
 	// hasMean is set once a load was reported.
