Give a call its turn if it comes as the call stops waiting

What callers saw: refusals (queue-time) of calls that had returned exactly when they were told to.

Cause: a call that is refused under a rate limit is told the first moment at which it could wait for its turn, which then comes at its latest start. The timer of the wait and that of the turn fire together, and either may win.

Evidence: TestCallBeyondTheLimitIsRefusedAtOnce failed once, and 159 of 300 times when repeated; 0 of 300 with the change: a call that stops waiting first asks for its turn.

--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -240,6 +240,8 @@
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
+	// The call's turn may come at the moment at which it stops waiting.
+	l.dispatch(time.Now())
 	q := &w.account.queues[w.class]
 	i := slices.Index(*q, w)
 	if i >= 0 {
