Fix the order of two events in a test of Retry-After

TestRetryAfterOfCallsThatBeganTogether failed once, in 40 runs. Cause: on the fake clock the caller returns at the very moment at which the running calls end, and either goroutine may be first.

--- a/limiter/runs_test.go
+++ b/limiter/runs_test.go
@@ -215,6 +215,7 @@
 			t.Fatalf("got %v, want a refusal", err)
 		}
 		time.Sleep(refused.RetryAfter)
+		synctest.Wait() // the calls that end at this very moment come first
 		slot, err := l.Admit(t.Context(), Request{Class: lookup, Partner: "magnolia", Objective: time.Second, Waited: refused.RetryAfter})
 		if err != nil {
 			t.Errorf("after the %v that the caller was told: got %v, want a slot", refused.RetryAfter, err)
