Log and count that the store came back from an older copy

When the store had been restored, nothing told a daemon's operators: the hypotheses on the change that was not in force could not be told apart. The store's client now reads the era that each response names, counts restores and reads that find a key at a lower revision than before, and the daemon logs store-restored. Nothing acts on it yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,6 +108,9 @@
 		Acceptor: newAcceptor(cfg, store), TargetViews: d.forwarder.Picker.Targets,
 		Distribution: d.distributionStatus,
 	}
+	if store, ok := store.(*platform.Store); ok {
+		store.OnRestore = d.logRestore
+	}
 	d.publishMetrics()
 	return d
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -32,6 +32,7 @@
 		{"version-unconfirmed", "a newly started daemon puts a version in force that it has from peers, without a confirmation from the store", "version"},
 		{"store-lost", "the first failed call of a watch", "error, silent"},
 		{"store-regained", "the first successful call after failures", "failures"},
+		{"store-restored", "the store came back from an older copy of its data; what was written there since is gone", "era, former-era"},
 		{"relay-begun", "this daemon became a relay", "slot"},
 		{"relay-ended", "this daemon is no longer a relay", "slot"},
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -16,6 +16,11 @@
 // Revision 0 means that the key does not exist.
 type Revision uint64
 
+// Era numbers the histories of the service. It rises when the service comes back from an
+// older copy of its data: what was written since is gone then, and its revisions and lease
+// IDs are given out again. Era 0 means that it is not known.
+type Era uint64
+
 // LeaseID identifies a lease. LeaseID 0 means no lease.
 type LeaseID uint64
 
