--- a/fakestorer/fakestorer.go
+++ b/fakestorer/fakestorer.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,7 +40,7 @@
 	PageItems int
 
 	mu sync.Mutex
-	// revision is the revision of the newest write; it never decreases.
+	// revision is the revision of the newest write. Only Restore decreases it.
 	revision storer.Revision
 	items    map[string]storer.Item
 	// history holds the changes after revision compacted, oldest first.
@@ -47,11 +48,49 @@
 	compacted storer.Revision
 	leases    map[storer.LeaseID]lease
 	nextID    storer.LeaseID
+	// restores is the number of times that Restore was called.
+	restores storer.Era
 	// changed is closed and replaced on each write.
 	changed chan struct{}
 	counts  Counts
 }
 
+// Copy holds the data of a Store at one time.
+type Copy struct {
+	revision storer.Revision
+	items    map[string]storer.Item
+	leases   map[storer.LeaseID]lease
+	nextID   storer.LeaseID
+}
+
+// Copy returns a copy of the data.
+func (s *Store) Copy() Copy {
+	s.lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), leases: maps.Clone(s.leases), nextID: s.nextID}
+}
+
+// Restore replaces the data by an older copy, as after a loss of the service's storage:
+// what was written since is gone, and revisions and lease IDs are given out again. The
+// history is empty then.
+func (s *Store) Restore(c Copy) {
+	s.lock()
+	defer s.mu.Unlock()
+	s.restores++
+	s.revision, s.nextID = c.revision, c.nextID
+	s.items, s.leases = maps.Clone(c.items), maps.Clone(c.leases)
+	s.history, s.compacted = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era returns the era of the data, which rises with each Restore. The first is 1.
+func (s *Store) Era() storer.Era {
+	s.lock()
+	defer s.mu.Unlock()
+	return s.restores + 1
+}
+
 var _ storer.Client = (*Store)(nil)
 
 // Counts returns the number of calls received so far.
@@ -263,14 +302,14 @@
 // Changes waits until there are changes of keys with the prefix after the given
 // revision, or until wait has passed, and returns the changes and the newest
 // revision. It fails with a *storer.CompactedError if Compact may have discarded
-// some of the changes.
+// some of the changes, or if there is no such revision.
 func (s *Store) Changes(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) ([]storer.Event, storer.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	s.lock()
 	s.counts.Watches++
 	for {
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			return nil, 0, &storer.CompactedError{After: after}
 		}
