--- a/fakestorer/fakestorer.go
+++ b/fakestorer/fakestorer.go
@@ -77,8 +77,13 @@
 	s.lock()
 	defer s.mu.Unlock()
 	s.restores++
-	s.revision, s.nextID = c.revision, c.nextID
+	rebase := func(r storer.Revision) storer.Revision { return storer.NewRevision(s.restores+1, r.Number()) }
+	s.revision, s.nextID = rebase(c.revision), c.nextID
 	s.items, s.leases = maps.Clone(c.items), maps.Clone(c.leases)
+	for key, item := range s.items {
+		item.Revision, item.Created = rebase(item.Revision), rebase(item.Created)
+		s.items[key] = item
+	}
 	s.history, s.compacted = nil, s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -136,7 +141,7 @@
 
 // advanceRevision advances the revision and wakes the watches. The caller holds mu.
 func (s *Store) advanceRevision() {
-	s.revision++
+	s.revision = storer.NewRevision(s.restores+1, s.revision.Number()+1)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -111,7 +111,7 @@
 	doc, digest, err := s.decodeExternal(item.Value)
 	if err != nil {
 		s.Counters.Malformed.Add(1)
-		s.Log.Error("version-refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
+		s.Log.Error("version-refused", zap.Uint64("revision", item.Revision.Number()), zap.Error(err))
 		return s.position().Version
 	}
 	next := digestedDoc{doc: doc, digest: digest}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -13,9 +13,28 @@
 )
 
 // Revision is the position of a write in the order of all writes to the service.
-// Revision 0 means that the key does not exist.
+// Revision 0 means that the key does not exist. A revision holds the era in which it was
+// given out, so that those of a later era are higher than all of former ones.
 type Revision uint64
 
+// numberBits is the number of the low bits of a revision that hold its number within its
+// era.
+const numberBits = 48
+
+// NewRevision returns the revision with a number in an era. Number 0 gives revision 0.
+func NewRevision(era Era, number uint64) Revision {
+	if number == 0 {
+		return 0
+	}
+	return Revision(uint64(era)<<numberBits | number)
+}
+
+// Era returns the era in which the revision was given out.
+func (r Revision) Era() Era { return Era(r >> numberBits) }
+
+// Number returns the revision's number within its era, as the service counts it.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<numberBits - 1) }
+
 // Era numbers the histories of the service. It rises when the service comes back from an
 // older copy of its data: what was written since is gone then, and its revisions and lease
 // IDs are given out again. Era 0 means that it is not known.
