Write accepted versions again that a restored store has lost

What operators saw: after the store of a deployment of our own had come back from an older copy, changes that had been accepted were missing from the history, and the next ones got version numbers that daemons had in force already, so that all daemons refused them until the numbers had grown past the old ones.

Cause: the head in the store was taken for the newest accepted version, whatever a daemon had in force. Versions are in the store and in every daemon; only the store's copy was ever read.

Evidence: TestChangeAfterARestoreGetsAHigherVersionThanTheLostOnes: version 2 where 4 is wanted.

Why this works: the acceptor compares the head with the version in force at its daemon before each change, and a daemon that learns of a new era does so at once. If the head is older, it writes the document, the lost deltas as far as it has them, and the head again, by a swap that expects the head that it read. TestFleetFollowsARestoredStore restores the store of a fleet three times, with a daemon that starts in between, with all daemons and with relays alone as watchers. Not covered: a change that a daemon without the lost versions accepts before they are written again is overwritten, and reported to no one.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -69,6 +69,10 @@
 	Policy Policy
 	// Timeout bounds one call of Accept or Preview; 0 means ten seconds.
 	Timeout time.Duration
+	// Known returns the newest version that this daemon knows to have been accepted. If the
+	// store's head is older, it is restored before a change is accepted. Nil means that
+	// none is known.
+	Known func() Known
 	// RecentBytes bounds the size of the deltas in the head; 0 means 2 KiB. The
 	// newest delta is kept even if it is larger.
 	RecentBytes int
@@ -187,6 +191,12 @@
 	if err != nil {
 		return 0, err
 	}
+	if known := a.known(); known.isBehind(&head) {
+		if err := a.restoreHead(ctx, &head, rev, known); err != nil && !errors.Is(err, errHeadMoved) {
+			return 0, err
+		}
+		return 0, &lostRaceError{}
+	}
 	if v, err := a.findChange(ctx, &head, change); v != 0 || err != nil {
 		return v, err
 	}
--- a/acceptor/counters.go
+++ b/acceptor/counters.go
@@ -21,6 +21,8 @@
 	Retries expvar.Int
 	// LostAnswers counts swaps of the head without an answer.
 	LostAnswers expvar.Int
+	// HeadsRestored counts heads that were written anew because the store had lost them.
+	HeadsRestored expvar.Int
 }
 
 // countOutcome counts one call of Accept that returned err.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,8 +109,9 @@
 		Distribution: d.distributionStatus,
 	}
 	if store, ok := store.(*platform.Store); ok {
-		store.OnRestore = d.logRestore
+		store.OnRestore = d.handleRestore
 	}
+	d.operatorAPI.Acceptor.Known = d.spreader.Known
 	d.publishMetrics()
 	return d
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -13,7 +13,6 @@
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/spreader"
-	"bambooweir.example/bambooweir/storer"
 )
 
 // missedHeartbeats is the number of consecutive heartbeats that the target must
@@ -34,11 +33,6 @@
 	d.spreader.External = &spreader.External{Key: platform.ConfigKey, Decode: platform.DecodeConfig}
 }
 
-// logRestore logs that the store came back from an older copy of its data.
-func (d *Daemon) logRestore(former, era storer.Era) {
-	d.log.Warn("store-restored", zap.Uint64("era", uint64(era)), zap.Uint64("former-era", uint64(former)))
-}
-
 // callerLimits returns the limits on callers' requests from the configuration in
 // force.
 func (d *Daemon) callerLimits() listener.Limits {
--- a/logger/events.go
+++ b/logger/events.go
@@ -33,6 +33,7 @@
 		{"store-lost", "the first failed call of a watch", "error, silent"},
 		{"store-regained", "the first successful call after failures", "failures"},
 		{"store-restored", "the store came back from an older copy of its data; what was written there since is gone", "era, former-era"},
+		{"head-not-restored", "a version that the restored store had lost could not be written there; another daemon or the next change does it", "error"},
 		{"relay-begun", "this daemon became a relay", "slot"},
 		{"relay-ended", "this daemon is no longer a relay", "slot"},
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -39,6 +39,15 @@
 	return s.pending
 }
 
+// Known returns the version in force with the deltas that led to it.
+func (s *Spreader) Known() acceptor.Known {
+	snapshot := s.Applier.Current()
+	if snapshot == nil {
+		return acceptor.Known{}
+	}
+	return acceptor.Known{Document: snapshot.Document, Digest: snapshot.Digest, Deltas: s.history.all()}
+}
+
 // position returns the version and digest of newestDoc.
 func (s *Spreader) position() messenger.Position {
 	s.configMu.Lock()
--- a/spreader/history.go
+++ b/spreader/history.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// all returns the deltas, oldest first.
+func (h *history) all() []versioner.Delta {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.deltas)
+}
+
 // between returns the deltas that lead from one position to the other, and
 // whether all of them are kept.
 func (h *history) between(from, to messenger.Position) ([]versioner.Delta, bool) {
