Confirm no version below the one in force

A daemon tells its peers which version the store held last. After a restore that is an older one than was accepted, and a peer that starts then could put it in force by that word, until the newer one arrives. A version in force was accepted, whatever the store holds now, so that it is the least that a daemon confirms. TestConfirmationIsNotBelowTheVersionInForce got 3, wants 5.

--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -45,6 +45,8 @@
 // since when this daemon has lacked a version.
 func (s *Spreader) recordConfirmation(v versioner.Version, at time.Time) {
 	s.mu.Lock()
+	// A restored store may hold an older version than was accepted.
+	v = max(v, s.versionInForce())
 	isNewer := at.After(s.lastConfirmation.at)
 	if isNewer {
 		s.lastConfirmation = confirmation{version: v, at: at}
--- a/spreader/freshness_test.go
+++ b/spreader/freshness_test.go
@@ -161,3 +161,18 @@
 		t.Errorf("in force: got %d, want none", got)
 	}
 }
+
+// TestConfirmationIsNotBelowTheVersionInForce guards against a daemon that confirms to its
+// peers the older version which a restored store holds.
+func TestConfirmationIsNotBelowTheVersionInForce(t *testing.T) {
+	s := newIdleSpreader()
+	s.stageOrApply(emptyDocAt(5), nil, nil)
+	s.recordConfirmation(5, time.Now())
+	time.Sleep(time.Nanosecond)
+	s.recordConfirmation(3, time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got := s.confirmationMessage().Version; got != 5 {
+		t.Errorf("confirmed version: got %d, want the 5 in force", got)
+	}
+}
