--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/applier"
@@ -24,13 +23,6 @@
 	// after which an idempotent call is not tried again.
 	defaultMaxUnknownAttempts = 2
 
-	// reattachMinBackoff and reattachMaxBackoff bound the mean wait between the
-	// attempts of reattach.
-	reattachMinBackoff = 20 * time.Millisecond
-	reattachMaxBackoff = 300 * time.Millisecond
-	// reattachRefusedLimit is how long reattach keeps dialing a daemon that refuses
-	// connections.
-	reattachRefusedLimit = 3 * time.Second
 	// cancelAnswerWait is how long after its deadline a call waits for the answer to
 	// its Cancel.
 	cancelAnswerWait = 250 * time.Millisecond
@@ -99,44 +91,6 @@
 	}
 }
 
-// lostCall is a call whose link was lost after the call had been handed to it.
-type lostCall struct {
-	call   *messenger.Call
-	target tracker.Record
-	link   *callLink
-}
-
-// resumeLost returns the answer to the caller after a last attempt that brought none. If
-// its link was lost, the target may still be running the call, and resumeLost waits for
-// that answer: the daemon beside the target may only have been too busy to reply. If no
-// link to the same process of that daemon can be opened, the caller is told at once, since
-// it may try the call again itself.
-func (f *Forwarder) resumeLost(ctx context.Context, x *exchange, last *messenger.Answer) *messenger.Answer {
-	lost := x.lastLost()
-	if last.Cause != causeLinkLost || lost == nil {
-		return x.finalAnswer(last)
-	}
-	f.pool(lost.target, laneOf(lost.call)).remove(lost.link)
-	link, err := f.link(ctx, lost.target, laneOf(lost.call))
-	if err != nil || !link.sameProcess(lost.link) {
-		return x.finalAnswer(last)
-	}
-	f.Counters.Reattached.Add(1)
-	answer, err := link.roundTrip(ctx, lost.call.ID, lost.link.reattachMessage(lost.call.ID))
-	if err != nil || answer.Outcome != messenger.OutcomeAnswered || !answer.IsWhole() {
-		return x.finalAnswer(last)
-	}
-	f.notices.observe(lost.target.InstanceID, answer)
-	return answer
-}
-
-// lastLost returns the call of the last attempt, if its link was lost, or nil.
-func (x *exchange) lastLost() *lostCall {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.lost
-}
-
 // minRetryTimeRatio is the minimum ratio of the time left until the deadline to the
 // time since the request arrived, below which a server error is not retried: a
 // further attempt would probably not finish in time.
@@ -301,13 +255,6 @@
 	f.drainingIncarnations[instanceID] = max(f.drainingIncarnations[instanceID], incarnation)
 }
 
-// setLost records whether the link of the last attempt was lost.
-func (x *exchange) setLost(lost *lostCall) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.lost = lost
-}
-
 // callTarget is like callTargetOnce for calls that are not reattached later.
 func (f *Forwarder) callTarget(ctx context.Context, call *messenger.Call, target tracker.Record, deadline time.Time) *messenger.Answer {
 	answer, _ := f.callTargetOnce(ctx, call, target, deadline, false)
@@ -392,34 +339,3 @@
 	}
 	return messenger.Unknown(id, causeCancelled)
 }
-
-// reattach returns the outcome of a call whose link was lost. It queries the same
-// process of the target's daemon over new links until one brings the answer, the
-// process is found to be gone, or ctx ends.
-func (f *Forwarder) reattach(ctx context.Context, call *messenger.Call, target tracker.Record, old *callLink) *messenger.Answer {
-	id := call.ID
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = reattachMinBackoff
-	wait.MaxInterval = reattachMaxBackoff
-	refusedUntil := time.Now().Add(reattachRefusedLimit)
-	for ctx.Err() == nil {
-		link, err := f.link(ctx, target, laneOf(call))
-		switch {
-		case err != nil && time.Now().After(refusedUntil) && isConnectionRefused(err):
-			return messenger.Unknown(id, causeDaemonLost)
-		case err == nil && !link.sameProcess(old):
-			return messenger.Unknown(id, causeDaemonRestarted)
-		case err == nil:
-			answer, err := link.roundTrip(ctx, id, old.reattachMessage(id))
-			if err == nil {
-				return answer
-			}
-			refusedUntil = time.Now().Add(reattachRefusedLimit)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait.NextBackOff()):
-		}
-	}
-	return contextAnswer(ctx, id)
-}
