Remove data races from three tests

go test -race reported that tests of the body pacer, of limits after a restart and of departures after a restart changed their own counters and epochs from several goroutines. They lock now; what they check is the same. No program code changes.

--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -152,6 +152,13 @@
 	return f.epoch
 }
 
+// setEpoch begins a run of the target with the epoch.
+func (f *fakeTarget) setEpoch(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch = epoch
+}
+
 // newAdmission returns the admission control of a new process of the target's daemon.
 func (f *fakeTarget) newAdmission(x *executor.Executor) func(context.Context, *messenger.Call) (func(), *messenger.Answer) {
 	l := &limiter.Limiter{
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -9,34 +9,27 @@
 	"bambooweir.example/bambooweir/messenger"
 )
 
-// handleLimited returns a handler of a target that names a rate limit on its answers and
-// calls arrived for each request.
-func handleLimited(perSecond string, arrived func()) func(*http.Request, string) (*http.Response, error) {
-	return func(*http.Request, string) (*http.Response, error) {
-		arrived()
-		time.Sleep(200 * time.Millisecond)
-		res := respond("ok")
-		res.Header.Set(messenger.HeaderNames{}.WithDefaults().RateLimit, perSecond)
-		return res, nil
-	}
-}
-
 // TestRestartedDaemonKeepsTheLimitOfItsTarget guards against the burst that a daemon lets
 // through after a restart, until its target's first answer names the limit again.
 func TestRestartedDaemonKeepsTheLimitOfItsTarget(t *testing.T) {
 	runInMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
 		a := m.targets["a"]
 		a.kill()
-		a.slots, a.epoch = 12, 7
+		a.slots = 12
+		a.setEpoch(7)
 		a.start()
 		start := time.Now()
 		var mu sync.Mutex
 		var arrivals []time.Duration
-		a.handle = handleLimited("0.5", func() {
+		a.handle = func(*http.Request, string) (*http.Response, error) {
 			mu.Lock()
-			defer mu.Unlock()
 			arrivals = append(arrivals, time.Since(start))
-		})
+			mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+			res := respond("ok")
+			res.Header.Set(messenger.HeaderNames{}.WithDefaults().RateLimit, "0.5")
+			return res, nil
+		}
 		for i := range 2000 {
 			m.start("/lookups", "1")
 			time.Sleep(10 * time.Millisecond)
@@ -46,6 +39,8 @@
 			}
 		}
 		time.Sleep(testTimeoutMS * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
 		const most = 1.5*4*0.5 + 5
 		for from := time.Second; from < 16*time.Second; from += 100 * time.Millisecond {
 			got := 0
@@ -78,7 +73,7 @@
 			runInMesh(t, []string{"a"}, func(t *testing.T, m *mesh) {
 				a := m.targets["a"]
 				a.kill()
-				a.epoch = 7
+				a.setEpoch(7)
 				time.Sleep(time.Second)
 				a.start()
 				a.handle = func(*http.Request, string) (*http.Response, error) {
@@ -88,7 +83,7 @@
 				}
 				m.call(m.ctx, "/lookups", "1")
 				a.kill()
-				a.epoch = tt.epoch
+				a.setEpoch(tt.epoch)
 				time.Sleep(time.Second)
 				a.start()
 				time.Sleep(time.Second)
--- a/limiter/bodypacer_test.go
+++ b/limiter/bodypacer_test.go
@@ -50,7 +50,9 @@
 		pacer := &BodyPacer{Kbps: kbps}
 		random := rand.New(rand.NewPCG(7, 7))
 		var small []time.Duration
-		var offered, received, early int
+		offered := 0
+		var mu sync.Mutex // guards received and early
+		var received, early int
 		var wg sync.WaitGroup
 		for range seconds * 1000 {
 			if random.Float64() < 0.13 {
@@ -66,6 +68,8 @@
 					wg.Go(func() {
 						time.Sleep(wait)
 						took := time.Since(start) + link.transfer(bodyBytes)
+						mu.Lock()
+						defer mu.Unlock()
 						received++
 						if took < objective/2 {
 							early++
