--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -52,6 +52,21 @@
 	Unhealthy bool `json:"unhealthy"`
 	// AnswerBytes is the length to which each answer is padded.
 	AnswerBytes int `json:"answer-bytes"`
+	// CallsPerSecond is the rate limit that answers name; 0 names none.
+	CallsPerSecond float64 `json:"calls-per-second"`
+	// IsLeaving makes answers say that the target is leaving.
+	IsLeaving bool `json:"leaving"`
+}
+
+// nameNotice sets the header fields by which the answers restrict later calls.
+func (b Behavior) nameNotice(h http.Header) {
+	names := messenger.HeaderNames{}.WithDefaults()
+	if b.CallsPerSecond > 0 {
+		h.Set(names.RateLimit, strconv.FormatFloat(b.CallsPerSecond, 'f', -1, 64))
+	}
+	if b.IsLeaving {
+		h.Set(names.Leaving, "1")
+	}
 }
 
 // Target is a fake target. Address, Service and DaemonURL must be set.
@@ -106,6 +121,7 @@
 		return
 	}
 	b := t.currentBehavior()
+	b.nameNotice(w.Header())
 	if rand.IntN(100) < b.ShedPercent {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -359,7 +359,7 @@
 // takesSlotBefore reports whether w gets a slot of the given kind before other.
 func (l *Limiter) takesSlotBefore(w, other *waiter, kind slotKind) bool {
 	if l.gate.isLimited() && w.account != other.account {
-		return l.turn(w.account) < l.turn(other.account)
+		return l.virtualTimeOf(w.account) < l.virtualTimeOf(other.account)
 	}
 	if kind == slotBorrowed {
 		borrowed, otherBorrowed := w.account.borrowed(), other.account.borrowed()
--- a/limiter/rategate.go
+++ b/limiter/rategate.go
@@ -95,10 +95,10 @@
 	return n
 }
 
-// turn returns the virtual time of a partner's next call: the partner with the earliest one
+// virtualTimeOf returns the virtual time of a partner's next call: the partner with the earliest one
 // is next under a rate limit. One that sent no calls for a while saves up no turns. The
 // caller holds mu.
-func (l *Limiter) turn(a *account) float64 { return max(a.virtualTime, l.virtualTime) }
+func (l *Limiter) virtualTimeOf(a *account) float64 { return max(a.virtualTime, l.virtualTime) }
 
 // passGate counts a call of the account that begins now. The caller holds mu.
 func (l *Limiter) passGate(a *account, now time.Time) {
@@ -106,7 +106,7 @@
 		return
 	}
 	l.gate.take(now)
-	l.virtualTime = l.turn(a)
+	l.virtualTime = l.virtualTimeOf(a)
 	a.virtualTime = l.virtualTime + 1/float64(max(1, a.guarantee))
 }
 
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -1,11 +1,15 @@
 package soaker
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"time"
 
+	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/faulter"
 	"bambooweir.example/bambooweir/sleeper"
 )
@@ -18,6 +22,9 @@
 	// narrowBytesPerSecond is the bandwidth of a throttled link, about a tenth of a
 	// link of 5 Mbit/s.
 	narrowBytesPerSecond = 64 << 10
+	// soakCallsPerSecond is the rate limit that a target in need names, far below what it
+	// gets.
+	soakCallsPerSecond = 2
 	// maxVictims is the largest number of processes or links that one fault hits at
 	// once.
 	maxVictims = 3
@@ -49,6 +56,10 @@
 	thaw := func(s *soak, name string) error { return s.fleet.Thaw(name) }
 	stop := func(s *soak, name string) error { return s.fleet.Stop(name) }
 	reset := func(s *soak, link string) error { return s.onLinks(link, (*faulter.Proxy).Reset) }
+	limit := func(s *soak, name string) error {
+		return s.behave(name, faketarget.Behavior{CallsPerSecond: soakCallsPerSecond})
+	}
+	unlimit := func(s *soak, name string) error { return s.behave(name, faketarget.Behavior{}) }
 	reload := func(s *soak, name string) error { return s.fleet.Reload(name) }
 	return []fault{
 		{"kill daemon", daemonNames, kill, restart},
@@ -62,6 +73,7 @@
 		{"silence requests", allLinks, setFault(faulter.Fault{Silence: faulter.Upstream}), heal},
 		{"reset link", allLinks, reset, heal},
 		{"narrow link", allLinks, setFault(faulter.Fault{BytesPerSecond: narrowBytesPerSecond}), heal},
+		{"limit target", targetNames, limit, unlimit},
 		{"reload daemon", daemonNames, reload, reload},
 		{"strand link", allLinks, strand, heal},
 		{"delay link", allLinks, setFault(faulter.Fault{Delay: 50 * time.Millisecond}), heal},
@@ -70,6 +82,31 @@
 	}
 }
 
+// behave sets the behavior of a target. One that doesn't answer keeps its behavior.
+func (s *soak) behave(name string, b faketarget.Behavior) error {
+	t, err := s.fleet.Target(name)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, t.URL+faketarget.BehaviorPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.logf("%s keeps its behavior: %v", name, err)
+		return nil
+	}
+	res.Body.Close()
+	return nil
+}
+
 func daemonNames(s *soak) []string {
 	var names []string
 	for _, d := range s.fleet.Daemons() {
