Log and count the crashes of targets, with what they were running

On-call engineers saw "target-gave-no-answer" with the IDs of the calls that were cut off. IDs differ for each repeat of a request, and no line said whether the target had ended or only its connection, so that the logs could not tell a request that ends targets from targets that end of themselves.

Each call that gets no answer is now logged with the digest of its content (partner, host, method, target, body), which all repeats share, and each run of a target that ends while it runs calls, without having said that it leaves, is logged once with the digests of these calls, and counted. A run counts as crashed if it broke connections and then refuses one, vanishes or is replaced; a run that answers a later call has only lost connections. One connection is opened to tell the two apart, at a time.

No decision depends on it yet, but that a target that refuses the connection is reported as unreachable at once, as the next call would have found.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,6 +72,7 @@
 		},
 		Predecessor: d.predecessor,
 		OnChange: func(r tracker.Record) {
+			d.executor.ObserveTarget(r.State == tracker.StateGone && !r.TargetLeaving)
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
--- /dev/null
+++ b/executor/crash.go
@@ -0,0 +1,142 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/messenger"
+)
+
+const (
+	// crashCheckTimeout bounds the connection attempt that tests whether the target's
+	// process still listens.
+	crashCheckTimeout = 250 * time.Millisecond
+	// maxInterrupted bounds the calls that are kept until it is known whether the run that
+	// interrupted them has crashed.
+	maxInterrupted = 256
+	// maxLoggedDigests bounds the digests in one line of the log.
+	maxLoggedDigests = 32
+)
+
+// interruptedCall is a call whose connection broke while the target was running it.
+type interruptedCall struct {
+	call *messenger.Call
+	// brokeAt is when the connection broke.
+	brokeAt time.Time
+}
+
+// crashDetector tells targets that crashed from connections that broke. A run has crashed if
+// it interrupted calls without having said that it leaves, and then refuses connections,
+// vanishes, or is replaced by another run.
+type crashDetector struct {
+	mu sync.Mutex
+	// run is the run that interrupted the calls, crashedAt when it was found to have crashed;
+	// zero means that it was not.
+	run         messenger.TargetRun
+	crashedAt   time.Time
+	interrupted []interruptedCall
+	// checkMu admits one connection attempt at a time.
+	checkMu sync.Mutex
+}
+
+// interrupt records that the target's run broke the connection of a call that it was
+// running, and reports the crash if there was one.
+func (x *Executor) interrupt(ctx context.Context, base string, run messenger.TargetRun, c interruptedCall) {
+	if x.isDraining() {
+		return
+	}
+	d := &x.crash
+	d.mu.Lock()
+	if d.run != run {
+		d.run, d.crashedAt, d.interrupted = run, time.Time{}, nil
+	}
+	if len(d.interrupted) < maxInterrupted {
+		d.interrupted = append(d.interrupted, c)
+	}
+	d.mu.Unlock()
+	if x.refusesConnections(ctx, base, run) {
+		x.reportReached(false)
+		x.confirmCrash(run)
+	}
+}
+
+// refusesConnections reports whether the run is known to have crashed, or nothing listens at
+// the target's address. Any other failure proves nothing: a live target may have no room for
+// a further connection.
+func (x *Executor) refusesConnections(ctx context.Context, base string, run messenger.TargetRun) bool {
+	d := &x.crash
+	d.checkMu.Lock()
+	defer d.checkMu.Unlock()
+	d.mu.Lock()
+	known := d.run == run && !d.crashedAt.IsZero()
+	d.mu.Unlock()
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	err := x.Requester.Check(ctx, strings.TrimPrefix(base, "http://"))
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.run == run {
+		d.crashedAt = time.Now()
+	}
+	return true
+}
+
+// ObserveTarget confirms the crash of the run that interrupted calls, if another run has
+// replaced it or the target has vanished. It is called when the target's record changes.
+func (x *Executor) ObserveTarget(hasVanished bool) {
+	x.crash.mu.Lock()
+	run := x.crash.run
+	x.crash.mu.Unlock()
+	if run != x.currentRun() || hasVanished && !x.isDraining() {
+		x.confirmCrash(run)
+	}
+}
+
+// confirmCrash takes the calls that the run interrupted and reports that it crashed.
+func (x *Executor) confirmCrash(run messenger.TargetRun) {
+	d := &x.crash
+	d.mu.Lock()
+	if d.run != run || len(d.interrupted) == 0 {
+		d.mu.Unlock()
+		return
+	}
+	interrupted := d.interrupted
+	d.interrupted = nil
+	d.mu.Unlock()
+	x.Counters.Crashes.Add(1)
+	digests := make([]string, min(len(interrupted), maxLoggedDigests))
+	for i := range digests {
+		digests[i] = interrupted[i].call.ContentDigest().String()
+	}
+	x.logger().Warn("target-crashed", zap.String("run-id", run.ID), zap.Uint64("epoch", run.Epoch),
+		zap.Int("interrupted", len(interrupted)), zap.Strings("request-digests", digests))
+}
+
+// observeAlive drops the calls that the run interrupted, since it has answered one that began
+// later: its connections broke, not its process.
+func (x *Executor) observeAlive(run messenger.TargetRun, began time.Time) {
+	d := &x.crash
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.run != run {
+		return
+	}
+	if began.After(d.crashedAt) {
+		// Runs without an identity can't be told apart; this one is a later run.
+		d.crashedAt = time.Time{}
+	}
+	d.interrupted = slices.DeleteFunc(d.interrupted, func(c interruptedCall) bool { return began.After(c.brokeAt) })
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -83,6 +83,9 @@
 	Notices, MalformedNotices expvar.Int
 	// SentLimited counts the requests that were sent while the target named a rate limit.
 	SentLimited expvar.Int
+	// Crashes counts the runs of the target that ended while they were running calls,
+	// without having said that they leave.
+	Crashes expvar.Int
 }
 
 // Executor runs calls at one target. Target must be set; InstanceID and
@@ -139,6 +142,7 @@
 	Counters       Counters
 
 	notice   targetNotice
+	crash    crashDetector
 	stopping atomic.Bool // set by Drain
 	inFlight atomic.Int64
 	// buffered is the total size in bytes of the bodies of accepted calls from links.
--- a/executor/target.go
+++ b/executor/target.go
@@ -66,6 +66,7 @@
 	if x.Notice().IsLimited {
 		x.Counters.SentLimited.Add(1)
 	}
+	began := time.Now()
 	res, err := x.exchange(ctx, base, req)
 	var notSent *requester.NotSentError
 	if errors.As(err, &notSent) {
@@ -86,9 +87,14 @@
 			x.Requester.Reset()
 		}
 		answer := messenger.Unknown(id, failureCause(ctx, lossCause(err)))
-		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause), zap.Error(err))
+		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause),
+			zap.Stringer("request-digest", r.call.ContentDigest()), zap.Duration("ran", time.Since(began)), zap.Error(err))
+		if ctx.Err() == nil {
+			x.interrupt(ctx, base, run, interruptedCall{call: r.call, brokeAt: time.Now()})
+		}
 		return markSent(answer)
 	}
+	x.observeAlive(run, began)
 	x.reportReached(res.Status != http.StatusMisdirectedRequest)
 	if res.Status != http.StatusMisdirectedRequest {
 		x.observeNotice(run, res.Header)
--- a/logger/events.go
+++ b/logger/events.go
@@ -60,6 +60,7 @@
 		{"panic-contained", "handling one request, message or response failed; the daemon goes on, the call's outcome is unknown", "task, cause, stack"},
 		{"target-notice", "the target names another rate limit on its answers, or none any more, or says that it is leaving; source is the target itself, or a daemon that called it before this one was restarted", "run-id, epoch, source, limited, calls-per-second, leaving, sent-limited"},
 		{"target-notice-malformed", "an answer of the target has a rate limit that is not a number of calls per second; the former one holds", "run-id, error"},
-		{"target-gave-no-answer", "the target received a call, but returned no complete answer", "request-id, cause, error"},
+		{"target-gave-no-answer", "the target received a call, but returned no complete answer; the digest is the same for all repeats of a request by one partner", "request-id, cause, request-digest, ran, error"},
+		{"target-crashed", "a run of the target ended, without having said that it leaves, while it was running calls", "run-id, epoch, interrupted, request-digests"},
 	}
 }
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -216,6 +216,16 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", addr)
 }
 
+// Check opens a connection to the target and closes it. Its error tells whether the target
+// listens.
+func (r *Requester) Check(ctx context.Context, addr string) error {
+	c, err := r.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // putIdle returns a connection to the pool of idle ones. It returns false if the
 // target's address has changed meanwhile.
 func (r *Requester) putIdle(c *conn) bool {
