Reproduce a request that ends the targets that run it

Callers of a service lose its targets to one request that comes again and again.

New in the scenario language: supervise, and bounds for assert-runs.

--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 // answers repeat it, so that a test can match them with the call.
 const CallIDHeader = "Test-Call-Id"
 
+// DeadlySuffix ends the paths of the calls that crash every target that runs them.
+const DeadlySuffix = "/deadly"
+
 // Run is the record of one call that the target ran.
 type Run struct {
 	CallID         string    `json:"call-id,omitempty"`
@@ -132,7 +136,7 @@
 	}
 	i := t.beginRun(r)
 	defer t.finishRun(i)
-	if b.CrashOnCall {
+	if b.CrashOnCall || strings.HasSuffix(r.URL.Path, DeadlySuffix) {
 		t.crash()
 	}
 	if b.DelayMS > 0 {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -63,6 +63,8 @@
 	targets   map[string]Target
 	links     map[string]*faulter.Proxy
 	storeAddr string
+	// closed is set by Close; a process that is started later is killed at once.
+	closed bool
 }
 
 // New returns an empty fleet whose processes run the given program. Settings
@@ -225,6 +227,7 @@
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, p := range f.processes {
 		p.kill()
 	}
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -45,9 +45,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.processes[name] = p
+	if f.closed {
+		p.kill()
+	}
 	return nil
 }
 
+// isClosed reports whether Close has been called.
+func (f *Fleet) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 // LogPath returns the path of the file to which a process's output is appended.
 func (f *Fleet) LogPath(name string) string { return filepath.Join(f.dir, name+".log") }
 
@@ -73,6 +83,26 @@
 	return f.startProcess(name, p.args...)
 }
 
+// Supervise starts a process again each time that it ends, until Close.
+func (f *Fleet) Supervise(name string) error {
+	p, err := f.findProcess(name)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			<-p.done
+			if f.isClosed() || f.startProcess(name, p.args...) != nil {
+				return
+			}
+			if p, err = f.findProcess(name); err != nil {
+				return
+			}
+		}
+	}()
+	return nil
+}
+
 // Kill sends SIGKILL to a process and waits until it has ended.
 func (f *Fleet) Kill(name string) error {
 	p, err := f.findProcess(name)
--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -135,6 +135,12 @@
 	return nil
 }
 
+// supervise starts processes again each time that they end, and records that faults are
+// injected.
+func (s *scenario) supervise(_ *testscript.TestScript, args []string) error {
+	return s.injectEach(args, s.fleet.Supervise)
+}
+
 // terminate asks processes to shut down gracefully and records planned stops.
 func (s *scenario) terminate(_ *testscript.TestScript, args []string) error {
 	for _, name := range args {
--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -94,6 +94,7 @@
 		"thaw":             command(1, -1, "thaw PROCESS...", (*scenario).thaw),
 		"terminate":        command(1, -1, "terminate PROCESS...", (*scenario).terminate),
 		"restart":          command(1, -1, "restart PROCESS...", (*scenario).restart),
+		"supervise":        command(1, -1, "supervise PROCESS...", (*scenario).supervise),
 		"wait-exit":        command(2, 2, "wait-exit PROCESS CODE", (*scenario).waitExit),
 		"cut":              command(1, -1, "cut LINK...", (*scenario).cut),
 		"strand":           command(1, -1, "strand LINK...", (*scenario).strand),
@@ -122,7 +123,7 @@
 		"wait-runs":        command(2, 2, "wait-runs NAME N", (*scenario).waitRuns),
 		"wait-outcomes":    command(2, -1, "wait-outcomes NAME OUTCOME{=,>=,<=}N...", (*scenario).waitOutcomes),
 		"assert-outcomes":  command(2, -1, "assert-outcomes NAME OUTCOME{=,>=,<=}N...", (*scenario).assertOutcomes),
-		"assert-runs":      command(2, 2, "assert-runs NAME N", (*scenario).assertRuns),
+		"assert-runs":      command(2, 2, "assert-runs NAME [{>=,<=}]N", (*scenario).assertRuns),
 		"check-invariants": command(0, -1, "check-invariants [INVARIANT...]", (*scenario).checkInvariants),
 	}
 }
--- a/scripter/waits.go
+++ b/scripter/waits.go
@@ -195,10 +195,14 @@
 	})
 }
 
-// assertRuns fails unless exactly N runs have begun, of a batch's calls or on a
-// target.
+// assertRuns fails unless exactly N runs have begun, or at least or at most as many, of a
+// batch's calls or on a target.
 func (s *scenario) assertRuns(_ *testscript.TestScript, args []string) error {
-	cond, err := parseCondition("runs=" + args[1])
+	bound := args[1]
+	if !strings.ContainsAny(bound[:1], "<>") {
+		bound = "=" + bound
+	}
+	cond, err := parseCondition("runs" + bound)
 	if err != nil {
 		return err
 	}
