Repeat the same content in the scenario of the deadly request

The calls of a batch contain their IDs, so that the lookup of deadly_request was another one each time: the scenario could not tell a request that comes again from sixty different ones.

--- a/scripter/calls.go
+++ b/scripter/calls.go
@@ -103,6 +103,8 @@
 			p.fixedID = value
 		case "key":
 			p.call.Key = value
+		case "content":
+			p.call.Content = value
 		default:
 			err = errors.New("unknown option")
 		}
