Quarantine requests that end the targets that run them

What callers saw: nine in ten lookups of a service were refused for seconds, because one request ended all its targets, and again each time that they came back.

Cause: the only bound was that of one call, two attempts of unknown outcome. A call ends with its request's ID; the same request under a new ID, mostly at another daemon, began a new count. The class of fault: a bound on retries that counts per call what must be counted per cause, over all callers and daemons.

Now the daemon beside a target that ended under calls holds the crash against the content of each of them (partner, host if its route names one, method, path and query, body), and tells the entry daemons with its answers and all others through the tree. A suspect goes to one target, the same from every entry daemon, and runs there without another suspect. An answer of a target clears it. Three ended targets, one of them in such a trial, quarantine it: refused at once as not-run, with the rest of the term as Retry-After. The term is 10 min and doubles with each further crash up to 4 h; after it the request is a suspect again.

Why a trial is needed: all targets of a service may end at once for another reason, and a popular request runs at all of them. Runs that began before a crash was known therefore quarantine nothing, however many ended. Crashes of machines, cuts and planned departures are held against nobody: a crash counts only if the target's own daemon sees that the target refuses connections, vanishes or is replaced, and it had not said that it leaves.

A request that has ended two targets is not tried for ten seconds where its service has only one left.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/platform"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -36,15 +37,17 @@
 // Run.
 type Daemon struct {
 	// cfg holds the settings in force; Reload replaces it as a whole.
-	cfg          atomic.Pointer[loader.Daemon]
-	log          *zap.Logger
-	applier      *applier.Applier
-	table        *tracker.Table
-	spreader     *spreader.Spreader
-	announcer    *announcer.Announcer
-	limiter      *limiter.Limiter
-	executor     *executor.Executor
-	forwarder    *forwarder.Forwarder
+	cfg       atomic.Pointer[loader.Daemon]
+	log       *zap.Logger
+	applier   *applier.Applier
+	table     *tracker.Table
+	spreader  *spreader.Spreader
+	announcer *announcer.Announcer
+	limiter   *limiter.Limiter
+	executor  *executor.Executor
+	forwarder *forwarder.Forwarder
+	// quarantine holds the requests under which targets have ended.
+	quarantine   *quarantiner.Table
 	callerServer *listener.Server
 	operatorAPI  *operator.API
 	// metrics and histograms are the values that the metrics endpoint serves.
@@ -76,12 +79,15 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
+	d.quarantine = &quarantiner.Table{Log: log, OnChange: d.spreader.SpreadSuspicions}
+	d.spreader.Quarantine = d.quarantine
 	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots, WarmsUp: d.announcer.WarmsUp}
 	d.executor = &executor.Executor{
 		InstanceID: cfg.InstanceID, Incarnation: d.announcer.Self.Incarnation, Log: log,
 		Target: d.announcer.TargetURL, Draining: d.announcer.Draining,
 		Service: d.announcer.Service, Admit: d.admit, Load: d.targetLoad, Reached: d.recordReachability,
 		TargetRun: d.announcer.TargetRun, OnLeaving: d.announcer.MarkLeaving,
+		Quarantine: d.quarantine, OnInterrupt: d.announcer.ReportUnreachable,
 	}
 	d.limiter.RateLimit = d.rateLimit
 	d.executor.Requester.MaxConnections = d.maxConnections
@@ -91,6 +97,7 @@
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, LinkKbps: int(cfg.LinkMbps * 1000), Log: log}, Log: log,
 		InstanceID: cfg.InstanceID, RunLocal: d.executor.Run, Service: func() string { return d.cfg.Load().TargetService },
+		Quarantine: d.quarantine,
 	}
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
 	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits, Log: d.log}
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -77,20 +77,21 @@
 
 // daemonMetricDocs describes the metrics that are not counters of one package.
 var daemonMetricDocs = map[string]string{
-	"bambooweir_version":            "Version of the configuration in force, 0 for none.",
-	"bambooweir_daemons":            "Daemons of the fleet that are not gone, as far as this daemon knows.",
-	"bambooweir_panics":             "Panics that ended the handling of one request, message or response, over all daemons of the process.",
-	"bambooweir_calls_running":      "Calls that this daemon's target is running.",
-	"bambooweir_calls_waiting":      "Calls that wait for a slot at the target.",
-	"bambooweir_slots":              "Number of calls that the target runs at a time.",
-	"bambooweir_log_lines_lost":     "Log lines that were not written: the reader was too slow, or the log could not be written.",
-	"bambooweir_target_rate_limit":  "Calls per second that the target takes from all daemons, as it says on its answers; -1 if it names no limit.",
-	"bambooweir_requests_in_flight": "Callers' requests that are not yet answered.",
+	"bambooweir_version":              "Version of the configuration in force, 0 for none.",
+	"bambooweir_daemons":              "Daemons of the fleet that are not gone, as far as this daemon knows.",
+	"bambooweir_panics":               "Panics that ended the handling of one request, message or response, over all daemons of the process.",
+	"bambooweir_calls_running":        "Calls that this daemon's target is running.",
+	"bambooweir_calls_waiting":        "Calls that wait for a slot at the target.",
+	"bambooweir_slots":                "Number of calls that the target runs at a time.",
+	"bambooweir_log_lines_lost":       "Log lines that were not written: the reader was too slow, or the log could not be written.",
+	"bambooweir_target_rate_limit":    "Calls per second that the target takes from all daemons, as it says on its answers; -1 if it names no limit.",
+	"bambooweir_requests_quarantined": "Requests that are not run at present, because targets ended each time that they ran them.",
+	"bambooweir_requests_in_flight":   "Callers' requests that are not yet answered.",
 }
 
 // packageByMapName maps the name of a counter map to its package, where the two
 // differ.
-var packageByMapName = map[string]string{"store": "platform", "key-table": "fencer"}
+var packageByMapName = map[string]string{"store": "platform", "key-table": "fencer", "quarantine": "quarantiner"}
 
 // metricsRows returns the rows of the table in docs/METRICS.md.
 func metricsRows(t *testing.T) []string {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -28,6 +28,8 @@
 	d.forwarder.FindRunning = d.executor.FindRunning
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
+	// Here the announcer believes a report without a check of its own.
+	d.executor.OnInterrupt = nil
 	d.executor.RunID = func() string { return d.announcer.Current().RunID }
 	d.announcer.HeartbeatTimeout = missedHeartbeats * loader.Milliseconds(d.cfg.Load().TargetHeartbeatMS)
 	d.spreader.External = &spreader.External{Key: platform.ConfigKey, Decode: platform.DecodeConfig}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -1,7 +1,9 @@
 package executor
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"errors"
 	"slices"
 	"strings"
@@ -9,9 +11,11 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
 )
 
 const (
@@ -27,7 +31,7 @@
 
 // interruptedCall is a call whose connection broke while the target was running it.
 type interruptedCall struct {
-	call *messenger.Call
+	*run
 	// brokeAt is when the connection broke.
 	brokeAt time.Time
 }
@@ -42,6 +46,8 @@
 	run         messenger.TargetRun
 	crashedAt   time.Time
 	interrupted []interruptedCall
+	// crashes counts the crashes that were found.
+	crashes uint64
 	// checkMu admits one connection attempt at a time.
 	checkMu sync.Mutex
 }
@@ -61,9 +67,12 @@
 		d.interrupted = append(d.interrupted, c)
 	}
 	d.mu.Unlock()
-	if x.refusesConnections(ctx, base, run) {
+	switch {
+	case x.refusesConnections(ctx, base, run):
 		x.reportReached(false)
 		x.confirmCrash(run)
+	case x.OnInterrupt != nil:
+		x.OnInterrupt()
 	}
 }
 
@@ -82,16 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
-	err := x.Requester.Check(ctx, strings.TrimPrefix(base, "http://"))
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.run == run {
-		d.crashedAt = time.Now()
-	}
-	return true
+	return errors.Is(x.Requester.Check(ctx, strings.TrimPrefix(base, "http://")), syscall.ECONNREFUSED)
 }
 
 // ObserveTarget confirms the crash of the run that interrupted calls, if another run has
@@ -105,7 +105,8 @@
 	}
 }
 
-// confirmCrash takes the calls that the run interrupted and reports that it crashed.
+// confirmCrash takes the calls that the run interrupted and holds the crash against their
+// requests.
 func (x *Executor) confirmCrash(run messenger.TargetRun) {
 	d := &x.crash
 	d.mu.Lock()
@@ -113,16 +114,36 @@
 		d.mu.Unlock()
 		return
 	}
-	interrupted := d.interrupted
+	if d.crashedAt.IsZero() {
+		d.crashedAt = time.Now()
+		d.crashes++
+		x.Counters.Crashes.Add(1)
+	}
+	interrupted, number := d.interrupted, d.crashes
 	d.interrupted = nil
 	d.mu.Unlock()
-	x.Counters.Crashes.Add(1)
 	digests := make([]string, min(len(interrupted), maxLoggedDigests))
 	for i := range digests {
-		digests[i] = interrupted[i].call.ContentDigest().String()
+		digests[i] = interrupted[i].contentDigest().String()
 	}
 	x.logger().Warn("target-crashed", zap.String("run-id", run.ID), zap.Uint64("epoch", run.Epoch),
 		zap.Int("interrupted", len(interrupted)), zap.Strings("request-digests", digests))
+	if x.Quarantine == nil {
+		return
+	}
+	for _, c := range interrupted {
+		partner := cmp.Or(c.call.CallingPartner, c.call.Partner)
+		x.Quarantine.ReportCrash(c.contentDigest(), c.call.Service, partner, quarantiner.Crash{Run: x.crashID(number), IsTrial: c.isTrial})
+	}
+}
+
+// crashID returns an ID of this process's crash with the number, which no other crash has.
+func (x *Executor) crashID(number uint64) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(x.InstanceID)
+	_, _ = h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, x.Incarnation), number))
+	return h.Sum64()
 }
 
 // observeAlive drops the calls that the run interrupted, since it has answered one that began
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -17,6 +17,7 @@
 	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/requester"
 )
 
@@ -64,6 +65,13 @@
 	// CauseNeverDelivered means that the call had not begun when its outcome was
 	// requested over another link, and never will.
 	CauseNeverDelivered = "never-delivered"
+	// CauseQuarantined means that the request has ended the targets that ran it, and is
+	// not run for a time. CauseSuspected means that targets ended while they ran it, so that
+	// it runs at one target only, which is not this one, and CauseTrialQueue that too many
+	// other suspects wait there.
+	CauseQuarantined = "request-quarantined"
+	CauseSuspected   = "request-suspected"
+	CauseTrialQueue  = "trial-queue"
 	// CauseInternal means that this daemon failed while it handled the call.
 	CauseInternal = "internal-error"
 )
@@ -134,6 +142,12 @@
 	// Log receives an event for each call that gets no answer from the target, is
 	// refused by it or reaches another run of a target; nil disables logging.
 	Log *zap.Logger
+	// Quarantine holds the requests under which targets have ended; nil runs them like all
+	// others.
+	Quarantine *quarantiner.Table
+	// OnInterrupt, unless nil, is called when the target broke a connection while it was
+	// running a call, and still accepts others.
+	OnInterrupt func()
 	// BodyPacer schedules the transfer of large bodies over the link of this instance.
 	BodyPacer limiter.BodyPacer
 	// Calls records the calls from links, so that each of them begins at most once.
@@ -143,6 +157,7 @@
 
 	notice   targetNotice
 	crash    crashDetector
+	trials   quarantiner.Gate
 	stopping atomic.Bool // set by Drain
 	inFlight atomic.Int64
 	// buffered is the total size in bytes of the bodies of accepted calls from links.
@@ -180,6 +195,11 @@
 	cancel   context.CancelFunc
 	// begin reports whether the call may be sent to the target now.
 	begin func() bool
+	// isTrial is set once the call may run as the only suspect at the target.
+	isTrial bool
+	// digest is the digest of the call's content if hasDigest is set.
+	digest    quarantiner.Digest
+	hasDigest bool
 }
 
 // Run runs a call that entered the mesh at this daemon, and returns its answer.
@@ -226,6 +246,11 @@
 	if !r.call.IsWhole() {
 		return messenger.NotRun(id, CauseDamaged)
 	}
+	end, refusal := x.admitSuspect(ctx, r)
+	if refusal != nil {
+		return refusal
+	}
+	defer end()
 	if x.Admit != nil {
 		release, refusal := x.Admit(ctx, r.call)
 		if refusal != nil {
@@ -238,6 +263,10 @@
 		// The target began to drain while the call was waiting.
 		return messenger.NotRun(id, CauseDraining)
 	}
+	if refusal := x.refuseSuspect(r); refusal != nil {
+		// A target ended under the request while the call was waiting.
+		return refusal
+	}
 	req, cause := x.newRequest(r.call, r.deadline)
 	if req == nil {
 		return messenger.NotRun(id, cause)
--- a/executor/target.go
+++ b/executor/target.go
@@ -88,9 +88,12 @@
 		}
 		answer := messenger.Unknown(id, failureCause(ctx, lossCause(err)))
 		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause),
-			zap.Stringer("request-digest", r.call.ContentDigest()), zap.Duration("ran", time.Since(began)), zap.Error(err))
+			zap.Stringer("request-digest", r.contentDigest()), zap.Duration("ran", time.Since(began)), zap.Error(err))
 		if ctx.Err() == nil {
-			x.interrupt(ctx, base, run, interruptedCall{call: r.call, brokeAt: time.Now()})
+			x.interrupt(ctx, base, run, interruptedCall{run: r, brokeAt: time.Now()})
+			if x.Quarantine != nil {
+				answer.Suspicions = x.Quarantine.Find(r.contentDigest())
+			}
 		}
 		return markSent(answer)
 	}
@@ -99,7 +102,9 @@
 	if res.Status != http.StatusMisdirectedRequest {
 		x.observeNotice(run, res.Header)
 	}
-	return markSent(x.answerFromResponse(id, r.call.RequestID, req, res))
+	answer := x.answerFromResponse(id, r.call.RequestID, req, res)
+	x.reportCompleted(r, answer)
+	return markSent(answer)
 }
 
 // markSent marks the answer as that of a call that was sent to the target.
--- /dev/null
+++ b/executor/trial.go
@@ -0,0 +1,114 @@
+package executor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
+)
+
+const (
+	// defaultTrialWait is how long a call without an objective may wait for its trial.
+	defaultTrialWait = time.Second
+	// trialRetryAfter is when a call may come back that could not get a trial in time.
+	trialRetryAfter = 200 * time.Millisecond
+)
+
+// admitSuspect admits the run of a call as far as crashes that are held against its request
+// allow it. It returns the function that ends the admission, or the refusal.
+func (x *Executor) admitSuspect(ctx context.Context, r *run) (end func(), refusal *messenger.Answer) {
+	t := x.Quarantine
+	if t == nil || t.IsEmpty() && len(r.call.Suspicions) == 0 {
+		return func() {}, nil
+	}
+	t.Merge(r.call.Suspicions, 0)
+	if refusal := x.refuseSuspect(r); refusal != nil {
+		return nil, refusal
+	}
+	if t.Judge(r.contentDigest(), r.call.Service).Status == quarantiner.StatusClear {
+		return func() {}, nil
+	}
+	if refusal := x.awaitTrial(ctx, r); refusal != nil {
+		return nil, refusal
+	}
+	// Another trial may have ended meanwhile.
+	if t.Judge(r.contentDigest(), r.call.Service).Status != quarantiner.StatusSuspected {
+		x.trials.Leave()
+		return func() {}, x.refuseSuspect(r)
+	}
+	r.isTrial = true
+	t.Counters.Trials.Add(1)
+	return x.trials.Leave, nil
+}
+
+// refuseSuspect returns the refusal of a call whose request is quarantined, or suspected
+// without the call being a trial, and otherwise nil.
+func (x *Executor) refuseSuspect(r *run) *messenger.Answer {
+	t := x.Quarantine
+	if t == nil || t.IsEmpty() {
+		return nil
+	}
+	verdict := t.Judge(r.contentDigest(), r.call.Service)
+	switch {
+	case verdict.Status == quarantiner.StatusQuarantined:
+		t.Counters.Refused.Add(1)
+		return x.notRunSuspect(r, CauseQuarantined, verdict.Remaining)
+	case verdict.Status == quarantiner.StatusSuspected && !r.mayTry():
+		// The entry daemon does not know the suspicion, and chose this target for other
+		// reasons than a trial.
+		return x.notRunSuspect(r, CauseSuspected, 0)
+	}
+	return nil
+}
+
+// mayTry reports whether the call may run as a trial: its entry daemon sent it here for that,
+// or its idempotency key allows no other target.
+func (r *run) mayTry() bool { return r.isTrial || len(r.call.Suspicions) > 0 || r.call.IsKeyed() }
+
+// awaitTrial waits until the call may run as the only suspect at the target. It returns the
+// refusal if that takes too long.
+func (x *Executor) awaitTrial(ctx context.Context, r *run) *messenger.Answer {
+	wait := time.Duration(r.call.ObjectiveMS) * time.Millisecond
+	if wait == 0 {
+		wait = defaultTrialWait
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	switch err := x.trials.Enter(waitCtx, r.contentDigest()); {
+	case err == nil:
+		return nil
+	case ctx.Err() != nil:
+		return x.notRunSuspect(r, failureCause(ctx, CauseTrialQueue), 0)
+	default:
+		return x.notRunSuspect(r, CauseTrialQueue, trialRetryAfter)
+	}
+}
+
+// notRunSuspect returns a refusal that tells the entry daemon what is held against the call's
+// request.
+func (x *Executor) notRunSuspect(r *run, cause string, retryAfter time.Duration) *messenger.Answer {
+	answer := messenger.NotRun(r.call.ID, cause)
+	answer.RetryAfterMS = retryAfter.Milliseconds()
+	answer.Suspicions = x.Quarantine.Find(r.contentDigest())
+	return answer
+}
+
+// reportCompleted clears the call's request, which the target has run to its end. An answer at
+// the deadline proves nothing, since the run may have been stopped before it did harm.
+func (x *Executor) reportCompleted(r *run, answer *messenger.Answer) {
+	t := x.Quarantine
+	if t == nil || t.IsEmpty() || answer.Outcome != messenger.OutcomeAnswered || answer.Status == http.StatusGatewayTimeout {
+		return
+	}
+	t.ReportAnswer(r.contentDigest(), r.call.Service)
+}
+
+// contentDigest returns the digest of the call's content.
+func (r *run) contentDigest() quarantiner.Digest {
+	if !r.hasDigest {
+		r.digest, r.hasDigest = r.call.ContentDigest(), true
+	}
+	return r.digest
+}
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -13,6 +13,7 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -41,11 +42,17 @@
 	arrived time.Time
 	// maxTargets bounds the targets that the call may be sent to; 0 means no bound.
 	maxTargets int
+	// digest is the digest of the call's content, computed once it is needed.
+	digestOnce sync.Once
+	digest     quarantiner.Digest
 
 	// mu guards the fields below, since two attempts may run at the same time.
-	mu       sync.Mutex
-	tried    picker.Tried
-	attempts uint16
+	mu    sync.Mutex
+	tried picker.Tried
+	// trialTried holds the targets at which the call is not tried again if its request is
+	// suspected.
+	trialTried picker.Tried
+	attempts   uint16
 	// lastInstance and lastChoice are the target of the last attempt.
 	lastInstance string
 	lastChoice   picker.Choice
@@ -70,10 +77,7 @@
 		return f.dispatchKeyed(ctx, x)
 	}
 	for {
-		answer, ok := retrier.Hedge(ctx, &x.retries, func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
-			answer := f.attempt(ctx, x, marked)
-			return answer, answer.Outcome == messenger.OutcomeAnswered
-		})
+		answer, ok := f.hedge(ctx, x)
 		if ok && !f.retryServerError(ctx, x, answer) {
 			return answer
 		}
@@ -91,6 +95,19 @@
 	}
 }
 
+// hedge makes an attempt, and a second one in parallel where the policy says so, and reports
+// whether one was answered. A suspected request runs at one target at a time.
+func (f *Forwarder) hedge(ctx context.Context, x *exchange) (*messenger.Answer, bool) {
+	attempt := func(ctx context.Context, marked bool) (*messenger.Answer, bool) {
+		answer := f.attempt(ctx, x, marked)
+		return answer, answer.Outcome == messenger.OutcomeAnswered
+	}
+	if f.judge(x) != nil {
+		return attempt(ctx, x.retries.IsRetry())
+	}
+	return retrier.Hedge(ctx, &x.retries, attempt)
+}
+
 // minRetryTimeRatio is the minimum ratio of the time left until the deadline to the
 // time since the request arrived, below which a server error is not retried: a
 // further attempt would probably not finish in time.
@@ -197,14 +214,14 @@
 // attempt chooses a target, sends the call to it and returns the outcome, which it
 // also reports to the picker.
 func (f *Forwarder) attempt(ctx context.Context, x *exchange, marked bool) *messenger.Answer {
-	need := picker.Need{Objective: time.Duration(x.call.ObjectiveMS) * time.Millisecond, Bytes: len(x.call.Body)}
-	choice, ok := f.Picker.Pick(x.policy, need, x.triedTargets())
-	if !ok {
-		answer := messenger.NotRun(x.call.ID, causeNoTarget)
-		answer.RetryAfterMS = unavailableRetryAfterMS
-		return answer
+	choice, refusal := f.pick(x)
+	if refusal != nil {
+		return refusal
 	}
 	call := x.startAttempt(choice, marked)
+	if choice.Reason == picker.ReasonTrial {
+		call.Suspicions = f.Quarantine.Find(x.contentDigest())
+	}
 	if choice.IsCongested() {
 		choice.Done(picker.Result{Outcome: picker.Congested})
 		answer := messenger.NotRun(call.ID, causeCongested)
@@ -233,6 +250,7 @@
 	}
 	choice.Done(result)
 	x.recordOutcome(answer)
+	x.recordTrial(choice, answer)
 	f.logFailedAttempt(x, choice, answer)
 	return answer
 }
@@ -270,6 +288,7 @@
 	call.Notice = f.notices.find(target.InstanceID)
 	answer, lost := f.tryTarget(ctx, call, target, deadline, isLastResort)
 	f.notices.observe(target.InstanceID, answer)
+	f.learn(answer)
 	return answer, lost
 }
 
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -23,6 +23,7 @@
 	executor.CauseNeverDelivered: true,
 	executor.CauseOtherRun:       true,
 	executor.CauseOtherService:   true,
+	executor.CauseSuspected:      true,
 }
 
 // overloadCauses holds the causes of refusals for lack of capacity.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"bambooweir.example/bambooweir/listener"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -63,6 +64,9 @@
 	causeLinkLost        = "link-lost"
 	causeDaemonLost      = "target-daemon-lost"
 	causeDaemonRestarted = "target-daemon-restarted"
+	// causeLastTarget means that a suspected request is not tried at the last target of its
+	// service.
+	causeLastTarget = "last-target"
 )
 
 // Forwarder is the HTTP handler that serves callers. Applier and Picker must be
@@ -89,6 +93,9 @@
 	// OnLargeBody is called with the size of each body of at least picker.LargeBytes
 	// that a caller has sent; it may be nil.
 	OnLargeBody func(n int)
+	// Quarantine holds the requests under which targets have ended; nil treats them like all
+	// others.
+	Quarantine *quarantiner.Table
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
@@ -219,7 +226,7 @@
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
-		IsNested: isNested,
+		IsNested: isNested, IsForAnyHost: len(route.Hosts) == 0,
 	}
 	if statedMS := r.Header.Get(names.Deadline); statedMS != "" && !x.call.IsNested {
 		remaining, _ := strconv.ParseInt(statedMS, 10, 64)
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -286,6 +286,10 @@
 		r.Header.Add(field.Name, field.Value)
 	}
 	res, err := f.run(r, req.Body)
+	var unsent *requester.NotSentError
+	if errors.As(err, &unsent) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, &requester.LostError{Cause: err}
 	}
--- a/forwarder/reattach.go
+++ b/forwarder/reattach.go
@@ -46,6 +46,9 @@
 	}
 	f.Counters.Reattached.Add(1)
 	answer, err := link.roundTrip(ctx, lost.call.ID, lost.link.reattachMessage(lost.call.ID))
+	if err == nil {
+		f.learn(answer)
+	}
 	if err != nil || answer.Outcome != messenger.OutcomeAnswered || !answer.IsWhole() {
 		return x.finalAnswer(last)
 	}
--- /dev/null
+++ b/forwarder/suspect.go
@@ -0,0 +1,111 @@
+package forwarder
+
+import (
+	"time"
+
+	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/quarantiner"
+)
+
+const (
+	// spareTargetCrashes is the number of crashes from which a suspect is tried only where its
+	// service has another target.
+	spareTargetCrashes = 2
+	// spareTargetWait is how long after its last crash that holds. A service that has one
+	// target only must not refuse the request for longer.
+	spareTargetWait = 10 * time.Second
+)
+
+// suspect is what is held against the request of a call.
+type suspect struct {
+	request quarantiner.Digest
+	verdict quarantiner.Verdict
+}
+
+// judge returns what is held against the request of the call now, or nil if nothing is.
+func (f *Forwarder) judge(x *exchange) *suspect {
+	t := f.Quarantine
+	if t == nil || t.IsEmpty() {
+		return nil
+	}
+	request := x.contentDigest()
+	verdict := t.Judge(request, x.call.Service)
+	if verdict.Status == quarantiner.StatusClear {
+		return nil
+	}
+	return &suspect{request: request, verdict: verdict}
+}
+
+// contentDigest returns the digest of the call's content.
+func (x *exchange) contentDigest() quarantiner.Digest {
+	x.digestOnce.Do(func() { x.digest = x.call.ContentDigest() })
+	return x.digest
+}
+
+// pick chooses the target of the next attempt. It returns the refusal of the attempt if there
+// is none, or the call's request is quarantined.
+func (f *Forwarder) pick(x *exchange) (picker.Choice, *messenger.Answer) {
+	need := picker.Need{Objective: time.Duration(x.call.ObjectiveMS) * time.Millisecond, Bytes: len(x.call.Body)}
+	s := f.judge(x)
+	if s != nil && s.verdict.Status == quarantiner.StatusQuarantined {
+		f.Quarantine.Counters.Refused.Add(1)
+		return picker.Choice{}, refuseAttempt(x, executor.CauseQuarantined, s.verdict.Remaining.Milliseconds())
+	}
+	if s != nil {
+		return f.pickForTrial(x, need, s)
+	}
+	choice, ok := f.Picker.Pick(x.policy, need, x.triedTargets())
+	if !ok {
+		return choice, refuseAttempt(x, causeNoTarget, unavailableRetryAfterMS)
+	}
+	return choice, nil
+}
+
+// pickForTrial chooses the target at which the call of a suspected request is tried. It
+// refuses the attempt if the service would have no target left in case this one ends.
+func (f *Forwarder) pickForTrial(x *exchange, need picker.Need, s *suspect) (picker.Choice, *messenger.Answer) {
+	rank := func(instanceID string) uint64 { return messenger.Rank(messenger.KeyID(s.request), instanceID) }
+	choice, accepting, ok := f.Picker.PickForTrial(x.policy, need, x.triedInTrials(), rank)
+	if !ok {
+		return choice, refuseAttempt(x, causeNoTarget, unavailableRetryAfterMS)
+	}
+	if left := spareTargetWait - s.verdict.SinceCrash; accepting == 1 && s.verdict.Crashes >= spareTargetCrashes && left > 0 {
+		choice.Done(picker.Result{Outcome: picker.Abandoned})
+		return choice, refuseAttempt(x, causeLastTarget, min(left.Milliseconds(), unavailableRetryAfterMS))
+	}
+	return choice, nil
+}
+
+// refuseAttempt returns the refusal of an attempt that is not made.
+func refuseAttempt(x *exchange, cause string, retryAfterMS int64) *messenger.Answer {
+	answer := messenger.NotRun(x.call.ID, cause)
+	answer.RetryAfterMS = retryAfterMS
+	return answer
+}
+
+// learn records what an answer says to be held against the call's request.
+func (f *Forwarder) learn(answer *messenger.Answer) {
+	if f.Quarantine != nil && len(answer.Suspicions) > 0 {
+		f.Quarantine.Merge(answer.Suspicions, 0)
+	}
+}
+
+// triedInTrials returns the targets at which the call is not tried again.
+func (x *exchange) triedInTrials() picker.Tried {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.trialTried
+}
+
+// recordTrial records the target of an attempt, unless its daemon only refused it for not
+// being a trial.
+func (x *exchange) recordTrial(choice picker.Choice, answer *messenger.Answer) {
+	if answer.Outcome == messenger.OutcomeNotRun && answer.Cause == executor.CauseSuspected {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.trialTried.Add(choice)
+}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bambooweir.example/bambooweir/quarantiner"
 )
 
 // CallID identifies one attempt of a call. It is unique across daemons and time.
@@ -84,6 +86,12 @@
 	// Notice is what the entry daemon last learned that the target said about itself, if
 	// that restricts calls. The target's daemon may have been restarted since.
 	Notice *TargetNotice `cbor:"24,keyasint,omitempty"`
+	// Suspicions is what the entry daemon knows to be held against the call's request, if it
+	// chose the target for a trial of that request.
+	Suspicions []quarantiner.Record `cbor:"25,keyasint,omitempty"`
+	// IsForAnyHost reports that the call's route names no host, so that the host says
+	// nothing about what the call does.
+	IsForAnyHost bool `cbor:"26,keyasint,omitempty"`
 }
 
 // IsKeyed reports whether the call must run at the owner of its idempotency key.
@@ -157,6 +165,9 @@
 	// TurnUS is how long one more call would wait under the target's rate limit, in
 	// microseconds. It is set if HasLoad is.
 	TurnUS int64 `cbor:"20,keyasint,omitempty"`
+	// Suspicions is what the target's daemon knows to be held against the call's request, if
+	// it refused the call for that or the target ended under it.
+	Suspicions []quarantiner.Record `cbor:"21,keyasint,omitempty"`
 }
 
 // Reserve asks for a time at which the body of a call may be sent over the
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -166,9 +167,11 @@
 	Cause string `cbor:"3,keyasint"`
 }
 
-// Members carries membership records.
+// Members carries membership records, and records of requests under which targets have
+// ended.
 type Members struct {
-	Records []tracker.Record `cbor:"1,keyasint"`
+	Records    []tracker.Record     `cbor:"1,keyasint"`
+	Suspicions []quarantiner.Record `cbor:"2,keyasint,omitempty"`
 }
 
 // DomainDigest is the digest of one failure domain's membership records.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -78,6 +78,8 @@
 	// ReasonExpected is a target of another domain, because it is expected to
 	// answer sooner.
 	ReasonExpected
+	// ReasonTrial is the target with the highest rank for a suspected request.
+	ReasonTrial
 	// ReasonLastResort is a target that is ejected, in a lost domain or already
 	// tried, because there is no other.
 	ReasonLastResort
@@ -85,7 +87,7 @@
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
-	names := [...]string{"none", "local", "spill-over", "remote", "probe", "expected", "last-resort"}
+	names := [...]string{"none", "local", "spill-over", "remote", "probe", "expected", "trial", "last-resort"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
--- a/picker/status.go
+++ b/picker/status.go
@@ -12,9 +12,9 @@
 // Counters counts choices, ejections and readmissions of targets, and lost
 // failure domains.
 type Counters struct {
-	// Local, SpillOver, Remote, Probe, Expected and LastResort count choices by reason,
-	// None the calls for which there was no target.
-	Local, SpillOver, Remote, Probe, Expected, LastResort, None expvar.Int
+	// Local, SpillOver, Remote, Probe, Expected, Trial and LastResort count choices by
+	// reason, None the calls for which there was no target.
+	Local, SpillOver, Remote, Probe, Expected, Trial, LastResort, None expvar.Int
 	// Ejections and Readmissions count targets, Capped the ejections that the
 	// largest share of ejected targets forbade.
 	Ejections, Readmissions, Capped expvar.Int
@@ -35,6 +35,8 @@
 		c.Probe.Add(1)
 	case ReasonExpected:
 		c.Expected.Add(1)
+	case ReasonTrial:
+		c.Trial.Add(1)
 	case ReasonLastResort:
 		c.LastResort.Add(1)
 	}
--- /dev/null
+++ b/quarantiner/record.go
@@ -0,0 +1,117 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// quarantineCrashes is the number of crashes under a request from which it is
+	// quarantined, if one of them was in a trial.
+	quarantineCrashes = 3
+	// shortestTerm is how long a request is quarantined after its third crash. Each further
+	// crash doubles it, up to longestTerm.
+	shortestTerm = 10 * time.Minute
+	longestTerm  = 4 * time.Hour
+	// suspicionLifetime is how long after its last crash a request that is not quarantined
+	// is suspected, and after the end of its term one that was.
+	suspicionLifetime = time.Hour
+	// maxCrashes bounds the crashes of one record.
+	maxCrashes = 8
+	// maxNameBytes bounds the names in a record from another daemon.
+	maxNameBytes = 128
+)
+
+// Crash is one run of a target that ended while it was running the request.
+type Crash struct {
+	_ struct{} `cbor:",toarray"`
+	// Run identifies the run of the target.
+	Run uint64
+	// IsTrial reports that the request was suspected already when the run began it, and
+	// was the only suspect that the target ran.
+	IsTrial bool
+}
+
+// Record is what daemons tell each other about a request at one service. Records of the same
+// request and service merge to the same result in any order.
+type Record struct {
+	Request Digest `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Partner is the partner whose request it is.
+	Partner string `cbor:"3,keyasint,omitempty"`
+	// Cleared counts how often a target has answered the request after a crash. A record
+	// with a higher count replaces those with lower ones.
+	Cleared uint32 `cbor:"4,keyasint,omitempty"`
+	// Crashes holds the crashes since the request was last cleared, oldest first and at
+	// most maxCrashes.
+	Crashes []Crash `cbor:"5,keyasint,omitempty"`
+	// AgeMS is the time since the last crash in milliseconds. Durations are sent, so that
+	// clocks of different machines are never compared.
+	AgeMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// isValid reports whether the record, which came from another daemon, says something and is
+// within the bounds.
+func (r *Record) isValid() bool {
+	return (r.Cleared > 0 || len(r.Crashes) > 0) && len(r.Service) <= maxNameBytes && len(r.Partner) <= maxNameBytes && len(r.Crashes) <= maxCrashes && r.AgeMS >= 0
+}
+
+// entry is a record of the table.
+type entry struct {
+	Record
+	// crashedAt is the time of the last crash.
+	crashedAt time.Time
+	// change numbers the entry's last change, and source is where that came from.
+	change, source uint64
+}
+
+// isCleared reports whether the request has run at the service since its last crash there.
+func (e *entry) isCleared() bool { return e.Cleared > 0 && len(e.Crashes) == 0 }
+
+// expires returns when the entry has no effect any more. A cleared one stays until all records
+// have expired that it may have to replace.
+func (e *entry) expires() time.Time {
+	if e.isCleared() {
+		return e.crashedAt.Add(longestTerm + suspicionLifetime)
+	}
+	return e.crashedAt.Add(term(len(e.Crashes)) + suspicionLifetime)
+}
+
+// term returns how long a request with the number of crashes is quarantined.
+func term(crashes int) time.Duration {
+	if crashes < quarantineCrashes {
+		return 0
+	}
+	return min(longestTerm, shortestTerm<<(crashes-quarantineCrashes))
+}
+
+// addCrash adds a crash and reports whether it was unknown.
+func (e *entry) addCrash(c Crash) bool {
+	if slices.ContainsFunc(e.Crashes, func(known Crash) bool { return known.Run == c.Run }) {
+		return false
+	}
+	// The slice is not changed in place, because records that were returned share it.
+	e.Crashes = append(slices.Clone(e.Crashes), c)
+	if len(e.Crashes) > maxCrashes {
+		e.Crashes = e.Crashes[1:]
+	}
+	return true
+}
+
+// merge includes a record of another daemon and reports whether that changed the entry.
+func (e *entry) merge(r Record, now time.Time) bool {
+	if r.Cleared < e.Cleared {
+		return false
+	}
+	changed := r.Cleared > e.Cleared
+	if changed {
+		e.Cleared, e.Crashes = r.Cleared, nil
+	}
+	for _, c := range r.Crashes {
+		changed = e.addCrash(c) || changed
+	}
+	if at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond); changed && at.After(e.crashedAt) {
+		e.crashedAt = at
+	}
+	return changed
+}
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -277,6 +277,9 @@
 		}
 		if n%purgeEveryRounds == 0 {
 			s.Table.Purge(time.Now().Add(-s.cfg.TombstoneRetention))
+			if s.Quarantine != nil {
+				s.Quarantine.Sweep()
+			}
 		}
 	}
 }
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -57,6 +57,8 @@
 	refusedVersion versioner.Version
 	// cursor is the change of Table up to which records have been sent.
 	cursor tracker.Cursor
+	// suspicionCursor is the change of Quarantine up to which records have been sent.
+	suspicionCursor uint64
 	// urgent says that the next push skips the coalescing window.
 	urgent bool
 	queue  []messenger.Message
@@ -226,6 +228,9 @@
 		s.handleRefusal(sess, m)
 	case *messenger.Members:
 		s.handleMembers(ctx, m.Records, sess)
+		if s.Quarantine != nil && len(m.Suspicions) > 0 {
+			s.Quarantine.Merge(m.Suspicions, uint64(sess.id))
+		}
 	case *messenger.MemberDigests:
 		s.handleDigests(sess, m)
 	case *messenger.Subtree:
@@ -358,11 +363,11 @@
 	return max(time.Millisecond, s.minPingInterval()-time.Since(sess.lastPing))
 }
 
-// push sends the configuration, records and reports that the peer lacks. It
-// reports whether it sent any.
+// push sends what the peer lacks: requests to quarantine, the configuration, records and
+// reports. It reports whether it sent any.
 func (s *Spreader) push(ctx context.Context, sess *session) (bool, error) {
 	sent := false
-	for _, next := range []func(*session) messenger.Message{s.configurationMessage, s.membersMessage, s.reportsMessage} {
+	for _, next := range []func(*session) messenger.Message{s.suspicionsMessage, s.configurationMessage, s.membersMessage, s.reportsMessage} {
 		m := next(sess)
 		if m == nil {
 			continue
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -23,13 +23,14 @@
 
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // Spreader distributes configuration and membership on one daemon. The exported
-// fields must be set before the first method is called; Settings, External and
-// HTTP may stay zero.
+// fields must be set before the first method is called; Settings, External,
+// Quarantine and HTTP may stay zero.
 type Spreader struct {
 	InstanceID  string
 	Domain      string
@@ -42,6 +43,9 @@
 	// External, if not nil, is the configuration to distribute in place of the one
 	// that the head names.
 	External *External
+	// Quarantine, if not nil, is the table of requests under which targets have ended that
+	// is shared with the peers.
+	Quarantine *quarantiner.Table
 	// HTTP is the client that opens links. Nil means the default client.
 	HTTP     *http.Client
 	Counters Counters
