Let suspects of one crash run beside each other

After each crash there are as many suspects as the target had slots, and all but one are innocent. Running them one at a time made up to a dozen lookups wait for each other, which after the end of several targets would refuse most of them. Only requests that have ended two targets run as the only suspect now; those under which one target has ended share the target with each other, but not with a request in its trial, and still all go to the target with the highest rank. The third crash, in a trial, is what quarantines, as before.

A request that has ended two targets is also not sent on to a second target when the first refuses it for lack of capacity, so that it runs at one target at a time under load too.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -195,7 +195,7 @@
 	cancel   context.CancelFunc
 	// begin reports whether the call may be sent to the target now.
 	begin func() bool
-	// isTrial is set once the call may run as the only suspect at the target.
+	// isTrial is set if the call runs as the only suspect at the target.
 	isTrial bool
 	// digest is the digest of the call's content if hasDigest is set.
 	digest    quarantiner.Digest
--- a/executor/trial.go
+++ b/executor/trial.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// trialCrashes is the number of crashes from which a request runs as the only suspect at
+	// its target.
+	trialCrashes = 2
 	// defaultTrialWait is how long a call without an objective may wait for its trial.
 	defaultTrialWait = time.Second
 	// trialRetryAfter is when a call may come back that could not get a trial in time.
@@ -30,7 +33,8 @@
 	if t.Judge(r.contentDigest(), r.call.Service).Status == quarantiner.StatusClear {
 		return func() {}, nil
 	}
-	if refusal := x.awaitTrial(ctx, r); refusal != nil {
+	isTrial, refusal := x.awaitTrial(ctx, r)
+	if refusal != nil {
 		return nil, refusal
 	}
 	// Another trial may have ended meanwhile.
@@ -38,7 +42,7 @@
 		x.trials.Leave()
 		return func() {}, x.refuseSuspect(r)
 	}
-	r.isTrial = true
+	r.isTrial = isTrial
 	t.Counters.Trials.Add(1)
 	return x.trials.Leave, nil
 }
@@ -65,24 +69,31 @@
 
 // mayTry reports whether the call may run as a trial: its entry daemon sent it here for that,
 // or its idempotency key allows no other target.
-func (r *run) mayTry() bool { return r.isTrial || len(r.call.Suspicions) > 0 || r.call.IsKeyed() }
+func (r *run) mayTry() bool { return len(r.call.Suspicions) > 0 || r.call.IsKeyed() }
 
-// awaitTrial waits until the call may run as the only suspect at the target. It returns the
-// refusal if that takes too long.
-func (x *Executor) awaitTrial(ctx context.Context, r *run) *messenger.Answer {
+// awaitTrial waits until the call may run at the target and reports whether it is the only
+// suspect there, or returns the refusal if that takes too long. Requests under which one target
+// has ended run beside each other: after each crash there are as many of them as the target
+// has slots, and all but one are innocent.
+func (x *Executor) awaitTrial(ctx context.Context, r *run) (isTrial bool, refusal *messenger.Answer) {
 	wait := time.Duration(r.call.ObjectiveMS) * time.Millisecond
 	if wait == 0 {
 		wait = defaultTrialWait
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	switch err := x.trials.Enter(waitCtx, r.contentDigest()); {
+	isTrial = x.Quarantine.Judge(r.contentDigest(), r.call.Service).Crashes >= trialCrashes
+	var group quarantiner.Digest
+	if isTrial {
+		group = r.contentDigest()
+	}
+	switch err := x.trials.Enter(waitCtx, group); {
 	case err == nil:
-		return nil
+		return isTrial, nil
 	case ctx.Err() != nil:
-		return x.notRunSuspect(r, failureCause(ctx, CauseTrialQueue), 0)
+		return false, x.notRunSuspect(r, failureCause(ctx, CauseTrialQueue), 0)
 	default:
-		return x.notRunSuspect(r, CauseTrialQueue, trialRetryAfter)
+		return false, x.notRunSuspect(r, CauseTrialQueue, trialRetryAfter)
 	}
 }
 
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		failure, again := classifyFailure(&x.call, answer)
-		if !again || x.reachedTargetLimit() || x.reachedUnknownLimit(f.MaxUnknownAttempts) || !x.retries.Retry(ctx, failure) {
+		if !again || f.staysAtTarget(x, answer) || x.reachedTargetLimit() || x.reachedUnknownLimit(f.MaxUnknownAttempts) || !x.retries.Retry(ctx, failure) {
 			return f.resumeLost(ctx, x, answer)
 		}
 		f.Counters.Redispatched.Add(1)
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -78,6 +78,17 @@
 	return choice, nil
 }
 
+// staysAtTarget reports whether the call may not be sent to another target, although this one
+// refused it for lack of capacity: its request has ended several targets, and runs at one at a
+// time.
+func (f *Forwarder) staysAtTarget(x *exchange, answer *messenger.Answer) bool {
+	if answer.Outcome != messenger.OutcomeNotRun || !overloadCauses[answer.Cause] {
+		return false
+	}
+	s := f.judge(x)
+	return s != nil && s.verdict.Crashes >= spareTargetCrashes
+}
+
 // refuseAttempt returns the refusal of an attempt that is not made.
 func refuseAttempt(x *exchange, cause string, retryAfterMS int64) *messenger.Answer {
 	answer := messenger.NotRun(x.call.ID, cause)
--- a/quarantiner/gate.go
+++ b/quarantiner/gate.go
@@ -18,29 +18,30 @@
 	return fmt.Sprintf("%d calls of suspected requests wait already", e.Waiting)
 }
 
-// Gate admits one suspected request at a time to a target, but any number of its repeats: if
-// the target ends, only one suspect can have been the cause. Others wait in the order in which
-// they came. The zero value is open.
+// Gate admits the suspected requests of one group at a time to a target, and any number of
+// calls of that group. A group holds the repeats of one request: if the target ends, no other
+// suspect can have been the cause. Calls of other groups wait in the order in which they came.
+// The zero value is open.
 type Gate struct {
 	mu      sync.Mutex
 	running int
-	// request is the one that runs, if running is above 0.
-	request Digest
+	// group is the one that runs, if running is above 0.
+	group   Digest
 	waiting []*waiter
 }
 
 // waiter is a call that waits at a gate. Its channel is closed when it is admitted.
 type waiter struct {
-	request  Digest
+	group    Digest
 	admitted chan struct{}
 }
 
-// Enter waits until the request may run. It fails with a *GateFullError, or with the error of
+// Enter waits until a call of the group may run. It fails with a *GateFullError, or with the error of
 // the context.
-func (g *Gate) Enter(ctx context.Context, request Digest) error {
+func (g *Gate) Enter(ctx context.Context, group Digest) error {
 	g.mu.Lock()
-	if g.running == 0 || g.request == request && len(g.waiting) == 0 {
-		g.running, g.request = g.running+1, request
+	if g.running == 0 || g.group == group && len(g.waiting) == 0 {
+		g.running, g.group = g.running+1, group
 		g.mu.Unlock()
 		return nil
 	}
@@ -48,7 +49,7 @@
 		defer g.mu.Unlock()
 		return &GateFullError{Waiting: len(g.waiting)}
 	}
-	w := &waiter{request: request, admitted: make(chan struct{})}
+	w := &waiter{group: group, admitted: make(chan struct{})}
 	g.waiting = append(g.waiting, w)
 	g.mu.Unlock()
 	select {
@@ -67,7 +68,7 @@
 	return ctx.Err()
 }
 
-// Leave ends one run of the request that runs.
+// Leave ends one call that was admitted.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -79,8 +80,8 @@
 	if g.running--; g.running > 0 || len(g.waiting) == 0 {
 		return
 	}
-	g.request = g.waiting[0].request
-	for len(g.waiting) > 0 && g.waiting[0].request == g.request {
+	g.group = g.waiting[0].group
+	for len(g.waiting) > 0 && g.waiting[0].group == g.group {
 		close(g.waiting[0].admitted)
 		g.running++
 		g.waiting = g.waiting[1:]
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -27,8 +27,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Run identifies the run of the target.
 	Run uint64
-	// IsTrial reports that the request was suspected already when the run began it, and
-	// was the only suspect that the target ran.
+	// IsTrial reports that the request had already ended targets when the run began it, and
+	// was the only such request that the target ran.
 	IsTrial bool
 }
 
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -22,7 +22,7 @@
 	// StatusClear means that nothing is held against the request.
 	StatusClear Status = iota
 	// StatusSuspected means that targets ended while they ran the request. It runs at one
-	// target of its service at a time, and no other suspect beside it.
+	// target of its service at a time.
 	StatusSuspected
 	// StatusQuarantined means that the request is not run.
 	StatusQuarantined
