Define in one place which requests are on trial

The entry daemon and the target's daemon had a constant each for the number of crashes from which a request runs as the only suspect. Two constants with one meaning can part; the quarantine's verdict says it now.

--- a/executor/trial.go
+++ b/executor/trial.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// trialCrashes is the number of crashes from which a request runs as the only suspect at
-	// its target.
-	trialCrashes = 2
 	// defaultTrialWait is how long a call without an objective may wait for its trial.
 	defaultTrialWait = time.Second
 	// trialRetryAfter is when a call may come back that could not get a trial in time.
@@ -82,7 +79,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	isTrial = x.Quarantine.Judge(r.contentDigest(), r.call.Service).Crashes >= trialCrashes
+	isTrial = x.Quarantine.Judge(r.contentDigest(), r.call.Service).IsOnTrial()
 	var group quarantiner.Digest
 	if isTrial {
 		group = r.contentDigest()
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -9,14 +9,9 @@
 	"bambooweir.example/bambooweir/quarantiner"
 )
 
-const (
-	// spareTargetCrashes is the number of crashes from which a suspect is tried only where its
-	// service has another target.
-	spareTargetCrashes = 2
-	// spareTargetWait is how long after its last crash that holds. A service that has one
-	// target only must not refuse the request for longer.
-	spareTargetWait = 10 * time.Second
-)
+// spareTargetWait is how long after its last crash a request on trial is refused where its
+// service has one target left. A service that never has more must not refuse it for longer.
+const spareTargetWait = 10 * time.Second
 
 // suspect is what is held against the request of a call.
 type suspect struct {
@@ -71,7 +66,7 @@
 	if !ok {
 		return choice, refuseAttempt(x, causeNoTarget, unavailableRetryAfterMS)
 	}
-	if left := spareTargetWait - s.verdict.SinceCrash; accepting == 1 && s.verdict.Crashes >= spareTargetCrashes && left > 0 {
+	if left := spareTargetWait - s.verdict.SinceCrash; accepting == 1 && s.verdict.IsOnTrial() && left > 0 {
 		choice.Done(picker.Result{Outcome: picker.Abandoned})
 		return choice, refuseAttempt(x, causeLastTarget, min(left.Milliseconds(), unavailableRetryAfterMS))
 	}
@@ -79,14 +74,13 @@
 }
 
 // staysAtTarget reports whether the call may not be sent to another target, although this one
-// refused it for lack of capacity: its request has ended several targets, and runs at one at a
-// time.
+// refused it for lack of capacity: a request on trial runs at one target at a time.
 func (f *Forwarder) staysAtTarget(x *exchange, answer *messenger.Answer) bool {
 	if answer.Outcome != messenger.OutcomeNotRun || !overloadCauses[answer.Cause] {
 		return false
 	}
 	s := f.judge(x)
-	return s != nil && s.verdict.Crashes >= spareTargetCrashes
+	return s != nil && s.verdict.IsOnTrial()
 }
 
 // refuseAttempt returns the refusal of an attempt that is not made.
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// trialCrashes is the number of crashes under a request from which it runs as the only
+	// suspect at its target.
+	trialCrashes = 2
 	// quarantineCrashes is the number of crashes under a request from which it is
 	// quarantined, if one of them was in a trial.
 	quarantineCrashes = 3
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -38,6 +38,11 @@
 	SinceCrash, Remaining time.Duration
 }
 
+// IsOnTrial reports whether the request may run only where no other suspect runs.
+func (v Verdict) IsOnTrial() bool {
+	return v.Status == StatusSuspected && v.Crashes >= trialCrashes
+}
+
 // Counters counts what a table records.
 type Counters struct {
 	// Suspected counts requests of which this daemon found that a target had ended under
