Test that crashes seen by different daemons add up everywhere

The quarantine rests on three daemons' crashes being put together by all, also by a daemon that starts later, and on an answer at one clearing the request at all. Eighteen daemons in three failure domains play it over real links. A second test fills the tables of six daemons with 6,000 requests of one partner: another partner's request still reaches all, and no daemon has records left to send in the end.

--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -16,6 +16,7 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -107,8 +108,9 @@
 	m := &member{storeFaults: storeFaults, done: make(chan struct{}), Spreader: &Spreader{
 		InstanceID: id, Domain: domain, PeerAddress: addr, Store: storeFaults, Applier: &applier.Applier{Domain: domain},
 		Table: new(tracker.Table), Log: zap.NewNop(), Settings: f.settings, HTTP: f.net.client(addr),
-		External: f.external,
+		External: f.external, Quarantine: new(quarantiner.Table),
 	}}
+	m.Quarantine.OnChange = m.SpreadSuspicions
 	f.run(m, l)
 	return m
 }
--- /dev/null
+++ b/spreader/suspicion_test.go
@@ -0,0 +1,73 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+
+	"bambooweir.example/bambooweir/quarantiner"
+)
+
+// waitStatus waits until all daemons of the fleet treat the request as want.
+func (f *fleet) waitStatus(request quarantiner.Digest, want quarantiner.Status) {
+	f.t.Helper()
+	f.waitFor(fmt.Sprintf("status %v everywhere", want), func() (bool, string) {
+		for _, m := range f.members {
+			if got := m.Quarantine.Judge(request, "ledger-view").Status; got != want {
+				return false, fmt.Sprintf("%s: %v", m.InstanceID, got)
+			}
+		}
+		return true, ""
+	})
+}
+
+// Each of three daemons sees one crash. All daemons must put them together, the ones that
+// start later too, and forget them when one sees the request answered.
+func TestCrashesSeenByDifferentDaemonsAddUpEverywhere(t *testing.T) {
+	f := newFleet(t)
+	f.acceptVersion()
+	f.startMembers(6, "mobile-bay", "selma-row", "quimperle")
+	f.waitConverged()
+	f.waitMembers(18)
+	request := quarantiner.NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	for i, m := range []*member{f.members[1], f.members[8], f.members[16]} {
+		m.Quarantine.ReportCrash(request, "ledger-view", "magnolia", quarantiner.Crash{Run: uint64(i), IsTrial: i > 0})
+	}
+	f.waitStatus(request, quarantiner.StatusQuarantined)
+	restarted := f.members[2]
+	restarted.kill()
+	f.restart(restarted)
+	f.waitStatus(request, quarantiner.StatusQuarantined)
+	f.members[5].Quarantine.ReportAnswer(request, "ledger-view")
+	f.waitStatus(request, quarantiner.StatusClear)
+}
+
+// Daemons whose tables are full exchange no more than their records, once.
+func TestFullTablesOfSuspicionsComeToRest(t *testing.T) {
+	f := newFleet(t)
+	f.acceptVersion()
+	f.startMembers(3, "mobile-bay", "selma-row")
+	f.waitConverged()
+	f.waitMembers(6)
+	last := quarantiner.NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	for i, m := range f.members {
+		for n := range 1000 {
+			request := quarantiner.NewDigest("regie", "", "GET", fmt.Sprint("/fittings/", i, "/", n), nil)
+			m.Quarantine.ReportCrash(request, "catalogue", "regie", quarantiner.Crash{Run: uint64(n)})
+		}
+	}
+	f.members[0].Quarantine.ReportCrash(last, "ledger-view", "magnolia", quarantiner.Crash{Run: 1})
+	f.waitStatus(last, quarantiner.StatusSuspected)
+	f.waitFor("no records left to send", func() (bool, string) {
+		for _, m := range f.members {
+			m.mu.Lock()
+			for _, sess := range m.sessions {
+				if records, _ := m.Quarantine.Since(sess.suspicionCursor, uint64(sess.id), 1); len(records) > 0 {
+					m.mu.Unlock()
+					return false, fmt.Sprintf("%s has records for %s", m.InstanceID, sess.node.InstanceID)
+				}
+			}
+			m.mu.Unlock()
+		}
+		return true, ""
+	})
+}
