--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -83,10 +83,9 @@
 
 const testTimeoutMS = 10_000
 
-// newMesh returns a mesh with one running target for each name.
-func newMesh(ctx context.Context, t testing.TB, names ...string) *mesh {
-	t.Helper()
-	doc := &versioner.Document{}
+// meshEntries returns a configuration with one route for postings and one for lookups, both to
+// the service payout-desk.
+func meshEntries() []versioner.Entry {
 	timeout, retries := testTimeoutMS, 10
 	class := func(name string) versioner.Entry {
 		return versioner.Entry{Key: versioner.Key{Kind: versioner.KindClass, Name: name}, Class: &versioner.Class{TimeoutMS: &timeout, MaxRetries: &retries}}
@@ -97,19 +96,24 @@
 			Route: &versioner.Route{Partner: "magnolia", PathPrefix: "/" + name, Service: "payout-desk", Class: class},
 		}
 	}
-	doc = doc.With([]versioner.Entry{
+	return []versioner.Entry{
 		{Key: versioner.Key{Kind: versioner.KindPartner, Name: "magnolia"}, Partner: &versioner.Partner{SharePercent: 50}},
 		{Key: versioner.Key{Kind: versioner.KindService, Name: "payout-desk"}, Service: &versioner.Service{Partner: "magnolia", Slots: 12, Connections: 130}},
 		class(versioner.ClassPosting), class(versioner.ClassLookup),
 		route("postings", versioner.ClassPosting), route("lookups", versioner.ClassLookup),
-	}, nil)
+	}
+}
+
+// newMesh returns a mesh with one running target for each name.
+func newMesh(ctx context.Context, t testing.TB, names ...string) *mesh {
+	t.Helper()
 	m := &mesh{ctx: ctx, targets: make(map[string]*fakeTarget)}
 	m.table = new(tracker.Table)
 	m.forwarder = &Forwarder{
 		Applier: new(applier.Applier), Dial: m.dial,
 		Picker: &picker.Picker{Table: m.table, Source: &lockedSource{source: rand.NewPCG(1, 1)}},
 	}
-	if _, err := m.forwarder.Applier.Offer(doc); err != nil {
+	if _, err := m.forwarder.Applier.Offer(new(versioner.Document).With(meshEntries(), nil)); err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range names {
--- a/forwarder/suspect_test.go
+++ b/forwarder/suspect_test.go
@@ -2,35 +2,21 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"bambooweir.example/bambooweir/quarantiner"
-	"bambooweir.example/bambooweir/requester"
 	"bambooweir.example/bambooweir/tracker"
 )
 
-const (
-	deadlyRunTime  = 100 * time.Millisecond
-	normalRunTime  = 120 * time.Millisecond
-	targetDownTime = 3 * time.Second
-)
-
-// mortalTarget is the process of a fake target that ends when it runs a deadly request, and
-// comes back as another run.
+// mortalTarget is a fake target whose process may end.
 type mortalTarget struct {
 	*fakeTarget
-	mu    sync.Mutex
-	ended chan struct{}
-	ends  int
+	mortalProcess
 }
 
 // mortalMesh is a mesh whose targets are mortal and whose daemons keep a quarantine.
@@ -45,7 +31,12 @@
 	mm := &mortalMesh{mesh: m, mortals: make(map[string]*mortalTarget)}
 	m.forwarder.Quarantine = new(quarantiner.Table)
 	for name, f := range m.targets {
-		mt := &mortalTarget{fakeTarget: f, ended: make(chan struct{})}
+		mt := &mortalTarget{fakeTarget: f}
+		mt.onEnd = func() { f.announce(tracker.StateGone, false) }
+		mt.onReturn = func() {
+			f.setEpoch(f.currentEpoch() + 1)
+			f.announce(tracker.StateReady, false)
+		}
 		mm.mortals[name] = mt
 		f.setEpoch(1)
 		f.announce(tracker.StateReady, false)
@@ -54,86 +45,22 @@
 			f.executor.Quarantine = new(quarantiner.Table)
 		}
 		f.executor.Requester.Dial = mt.dial
-		f.handle = mt.handle
+		f.handle = func(r *http.Request, body string) (*http.Response, error) {
+			answer, err := mt.mortalProcess.run(r.Context(), body)
+			if err != nil {
+				return nil, err
+			}
+			return respond(answer), nil
+		}
 	}
 	return mm
 }
 
-// process returns the channel that is closed when the present run of the target ends.
-func (t *mortalTarget) process() chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.ended
-}
-
-func (t *mortalTarget) dial(context.Context, string) (net.Conn, error) {
-	select {
-	case <-t.process():
-		return nil, syscall.ECONNREFUSED
-	default:
-		near, _ := net.Pipe()
-		return near, nil
-	}
-}
-
-// handle runs a request for normalRunTime, or ends the process after deadlyRunTime.
-func (t *mortalTarget) handle(r *http.Request, body string) (*http.Response, error) {
-	ended := t.process()
-	select {
-	case <-ended:
-		return nil, &requester.NotSentError{Cause: syscall.ECONNREFUSED, IsUnreachable: true}
-	default:
-	}
-	runTime := normalRunTime
-	if strings.HasPrefix(body, "deadly") {
-		runTime = deadlyRunTime
-	}
-	select {
-	case <-r.Context().Done():
-		return nil, r.Context().Err()
-	case <-ended:
-		return nil, errors.New("target crashed")
-	case <-time.After(runTime):
-	}
-	if strings.HasPrefix(body, "deadly") {
-		t.end(ended)
-		return nil, errors.New("target crashed")
-	}
-	return respond("ran " + body), nil
-}
-
-// end ends the process unless it has ended already, and starts it again after
-// targetDownTime.
-func (t *mortalTarget) end(process chan struct{}) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.ended != process {
-		return
-	}
-	select {
-	case <-process:
-		return
-	default:
-	}
-	close(process)
-	t.ends++
-	time.AfterFunc(0, func() { t.announce(tracker.StateGone, false) })
-	time.AfterFunc(targetDownTime, func() {
-		t.mu.Lock()
-		t.ended = make(chan struct{})
-		t.mu.Unlock()
-		t.setEpoch(t.currentEpoch() + 1)
-		t.announce(tracker.StateReady, false)
-	})
-}
-
 // ends returns how often targets have ended.
 func (m *mortalMesh) ends() int {
 	n := 0
 	for _, t := range m.mortals {
-		t.mu.Lock()
-		n += t.ends
-		t.mu.Unlock()
+		n += t.countEnds()
 	}
 	return n
 }
@@ -211,7 +138,7 @@
 			}
 			time.Sleep(normalRunTime / 2)
 			for _, target := range mm.mortals {
-				target.end(target.process())
+				target.end(target.present())
 			}
 			time.Sleep(2 * targetDownTime)
 			if got, want := mm.ends(), 5*(round+1); got != want {
@@ -284,13 +211,11 @@
 		}
 		left := 0
 		for _, target := range mm.mortals {
-			select {
-			case <-target.process():
+			if target.hasEnded() {
 				continue
-			default:
 			}
 			if left++; left > 1 {
-				target.end(target.process())
+				target.end(target.present())
 			}
 		}
 		synctest.Wait()
