Send a deadly and a popular lookup in the soak

The soak killed targets from outside only, so that nothing in it ended targets by a call. Now one lookup in 64 ends each target that runs it and one in eight is the same popular one; targets that end by themselves are started again.

Two invariants: no other call is refused as quarantined, whatever kills targets, daemons and links meanwhile; and once all faults have ended, the deadly lookup, repeated at all daemons, ends at most three targets, which is what the users allow. The faults may have made all daemons forget it.

--- a/soaker/load.go
+++ b/soaker/load.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"bambooweir.example/bambooweir/caller"
+	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/faketarget"
 	"bambooweir.example/bambooweir/sleeper"
 )
 
@@ -17,6 +19,13 @@
 	changeInterval = 400 * time.Millisecond
 	changeTimeout  = 20 * time.Second
 	maxBodyBytes   = 64 << 10 // exclusive bound of the random body length of a call
+	// deadlyOneIn and popularOneIn are how rare a lookup that ends its target, and one that
+	// many callers send, are among the lookups.
+	deadlyOneIn  = 64
+	popularOneIn = 8
+	// deadlyPath and popularContent identify them.
+	deadlyPath     = "/shares" + faketarget.DeadlySuffix
+	popularContent = "popular"
 )
 
 // makeCalls starts random calls until activeCtx ends. It does not cut short those
@@ -49,9 +58,22 @@
 		}
 	}
 	call.ID = fmt.Sprintf("call-%d", n)
+	if call.Method == http.MethodGet {
+		drawContent(random, &call)
+	}
 	return call, repeats
 }
 
+// drawContent makes a few lookups deadly or popular.
+func drawContent(random *rand.Rand, call *caller.Call) {
+	switch {
+	case random.IntN(deadlyOneIn) == 0:
+		call.Path, call.Content, call.BodyBytes = deadlyPath, "deadly", 0
+	case random.IntN(popularOneIn) == 0:
+		call.Content, call.BodyBytes = popularContent, 0
+	}
+}
+
 // doCall makes a call and repeats it at the given entry daemons until it is
 // answered.
 func (s *soak) doCall(ctx context.Context, call caller.Call, repeats []string) {
@@ -78,6 +100,9 @@
 	call.URL = d.CallerURL
 	result := s.caller.Do(ctx, call)
 	s.recorder.AddResults(result)
+	if result.Cause == executor.CauseQuarantined && call.Path != deadlyPath {
+		s.violate(InnocentNotQuarantined, call.ID, fmt.Sprintf("%s %s at %s", call.Method, call.Path, call.Entry))
+	}
 	return result
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -102,6 +102,7 @@
 	for n := range uint64(maxConcurrentFaults) {
 		injectors.Go(func() error { return s.injectFaults(ctx, activeCtx, s.newRand(3+n)) })
 	}
+	go s.reviveTargets(ctx)
 	if err := injectors.Wait(); err != nil {
 		return nil, err
 	}
@@ -122,6 +123,9 @@
 	begun := time.Now()
 	unconverged := s.waitConverged(ctx)
 	s.result.Settled = time.Since(begun)
+	if err := s.checkDeadlyStopped(ctx); err != nil {
+		return nil, err
+	}
 	for _, t := range s.fleet.Targets() {
 		if err := s.recorder.AddJournal(t.Name, s.fleet.JournalPath(t.Name)); err != nil {
 			return nil, err
@@ -132,7 +136,9 @@
 	}
 	s.result.Duration = time.Since(s.start)
 	s.result.Calls, s.result.Causes = s.recorder.OutcomeCounts(), s.recorder.CauseCounts()
-	s.result.Violations = append(s.recorder.Check(), unconverged...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Violations = append(append(s.result.Violations, s.recorder.Check()...), unconverged...)
 	return &s.result, nil
 }
 
