--- a/forwarder/memnetwork_test.go
+++ b/forwarder/memnetwork_test.go
@@ -136,7 +136,7 @@
 			if len(c.queue) == 0 {
 				return
 			}
-			_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+			_ = c.SetWriteDeadline(time.Now().Add(time.Second))
 		}
 	}
 }
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -137,8 +137,9 @@
 // A partner that sends ever new requests that end targets must not displace what is held
 // against another partner's, nor use more memory or bytes than the bounds allow.
 func TestNoPartnerFillsTheTable(t *testing.T) {
-	victim := digestOf("magnolia", "/shares/7")
+	victim, suspect := digestOf("magnolia", "/shares/7"), digestOf("magnolia", "/shares/8")
 	var table Table
+	table.ReportCrash(suspect, testService, "magnolia", crash(9, false))
 	for run := range uint64(3) {
 		table.ReportCrash(victim, testService, "magnolia", crash(run, true))
 	}
@@ -151,6 +152,9 @@
 	if got, want := table.Judge(victim, testService).Status, StatusQuarantined; got != want {
 		t.Errorf("the other partner's request: got %v, want %v", got, want)
 	}
+	if got, want := table.Judge(suspect, testService).Status, StatusSuspected; got != want {
+		t.Errorf("the other partner's suspect: got %v, want %v", got, want)
+	}
 	records, _ := table.Since(0, 0, 10*maxRecords)
 	if got, want := len(records), maxRecords; got != want {
 		t.Errorf("records: got %d, want %d", got, want)
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -52,8 +54,8 @@
 	strand := func(s *soak, link string) error { return s.onLinks(link, (*faulter.Proxy).SilenceOpenConns) }
 	kill := func(s *soak, name string) error { return s.fleet.Kill(name) }
 	restart := func(s *soak, name string) error { return s.fleet.Restart(name) }
-	freeze := func(s *soak, name string) error { return s.fleet.Freeze(name) }
-	thaw := func(s *soak, name string) error { return s.fleet.Thaw(name) }
+	freeze := func(s *soak, name string) error { return ignoreEnded(s.fleet.Freeze(name)) }
+	thaw := func(s *soak, name string) error { return ignoreEnded(s.fleet.Thaw(name)) }
 	stop := func(s *soak, name string) error { return s.fleet.Stop(name) }
 	reset := func(s *soak, link string) error { return s.onLinks(link, (*faulter.Proxy).Reset) }
 	limit := func(s *soak, name string) error {
@@ -82,6 +84,15 @@
 	}
 }
 
+// ignoreEnded returns err unless it says that the process has ended: a deadly call may end a
+// target at any time.
+func ignoreEnded(err error) error {
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
 // behave sets the behavior of a target. One that doesn't answer keeps its behavior.
 func (s *soak) behave(name string, b faketarget.Behavior) error {
 	t, err := s.fleet.Target(name)
