List the quarantined requests to operators

An operator who is told that callers get request-quarantined had only the logs to see which requests are not run, how often they ended targets, and when they are tried again. `bambooweir quarantine`, over GET /v1/quarantine of a daemon, lists them. There is no command that lifts a quarantine: the operators' API has no authentication for anything but changes, and a partner's target reaches it.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -49,6 +49,7 @@
 		new(showCommand).command(),
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
+		new(quarantineCommand).command(),
 		new(checkCommand).command(),
 		new(statusCommand).command(),
 		new(versionCommand).command(),
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,11 +10,12 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/picker"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews and Counters.
+// Distribution, TargetViews, Quarantine and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -27,7 +28,9 @@
 	// TargetViews returns whether and why the daemon uses each target, for the status.
 	// It may be nil; the status then has none.
 	TargetViews func() []picker.TargetView
-	Counters    Counters
+	// Quarantine holds the requests that are not run; nil means that there are none.
+	Quarantine *quarantiner.Table
+	Counters   Counters
 }
 
 // Register adds the API's resources to the router. Resources that may read the
@@ -41,6 +44,7 @@
 	e.GET(HistoryPath, a.history, limit)
 	e.GET(ExceptionsPath, a.exceptions, limit)
 	e.GET(AppliedPath, a.applied)
+	e.GET(QuarantinePath, a.quarantine)
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
