Guard the records of the test fleet

go test -race reported that TestDeadlyRequestInFleets read a daemon's record while another goroutine announced it. Only the test was at fault; with its record behind a mutex, -race reports nothing in forwarder, executor, quarantiner and operator.

--- a/forwarder/deadlyfleet_test.go
+++ b/forwarder/deadlyfleet_test.go
@@ -57,7 +57,11 @@
 	executor   *executor.Executor
 	quarantine *quarantiner.Table
 	target     *mortalProcess
-	record     tracker.Record
+	service    string
+	epoch      atomic.Uint64
+
+	mu     sync.Mutex
+	record tracker.Record
 }
 
 // newDeadlyFleet starts n daemons.
@@ -79,26 +83,28 @@
 func (f *deadlyFleet) start(ctx context.Context, i int, store *fakestorer.Store) *fleetDaemon {
 	id, addr, domain := fmt.Sprintf("d%03d", i), fmt.Sprintf("10.0.%d.%d:1", i/200, i%200), fmt.Sprint("domain-", i%fleetDomains)
 	table, apply := new(tracker.Table), &applier.Applier{Domain: domain}
-	d := &fleetDaemon{quarantine: new(quarantiner.Table)}
+	d := &fleetDaemon{quarantine: new(quarantiner.Table), service: "claims-vault"}
+	d.epoch.Store(1)
+	if i%5 < 2 {
+		d.target, d.service = new(mortalProcess), "payout-desk"
+	}
 	d.record = tracker.Record{
 		InstanceID: id, Incarnation: 1, Sequence: 1, Domain: domain, PeerAddress: addr,
-		State: tracker.StateReady, Service: "claims-vault", Epoch: 1, Slots: fleetSlots,
+		State: tracker.StateReady, Service: d.service, Epoch: 1, Slots: fleetSlots,
 	}
 	d.spreader = &spreader.Spreader{
 		InstanceID: id, Domain: domain, PeerAddress: addr, Store: store, Applier: apply, Table: table, Log: zap.NewNop(),
 		HTTP: f.network.client(), Quarantine: d.quarantine,
 	}
 	d.quarantine.OnChange = d.spreader.SpreadSuspicions
-	if i%5 < 2 {
-		d.target = new(mortalProcess)
-		d.record.Service = "payout-desk"
+	if d.target != nil {
 		d.target.onEnd = func() { d.announce(tracker.StateGone, 0) }
 		d.target.onReturn = func() { d.announce(tracker.StateReady, 1) }
 	}
 	d.executor = &executor.Executor{
 		InstanceID: id, Incarnation: 1, Target: func() string { return "http://target" },
-		Service: func() string { return d.record.Service }, Quarantine: d.quarantine,
-		TargetRun: func() messenger.TargetRun { return messenger.TargetRun{ID: id, Epoch: d.record.Epoch} },
+		Service: func() string { return d.service }, Quarantine: d.quarantine,
+		TargetRun: func() messenger.TargetRun { return messenger.TargetRun{ID: id, Epoch: d.epoch.Load()} },
 		Exchange: func(ctx context.Context, _ string, req *requester.Request) (*requester.Response, error) {
 			body, err := d.target.run(ctx, string(req.Body))
 			if err != nil {
@@ -144,9 +150,11 @@
 
 // announce announces a state of the daemon's target, of the run that many after the present.
 func (d *fleetDaemon) announce(state tracker.State, laterRuns uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.record.Sequence++
 	d.record.State = state
-	d.record.Epoch += laterRuns
+	d.record.Epoch = d.epoch.Add(laterRuns)
 	d.spreader.Announce(context.Background(), []tracker.Record{d.record})
 }
 
