--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,32 +43,6 @@
 	unavailableRetryAfterMS = 1000
 )
 
-// Causes of refusals at the entry daemon.
-const (
-	causeNoConfiguration = "no-configuration"
-	causeNoRoute         = "no-route"
-	causeNoTarget        = "no-target"
-	causeUnreachable     = "target-daemon-unreachable"
-	causeSilent          = "target-daemon-silent"
-	causeCongested       = "link-congested"
-	causeBodyTooLarge    = "body-too-large"
-	causeBodyCutShort    = "body-cut-short"
-	causeBadDeadline     = "malformed-deadline"
-	causeBadKey          = "malformed-idempotency-key"
-	causeDigestMismatch  = "content-digest-mismatch"
-	causeBuffersFull     = "buffers-full"
-	causeDraining        = "draining"
-	causeDeadline        = "deadline-passed"
-	causeCancelled       = "cancelled"
-	causeDamaged         = "answer-damaged"
-	causeLinkLost        = "link-lost"
-	causeDaemonLost      = "target-daemon-lost"
-	causeDaemonRestarted = "target-daemon-restarted"
-	// causeLastTarget means that a suspected request is not tried at the last target of its
-	// service.
-	causeLastTarget = "last-target"
-)
-
 // Forwarder is the HTTP handler that serves callers. Applier and Picker must be
 // set; the zero value of every other field is valid.
 type Forwarder struct {
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -231,6 +231,33 @@
 	return ids
 }
 
+// removeSession removes a session that ended and records which daemons may be
+// lost with it.
+func (s *Spreader) removeSession(sess *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess.id)
+	s.Counters.SessionsLost.Add(1)
+	switch sess.role {
+	case roleParent:
+		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.endedLocally))
+		s.parent = nil
+		s.path = nil
+		s.sendPathToChildren()
+		if !sess.endedLocally {
+			s.recordLostSession(sess)
+		}
+	case roleChild:
+		s.recordLostSession(sess)
+	case roleNeighbor:
+		// The daemons of the peer's own domain decide whether it is lost. Seen from
+		// another domain, it may only be the link that is cut.
+		if sess.domain == s.Domain {
+			s.recordLostSession(sess)
+		}
+	}
+}
+
 // recordLostSession starts the departure grace of the daemons that were reached
 // through a session that ended. The caller holds mu.
 func (s *Spreader) recordLostSession(sess *session) {
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/recoverer"
 	"bambooweir.example/bambooweir/tracker"
@@ -379,30 +377,3 @@
 	}
 	return sent, nil
 }
-
-// removeSession removes a session that ended and records which daemons may be
-// lost with it.
-func (s *Spreader) removeSession(sess *session) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.sessions, sess.id)
-	s.Counters.SessionsLost.Add(1)
-	switch sess.role {
-	case roleParent:
-		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.endedLocally))
-		s.parent = nil
-		s.path = nil
-		s.sendPathToChildren()
-		if !sess.endedLocally {
-			s.recordLostSession(sess)
-		}
-	case roleChild:
-		s.recordLostSession(sess)
-	case roleNeighbor:
-		// The daemons of the peer's own domain decide whether it is lost. Seen from
-		// another domain, it may only be the link that is cut.
-		if sess.domain == s.Domain {
-			s.recordLostSession(sess)
-		}
-	}
-}
