Send a peer what its own record of a request lacks

A daemon can hold one crash of a request and get a record with another from a peer before it has sent its own there. The sum was marked as coming from that peer, and never sent to it: the peer, and all daemons behind it, kept counting one crash less, so that a request could end a target more before all refused it. TestSourceGetsWhatItLacksOfItsOwnRecord forces it: no record for the source before, one with both crashes after.

Sending sums back makes another fault possible: records hold the last eight crashes, and each daemon kept the eight that came to it last, so that two daemons with nine crashes between them could change each other forever. The crashes have one order now, the same everywhere, in which a new one is the last.

--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -33,6 +34,14 @@
 	// IsTrial reports that the request had already ended targets when the run began it, and
 	// was the only such request that the target ran.
 	IsTrial bool
+	// Order is higher than that of all crashes that the daemon knew which found this one.
+	Order uint32
+}
+
+// compareCrash orders the crashes of a record. It is total, so that all daemons keep the same
+// ones.
+func compareCrash(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Run, b.Run))
 }
 
 // Record is what daemons tell each other about a request at one service. Records of the same
@@ -45,8 +54,8 @@
 	// Cleared counts how often a target has answered the request after a crash. A record
 	// with a higher count replaces those with lower ones.
 	Cleared uint32 `cbor:"4,keyasint,omitempty"`
-	// Crashes holds the crashes since the request was last cleared, oldest first and at
-	// most maxCrashes.
+	// Crashes holds the last maxCrashes crashes since the request was last cleared, in the
+	// order of compareCrash.
 	Crashes []Crash `cbor:"5,keyasint,omitempty"`
 	// AgeMS is the time since the last crash in milliseconds. Durations are sent, so that
 	// clocks of different machines are never compared.
@@ -88,33 +97,45 @@
 	return min(longestTerm, shortestTerm<<(crashes-quarantineCrashes))
 }
 
-// addCrash adds a crash and reports whether it was unknown.
-func (e *entry) addCrash(c Crash) bool {
-	if slices.ContainsFunc(e.Crashes, func(known Crash) bool { return known.Run == c.Run }) {
-		return false
-	}
+// include adds crashes and reports whether that changed the entry.
+func (e *entry) include(crashes ...Crash) bool {
 	// The slice is not changed in place, because records that were returned share it.
-	e.Crashes = append(slices.Clone(e.Crashes), c)
-	if len(e.Crashes) > maxCrashes {
-		e.Crashes = e.Crashes[1:]
+	all := slices.Clone(e.Crashes)
+	for _, c := range crashes {
+		if !slices.ContainsFunc(all, func(known Crash) bool { return known.Run == c.Run }) {
+			all = append(all, c)
+		}
 	}
-	return true
+	slices.SortFunc(all, compareCrash)
+	all = all[max(0, len(all)-maxCrashes):]
+	changed := !slices.Equal(all, e.Crashes)
+	e.Crashes = all
+	return changed
 }
 
-// merge includes a record of another daemon and reports whether that changed the entry.
+// addCrash adds a crash that this daemon found, and reports whether it was unknown.
+func (e *entry) addCrash(c Crash) bool {
+	if n := len(e.Crashes); n > 0 {
+		c.Order = e.Crashes[n-1].Order + 1
+	}
+	return e.include(c)
+}
+
+// merge includes a record of another daemon and reports whether that changed the entry. The
+// record merges to the same result with others in any order.
 func (e *entry) merge(r Record, now time.Time) bool {
 	if r.Cleared < e.Cleared {
 		return false
 	}
-	changed := r.Cleared > e.Cleared
-	if changed {
+	isNewer := r.Cleared > e.Cleared
+	if isNewer {
 		e.Cleared, e.Crashes = r.Cleared, nil
 	}
-	for _, c := range r.Crashes {
-		changed = e.addCrash(c) || changed
+	if !e.include(r.Crashes...) && !isNewer {
+		return false
 	}
-	if at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond); changed && at.After(e.crashedAt) {
+	if at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond); at.After(e.crashedAt) {
 		e.crashedAt = at
 	}
-	return changed
+	return true
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -183,7 +183,12 @@
 			continue
 		}
 		changed = true
-		t.recordChange(e, source)
+		if !slices.Equal(e.Crashes, r.Crashes) {
+			// The source lacks what this daemon knew before.
+			t.recordChange(e, 0)
+		} else {
+			t.recordChange(e, source)
+		}
 		t.logQuarantine(e, before, now)
 	}
 	t.evict()
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -14,7 +14,7 @@
 const (
 	testService = "ledger-view"
 	// maxRecordBytes bounds the length of an encoded record.
-	maxRecordBytes = 2*maxNameBytes + 12*maxCrashes + 64
+	maxRecordBytes = 2*maxNameBytes + 20*maxCrashes + 64
 )
 
 // digestOf returns the digest of a lookup of a partner.
@@ -197,14 +197,12 @@
 		tables := make([]Table, 3)
 		var runs uint64
 		request := digestOf("magnolia", "/shares/7")
-		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			from, to := rapid.IntRange(0, 2).Draw(t, "table"), rapid.IntRange(0, 2).Draw(t, "other")
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
-				if runs < maxCrashes {
-					runs++
-					tables[from].ReportCrash(request, testService, "magnolia", crash(runs, rapid.Bool().Draw(t, "trial")))
-				}
+				runs++
+				tables[from].ReportCrash(request, testService, "magnolia", crash(runs, rapid.Bool().Draw(t, "trial")))
 			case 1:
 				tables[from].ReportAnswer(request, testService)
 			default:
@@ -218,6 +216,15 @@
 				}
 			}
 		}
+		for i := range tables {
+			for j := range tables {
+				before := tables[i].changes
+				tables[i].Merge(tables[j].Find(request), 1)
+				if tables[i].changes != before {
+					t.Fatalf("tables %d and %d still change each other", i, j)
+				}
+			}
+		}
 		want := tables[0].Judge(request, testService)
 		for i := range tables {
 			got := tables[i].Judge(request, testService)
@@ -228,6 +235,19 @@
 	})
 }
 
+// A peer's record may arrive before this daemon has sent the peer what it knew of the same
+// request. The peer must get the sum of both.
+func TestSourceGetsWhatItLacksOfItsOwnRecord(t *testing.T) {
+	request := digestOf("magnolia", "/shares/7")
+	var table Table
+	table.ReportCrash(request, testService, "magnolia", crash(1, false))
+	table.Merge([]Record{{Request: request, Service: testService, Crashes: []Crash{crash(2, false)}}}, 5)
+	records, _ := table.Since(0, 5, 10)
+	if len(records) != 1 || len(records[0].Crashes) != 2 {
+		t.Errorf("records for the source: got %v, want one with two crashes", records)
+	}
+}
+
 // A peer gets each change once, in messages of bounded size, and none of its own.
 func TestChangesSinceACursor(t *testing.T) {
 	var table Table
