Hold a broken connection against no call after half a minute

A target that breaks a connection and then gets no call for long, as in a quiet service, kept that call in mind. When it was replaced minutes later, by a machine that went away or a release that did not announce itself, the call was suspected of having ended it. Found by reading. A call is held responsible for 30 s now, which is longer than a target takes to be started again. TestBrokenConnectionIsNoCrashForever: one crash after 30 s, and none a millisecond later, where the code before counted one.

--- a/executor/crash.go
+++ b/executor/crash.go
@@ -25,6 +25,9 @@
 	// maxInterrupted bounds the calls that are kept until it is known whether the run that
 	// interrupted them has crashed.
 	maxInterrupted = 256
+	// interruptionLifetime is how long after its connection broke a call is held responsible
+	// for the end of the run. A target that is started again announces itself sooner.
+	interruptionLifetime = 30 * time.Second
 	// maxLoggedDigests bounds the digests in one line of the log.
 	maxLoggedDigests = 32
 )
@@ -110,6 +113,7 @@
 func (x *Executor) confirmCrash(run messenger.TargetRun) {
 	d := &x.crash
 	d.mu.Lock()
+	d.interrupted = slices.DeleteFunc(d.interrupted, func(c interruptedCall) bool { return time.Since(c.brokeAt) > interruptionLifetime })
 	if d.run != run || len(d.interrupted) == 0 {
 		d.mu.Unlock()
 		return
--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/requester"
@@ -122,3 +125,32 @@
 		})
 	}
 }
+
+// A connection breaks, the target gets no further call, and is replaced much later for another
+// reason.
+func TestBrokenConnectionIsNoCrashForever(t *testing.T) {
+	for _, tt := range []struct {
+		after time.Duration
+		want  int64
+	}{{interruptionLifetime, 1}, {interruptionLifetime + time.Millisecond, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newExecutor("http://target")
+			epoch := uint64(1)
+			x.TargetRun = func() messenger.TargetRun { return messenger.TargetRun{ID: "run", Epoch: epoch} }
+			x.Requester.Dial = func(context.Context, string) (net.Conn, error) {
+				near, _ := net.Pipe()
+				return near, nil
+			}
+			x.Exchange = func(context.Context, string, *requester.Request) (*requester.Response, error) {
+				return nil, &requester.LostError{Cause: io.EOF}
+			}
+			x.Run(t.Context(), newLookup("/shares"))
+			time.Sleep(tt.after)
+			epoch++
+			x.ObserveTarget(false)
+			if got := x.Counters.Crashes.Value(); got != tt.want {
+				t.Errorf("crashes %s after the connection broke: got %d, want %d", tt.after, got, tt.want)
+			}
+		})
+	}
+}
