Let partners share what is saved of the quarantine

The store keeps 64 quarantined requests, the newest ones: a partner with many could displace another's, which would be free again after the end of all daemons. Partners take turns now (TestPartnersShareWhatIsSaved: 8 and 2 of ten, where the newest ten would be one partner's). A conflict of two daemons that save at once is not counted as a failure of the store any more. The table's queries have a file of their own.

--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -82,7 +82,7 @@
 	changes uint64
 }
 
-// IsEmpty reports whether nothing is held against any request.
+// IsEmpty reports whether the table has no records, so that nothing is held against any request.
 func (t *Table) IsEmpty() bool { return t.size.Load() == 0 }
 
 // Judge returns how a request to a service is treated now.
@@ -327,66 +327,3 @@
 		slices.Compare(a.Request[:], b.Request[:]),
 	)
 }
-
-// Since returns up to limit records that have changed after the given change, except those
-// that came from the source, and the change up to which the source then knows them.
-func (t *Table) Since(change, source uint64, limit int) (records []Record, next uint64) {
-	if t.IsEmpty() {
-		return nil, change
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if change == t.changes {
-		return nil, change
-	}
-	newer := slices.DeleteFunc(t.all(), func(e *entry) bool { return e.change <= change })
-	slices.SortFunc(newer, func(a, b *entry) int { return cmp.Compare(a.change, b.change) })
-	now := time.Now()
-	for _, e := range newer {
-		if e.source == source && source != 0 {
-			continue
-		}
-		if len(records) == limit {
-			return records, next
-		}
-		records, next = append(records, e.recordAt(now)), e.change
-	}
-	return records, t.changes
-}
-
-// Find returns the records of a request at all services.
-func (t *Table) Find(request Digest) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	var records []Record
-	for _, e := range t.entries[request] {
-		records = append(records, e.recordAt(now))
-	}
-	return records
-}
-
-// recordAt returns the entry's record with its age.
-func (e *entry) recordAt(now time.Time) Record {
-	r := e.Record
-	r.AgeMS = now.Sub(e.crashedAt).Milliseconds()
-	return r
-}
-
-// Quarantined returns the records of the requests that are quarantined at their service, the
-// newest first.
-func (t *Table) Quarantined() []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	var records []Record
-	for _, e := range t.all() {
-		if t.judge(e.Request, e.Service, now).Status == StatusQuarantined {
-			records = append(records, e.recordAt(now))
-		}
-	}
-	slices.SortFunc(records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), slices.Compare(a.Request[:], b.Request[:]))
-	})
-	return records
-}
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -268,3 +268,24 @@
 		t.Errorf("records: got %v, want %v", got, want)
 	}
 }
+
+// What is saved is less than what a daemon may know; no partner takes all of it.
+func TestPartnersShareWhatIsSaved(t *testing.T) {
+	var table Table
+	quarantine := func(partner string, n int) {
+		for i := range n {
+			for run := range uint64(3) {
+				table.ReportCrash(digestOf(partner, fmt.Sprint(i)), testService, partner, crash(run, true))
+			}
+		}
+	}
+	quarantine("magnolia", 2)
+	quarantine("regie", 50)
+	counts := make(map[string]int)
+	for _, r := range table.QuarantinedShare(10) {
+		counts[r.Partner]++
+	}
+	if got, want := fmt.Sprint(counts), "map[magnolia:2 regie:8]"; got != want {
+		t.Errorf("records by partner: got %s, want %s", got, want)
+	}
+}
--- a/spreader/savedquarantine.go
+++ b/spreader/savedquarantine.go
@@ -45,8 +45,15 @@
 		}
 		retry := backoff.NewExponentialBackOff()
 		retry.InitialInterval, retry.MaxInterval = initialSaveBackoff, s.cfg.LeaseTTL
-		for s.trySave(ctx) != nil {
-			s.Counters.StoreFailures.Add(1)
+		for {
+			err := s.trySave(ctx)
+			if err == nil {
+				break
+			}
+			var conflict *storer.ConflictError
+			if !errors.As(err, &conflict) {
+				s.Counters.StoreFailures.Add(1)
+			}
 			if sleeper.Sleep(ctx, retry.NextBackOff()) != nil {
 				return
 			}
@@ -62,8 +69,7 @@
 		return err
 	}
 	s.loadQuarantine(item)
-	records := s.Quarantine.Quarantined()
-	value, err := cbor.Marshal(savedQuarantine{SavedAtMS: time.Now().UnixMilli(), Records: records[:min(len(records), maxSaved)]})
+	value, err := cbor.Marshal(savedQuarantine{SavedAtMS: time.Now().UnixMilli(), Records: s.Quarantine.QuarantinedShare(maxSaved)})
 	if err != nil {
 		return err
 	}
