Count in the soak what the users count of a deadly request

The users bound what comes later than 3 s after the third target has ended, and that is allowed. The check counted what comes before as well, and only the first four rounds. It now repeats the lookup at all daemons again after those 3 s, and counts all runs that are later than that: twice as many calls, and the bound as stated.

--- a/soaker/deadly.go
+++ b/soaker/deadly.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,12 +20,13 @@
 	// quarantined, whatever ends the targets that run it.
 	InnocentNotQuarantined checker.Invariant = "innocent-not-quarantined"
 	// DeadlyStopped is the invariant that a deadly lookup, repeated at all daemons after all
-	// other faults have ended, ends at most maxDeadlyRuns targets.
+	// other faults have ended, ends at most maxDeadlyRuns targets later than touchTime after
+	// the third.
 	DeadlyStopped checker.Invariant = "deadly-stopped"
 
-	// maxDeadlyRuns is the number of targets that may end once all daemons are in touch: the
-	// users allow three.
+	// maxDeadlyRuns and touchTime are what the users allow.
 	maxDeadlyRuns = 3
+	touchTime     = 3 * time.Second
 	// deadlyRepeats is how often the lookup is repeated at each daemon, one after the other.
 	deadlyRepeats = 4
 	// revivalInterval is the time between two looks for targets that have ended.
@@ -56,47 +58,62 @@
 	}
 }
 
-// countDeadlyRuns returns the number of targets that the deadly lookup has ended.
-func (s *soak) countDeadlyRuns() (int, error) {
-	n := 0
+// deadlyRuns returns when targets began to run the deadly lookup, in order.
+func (s *soak) deadlyRuns() ([]time.Time, error) {
+	var runs []time.Time
 	for _, t := range s.fleet.Targets() {
 		journal, err := os.Open(s.fleet.JournalPath(t.Name))
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		events, err := faketarget.ReadJournal(journal)
 		journal.Close()
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		for _, e := range events {
 			if e.Run != nil && strings.HasSuffix(e.Run.Path, faketarget.DeadlySuffix) {
-				n++
+				runs = append(runs, e.Run.Begun)
 			}
 		}
 	}
-	return n, nil
+	slices.SortFunc(runs, time.Time.Compare)
+	return runs, nil
 }
 
-// checkDeadlyStopped repeats the deadly lookup at all daemons of the settled fleet.
-func (s *soak) checkDeadlyStopped(ctx context.Context) error {
-	before, err := s.countDeadlyRuns()
-	if err != nil {
-		return err
-	}
+// repeatDeadly repeats the deadly lookup at all daemons.
+func (s *soak) repeatDeadly(ctx context.Context, round string) {
 	for n := range deadlyRepeats {
 		for _, d := range s.fleet.Daemons() {
 			s.callOnce(ctx, caller.Call{
-				Method: http.MethodGet, Path: deadlyPath, Content: "deadly", Entry: d.Name, ID: fmt.Sprintf("deadly-%d-%s", n, d.Name),
+				Method: http.MethodGet, Path: deadlyPath, Content: "deadly", Entry: d.Name, ID: fmt.Sprintf("deadly-%s-%d-%s", round, n, d.Name),
 			})
 		}
 	}
-	after, err := s.countDeadlyRuns()
-	if err != nil {
+}
+
+// checkDeadlyStopped repeats the deadly lookup at all daemons of the settled fleet, and again
+// once touchTime has passed since it ended the third target.
+func (s *soak) checkDeadlyStopped(ctx context.Context) error {
+	from := time.Now()
+	s.repeatDeadly(ctx, "first")
+	runs, err := s.deadlyRuns()
+	if err != nil || len(runs) < 3 {
+		return err
+	}
+	if at := runs[2].Add(touchTime); at.After(from) {
+		from = at
+	}
+	if sleeper.Sleep(ctx, time.Until(from)) != nil {
+		return ctx.Err()
+	}
+	s.repeatDeadly(ctx, "later")
+	if runs, err = s.deadlyRuns(); err != nil {
 		return err
 	}
-	if got := after - before; got > maxDeadlyRuns {
-		s.violate(DeadlyStopped, deadlyPath, fmt.Sprintf("ended %d targets after all faults, want at most %d", got, maxDeadlyRuns))
+	runs = slices.DeleteFunc(runs, func(at time.Time) bool { return at.Before(from) })
+	if got := len(runs); got > maxDeadlyRuns {
+		s.violate(DeadlyStopped, deadlyPath, fmt.Sprintf("ended %d targets after all faults, %s after the third or later, want at most %d", got, touchTime, maxDeadlyRuns))
 	}
 	return nil
 }
