--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts start.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-standin ./review/_standin
