review: case 2, a burst of uploads makes daemons exceed their memory

Rule: Fault (processes end by themselves, memory over the limit counts). Disruption: burst, 1.7 times the uploads of two machines, with bodies below max_body_bytes. Seen: both daemons exceed memory_mb = 284 in each of three bursts and are killed; all uploads and the payouts posted there meanwhile end without an answer. The bodies that are being read are not bounded together.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,7 +10,8 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) bool{
-	"hang": hang,
+	"hang":    hang,
+	"uploads": uploads,
 }
 
 func main() {
