review: case 3, a late ping puts a departed upstream back into use after all daemons were killed

Rule: DRAIN (a request reaches an upstream later than drain_ms after its leaving was acknowledged). Disruption: herd_kill of all daemons, between the deregistration and a ping that is 5 s late. Seen: 65 or 66 requests of machines in touch reach the upstream that has deregistered.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,8 +10,9 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) bool{
-	"hang":    hang,
-	"uploads": uploads,
+	"hang":      hang,
+	"uploads":   uploads,
+	"late-ping": latePing,
 }
 
 func main() {
