review: case 4, a quarantined request runs again after a drill and the end of all daemons

Rule: BUDGET (a request that crashes upstreams reaches them in more than three retries). Disruption: a drill of the store (back from a copy 6 s old), then herd_kill of all daemons. Seen: 5 to 11 requests reach upstreams and crash them, 3 s and more after the third crash. Nobody writes the quarantine to the store again after it came back.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -13,6 +13,7 @@
 	"hang":      hang,
 	"uploads":   uploads,
 	"late-ping": latePing,
+	"deadly":    deadly,
 }
 
 func main() {
