review: case 4, repeats of a deadly request that come together all run in its trial

Rule: BUDGET (a request that crashes upstreams reaches them in more than three retries). Disruption: the deadly request alone, at each of eight machines within 40 ms, every 6 s. Seen: after the third crash its eight repeats reach the upstream chosen for the trial, three are allowed. The gate of a trial admits any number of repeats.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -14,6 +14,7 @@
 	"uploads":   uploads,
 	"late-ping": latePing,
 	"deadly":    deadly,
+	"together":  together,
 }
 
 func main() {
--- a/review/_standin/upstream.go
+++ b/review/_standin/upstream.go
@@ -26,6 +26,8 @@
 	work time.Duration
 	// deadlyPath is the path of requests that crash the upstream that begins to run them.
 	deadlyPath string
+	// deadlyWork is how long such a request runs before the upstream crashes.
+	deadlyWork time.Duration
 	// turnAway decides whether a request is answered 503 with X-Not-Executed.
 	turnAway func() bool
 	header   http.Header
@@ -143,6 +145,7 @@
 		return
 	}
 	u.isDown = true
+	u.node.fleet.rec.printf("%s: upstream %s crashes", u.node.name, u.id)
 	u.crashes = append(u.crashes, time.Now())
 	u.pings()
 	_ = u.listener.Close()
@@ -200,7 +203,7 @@
 	}
 	u.node.fleet.rec.printf("%s: upstream %s runs %s %s", u.node.name, id, requestID, r.URL.Path)
 	if b.deadlyPath != "" && r.URL.Path == b.deadlyPath {
-		u.node.fleet.rec.printf("%s: upstream %s crashes", u.node.name, id)
+		time.Sleep(b.deadlyWork)
 		pause := crashPause
 		if u.pause != nil {
 			pause = u.pause()
