--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts start.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/_standin
+go build -o target/review-standin ./review/testdata/platform
