--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -211,3 +213,79 @@
 		t.Errorf("call to a new run: got %v %s, want an answer", got.Outcome, got.Cause)
 	}
 }
+
+// TestCrashOfLeavingTargetBlocksNoCalls guards against requests that are never answered: an
+// answer names the target's departure while the crash of the same run is found.
+func TestCrashOfLeavingTargetBlocksNoCalls(t *testing.T) {
+	listening, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listening.Close()
+	d := newLimitedDaemon(t, &limitedTarget{})
+	err = d.announcer.Announce(announcer.Announcement{
+		Service: "payout-desk", Address: listening.Addr().String(), State: tracker.StateReady.String(), RunID: "r1", Epoch: 1, Sequence: 1, Slots: 12,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Two requests run at the target when it crashes: one is lost, the other is answered.
+	answering, lost := make(chan struct{}), make(chan struct{})
+	d.executor.Exchange = func(ctx context.Context, base string, req *requester.Request) (*requester.Response, error) {
+		if req.Target == "/lost" {
+			<-answering
+			return nil, &requester.LostError{Cause: io.ErrUnexpectedEOF}
+		}
+		close(answering)
+		<-lost
+		return leavingExchange(new(int))(ctx, base, req)
+	}
+	// The announcer is told of the departure only while it reports the crash.
+	departing, crashing := make(chan struct{}), make(chan struct{})
+	markLeaving, onChange := d.executor.OnLeaving, d.announcer.OnChange
+	d.executor.OnLeaving = func(run messenger.TargetRun) {
+		close(departing)
+		<-crashing
+		markLeaving(run)
+	}
+	d.announcer.OnChange = func(r tracker.Record) {
+		if r.State == tracker.StateGone {
+			close(crashing)
+		}
+		onChange(r)
+	}
+	call := func(path string) {
+		d.executor.Run(t.Context(), &messenger.Call{
+			ID: messenger.NewCallID(), Class: versioner.ClassLookup, Partner: "magnolia", Service: "payout-desk",
+			Method: http.MethodGet, Target: path, RemainingMS: 1500, ObjectiveMS: 400, Idempotent: true,
+		})
+	}
+	answered, detected := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(answered)
+		call("/answered")
+	}()
+	call("/lost")
+	close(lost)
+	<-departing
+	d.announcer.HeartbeatTimeout = time.Minute
+	d.announcer.ReportUnreachable()
+	ctx, stop := context.WithCancel(t.Context())
+	go func() {
+		defer close(detected)
+		d.announcer.Run(ctx)
+	}()
+	waitFor(t, "the call is answered", func() bool { return isClosed(answered) })
+	stop()
+	waitFor(t, "the announcer has reported the crash", func() bool { return isClosed(detected) })
+}
+
+// isClosed reports whether the channel is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
