--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -221,7 +221,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listening.Close()
+	defer func() { _ = listening.Close() }()
 	d := newLimitedDaemon(t, &limitedTarget{})
 	err = d.announcer.Announce(announcer.Announcement{
 		Service: "payout-desk", Address: listening.Addr().String(), State: tracker.StateReady.String(), RunID: "r1", Epoch: 1, Sequence: 1, Slots: 12,
