Keep departures of targets in the store

Cause: the departure was known to the processes only, the target's own daemon and those that had its record. The one read after a restart was a peer's record, and no peer had it.

A departure is now one key of the store for the instance, written before the acknowledgement; a daemon that starts reads it before it applies an announcement. A restored store gets its departures back from any daemon of the failure domain that notices. A planned stop after the target's end removes the key. This also closes the open problem of a late heartbeat in the first milliseconds after the restart of one daemon.

Ruled out: that the departure is not recorded at all (without the kill the late heartbeat changes nothing). Considered: a lease on the key (the store may end leases while it is down), and one key a failure domain (writers in conflict during a release).

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -41,6 +41,10 @@
 	// unreachable or sent no heartbeat, Returned how often a check or a call
 	// reached it again.
 	Checks, Vanished, Returned expvar.Int
+	// DeparturesSaved counts departures that were written to the store, DeparturesRecalled
+	// those of earlier processes that were read from it, StoreFailures the failed attempts
+	// at either.
+	DeparturesSaved, DeparturesRecalled, StoreFailures expvar.Int
 }
 
 // Announcer derives this daemon's membership record from the target's newest
@@ -55,6 +59,9 @@
 	// Predecessor returns the record that an earlier process of this daemon made, if it
 	// is known; nil means that it never is.
 	Predecessor func() (tracker.Record, bool)
+	// Departures keeps the departures of the target's runs beyond the end of this process.
+	// Nil keeps them in memory and in the records of other daemons only.
+	Departures *DepartureLog
 	// HeartbeatTimeout is the time without an announcement after which the
 	// target is marked as gone. With 0 the target need not send heartbeats, and
 	// the announcer opens connections to test whether it is reachable.
@@ -105,6 +112,7 @@
 	hasLeaving bool
 	// handedOver reports that this daemon gave its idempotency keys to others.
 	handedOver bool
+	departure  departureState
 }
 
 // run identifies one process lifetime of a target.
@@ -149,7 +157,7 @@
 		a.Counters.Refused.Add(1)
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	if err := a.Announce(in); err != nil {
+	if err := a.Receive(c.Request().Context(), in); err != nil {
 		a.Counters.Refused.Add(1)
 		return echo.NewHTTPError(http.StatusConflict, err.Error())
 	}
@@ -197,7 +205,8 @@
 	if in.RunID == "" {
 		return nil
 	}
-	if a.record.Sequence == 0 && in.state() == tracker.StateReady && a.wasLeaving(in.Epoch) {
+	hasLeft := a.wasSaved(in.Epoch) || a.record.Sequence == 0 && a.wasLeaving(in.Epoch)
+	if in.state() == tracker.StateReady && hasLeft {
 		return &StaleError{RunID: in.RunID, Sequence: in.Sequence}
 	}
 	if at, ok := a.departedIDs[in.RunID]; ok && time.Since(at) < lateArrivalWindow {
@@ -228,20 +237,31 @@
 	next.ColdMS = a.coldMS
 	announced := a.current.state()
 	next.TargetLeaving = a.isLeaving() || announced == tracker.StateDraining || announced == tracker.StateGone
+	if next.TargetLeaving {
+		a.setDeparture(next.Epoch)
+	}
 	same := a.record
 	same.Sequence++
 	if a.record.Sequence > 0 && next == same {
 		return
 	}
 	a.record = next
-	if a.Log != nil {
-		a.Log.Info("target-state", zap.String("run-id", a.current.RunID), zap.Uint64("epoch", next.Epoch),
-			zap.String("service", next.Service), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
-			zap.Int("slots", next.Slots), zap.Uint64("sequence", a.current.Sequence), zap.Bool("vanished", a.vanished))
-	}
+	a.logger().Info("target-state", zap.String("run-id", a.current.RunID), zap.Uint64("epoch", next.Epoch),
+		zap.String("service", next.Service), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
+		zap.Int("slots", next.Slots), zap.Uint64("sequence", a.current.Sequence), zap.Bool("vanished", a.vanished))
 	a.OnChange(next)
 }
 
+var noLog = zap.NewNop()
+
+// logger returns Log, or a logger that discards everything if Log is nil.
+func (a *Announcer) logger() *zap.Logger {
+	if a.Log == nil {
+		return noLog
+	}
+	return a.Log
+}
+
 // state combines the announced state with the results of the checks and the
 // daemon's own shutdown: gone takes precedence over draining, and draining over
 // the announced state. The caller holds mu.
--- a/announcer/check.go
+++ b/announcer/check.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,9 +29,13 @@
 	vanishThreshold = 2
 )
 
-// Run monitors the target until ctx ends. It marks an unreachable target as
-// gone, and restores its announced state when the target is reachable again.
+// Run monitors the target and keeps its departures until ctx ends. It marks an
+// unreachable target as gone, and restores its announced state when the target is
+// reachable again.
 func (a *Announcer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { a.keepDepartures(ctx) })
 	if a.HeartbeatTimeout > 0 {
 		a.watchHeartbeats(ctx)
 		return
--- a/announcer/departure.go
+++ b/announcer/departure.go
@@ -44,6 +44,9 @@
 		r = a.current.run()
 	}
 	a.markEnded(r)
+	if epoch >= a.current.Epoch {
+		a.setDeparture(epoch)
+	}
 	if r != a.current.run() {
 		if epoch == 0 {
 			a.recordDeparture(runID)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,7 @@
 			Domain: cfg.FailureDomain, PeerAddress: cfg.PeerAddress, LinkKbps: int(cfg.LinkMbps * 1000),
 		},
 		Predecessor: d.predecessor,
+		Departures:  &announcer.DepartureLog{Store: store, InstanceID: cfg.InstanceID},
 		OnChange: func(r tracker.Record) {
 			d.executor.ObserveTarget(r.State == tracker.StateGone && !r.TargetLeaving)
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -146,6 +146,7 @@
 			if acknowledged && now.Sub(start) > min(minDrainTime, limit/2) {
 				d.handOverAndLeave(abort)
 				d.flushDeparture(serving)
+				d.forgetDeparture(serving)
 				d.log.Info("stopped")
 				return nil
 			}
@@ -161,6 +162,14 @@
 	d.spreader.Flush(ctx)
 }
 
+// forgetDeparture removes the saved departure of a target that has ended, for at most
+// closeTimeout.
+func (d *Daemon) forgetDeparture(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	d.announcer.ForgetDeparture(ctx)
+}
+
 // reportInterrupted returns an *InterruptedError that counts the requests and
 // calls in flight, or nil if there are none.
 func (d *Daemon) reportInterrupted() error {
