Carry no request again on the connection that refused it

Cause: responses are matched by the request's ID, and a call comes back to a target that refused it, where no other is left, with the same ID and over a kept connection. The repeated refusal then matches the second attempt.

A connection now remembers the IDs that it carried error responses to, and carries none of them again. It is closed after 64, so that the list stays short and none is forgotten. Where the bound on connections leaves no room for another one, the oldest idle one is closed.

TestRepeatedRefusalAnswersNoLaterAttempt failed before in its three cases: "got Status:503 ..., want the answer of its run".

--- a/requester/conn.go
+++ b/requester/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,9 @@
 	// maxStrayResponses is the number of responses to other requests that are
 	// discarded on one connection; the next one closes the connection.
 	maxStrayResponses = 4
+	// maxRefusedIDs is the number of refused requests after which a connection is closed, since
+	// it keeps their IDs.
+	maxRefusedIDs = 64
 	// bodySendTimeout bounds the time to send the rest of a request's body after the
 	// target has responded early.
 	bodySendTimeout = time.Second
@@ -45,6 +49,9 @@
 	// usableUntil is when an idle connection becomes too old for another request.
 	usableUntil time.Time
 	idleSince   time.Time
+	// refusedIDs holds the IDs of the requests that got an error response. A faulty target may
+	// write such a response again, and the ID would not tell it from that to a later attempt.
+	refusedIDs []string
 }
 
 // pending is the request that a connection is carrying.
@@ -74,6 +81,26 @@
 	return c
 }
 
+// hasRefused reports whether the connection has carried an error response to a request with
+// the ID.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return id != "" && slices.Contains(c.refusedIDs, id)
+}
+
+// recordRefusal records the ID of a request that got an error response, and reports whether
+// the connection may carry further requests.
+func (c *conn) recordRefusal(req *Request, res *Response) bool {
+	if req.ID == "" || res.Status < http.StatusBadRequest {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusedIDs = append(c.refusedIDs, req.ID)
+	return len(c.refusedIDs) < maxRefusedIDs
+}
+
 // isReusable reports whether the idle connection may carry another request.
 func (c *conn) isReusable(now time.Time, isRepeatable bool) bool {
 	c.mu.Lock()
@@ -186,7 +213,7 @@
 			}
 			continue
 		}
-		isClean := stray == 0 && c.br.Buffered() == 0
+		isClean := stray == 0 && c.br.Buffered() == 0 && c.recordRefusal(p.req, res)
 		if !isClean || keep == 0 || !c.recycle(p, keep) {
 			c.deliverLast(p, res)
 			c.close(errRetired)
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,7 +146,7 @@
 // connection, so that the target notices that the response is no longer wanted.
 func (r *Requester) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
 	for {
-		c, err := r.acquire(ctx, addr, req.IsRepeatable)
+		c, err := r.acquire(ctx, addr, req)
 		if err != nil {
 			return nil, err
 		}
@@ -160,8 +161,9 @@
 }
 
 // acquire returns a connection for one request: the most recently used idle one that
-// is reusable, or else a new one. It fails with a *NotSentError.
-func (r *Requester) acquire(ctx context.Context, addr string, isRepeatable bool) (*conn, error) {
+// is reusable and has not refused the same request, or else a new one. It fails with a
+// *NotSentError.
+func (r *Requester) acquire(ctx context.Context, addr string, req *Request) (*conn, error) {
 	r.mu.Lock()
 	if addr != r.addr {
 		r.closeIdle()
@@ -169,10 +171,12 @@
 		r.repeatsIDs.Store(false)
 	}
 	now := time.Now()
-	for len(r.idle) > 0 {
-		c := r.idle[len(r.idle)-1]
-		r.idle = r.idle[:len(r.idle)-1]
-		if !c.isReusable(now, isRepeatable) {
+	for {
+		c := r.takeIdle(req.ID)
+		if c == nil {
+			break
+		}
+		if !c.isReusable(now, req.IsRepeatable) {
 			r.mu.Unlock()
 			c.close(errRetired)
 			r.mu.Lock()
@@ -183,9 +187,17 @@
 		r.Counters.Reused.Add(1)
 		return c, nil
 	}
-	if r.MaxConnections != nil && r.open >= max(1, r.MaxConnections()) {
+	for r.MaxConnections != nil && r.open >= max(1, r.MaxConnections()) {
+		if len(r.idle) == 0 {
+			r.mu.Unlock()
+			return nil, &NotSentError{Cause: errBusy}
+		}
+		// All idle connections have refused the same request.
+		oldest := r.idle[0]
+		r.idle = r.idle[1:]
 		r.mu.Unlock()
-		return nil, &NotSentError{Cause: errBusy}
+		oldest.close(errRetired)
+		r.mu.Lock()
 	}
 	r.open++
 	r.mu.Unlock()
@@ -202,6 +214,18 @@
 	return c, nil
 }
 
+// takeIdle removes and returns the most recently used idle connection that has not refused a
+// request with the ID, or returns nil. The caller holds mu.
+func (r *Requester) takeIdle(id string) *conn {
+	for i, c := range slices.Backward(r.idle) {
+		if !c.hasRefused(id) {
+			r.idle = slices.Delete(r.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // dial opens a connection to the target.
 func (r *Requester) dial(ctx context.Context, addr string) (net.Conn, error) {
 	timeout := r.DialTimeout
