--- a/requester/cut_test.go
+++ b/requester/cut_test.go
@@ -11,7 +11,7 @@
 // TestCutHeadIsNoResponse guards against an answer that ends in its head, or later before its
 // end, and is passed on as whole.
 func TestCutHeadIsNoResponse(t *testing.T) {
-	head := "HTTP/1.1 200 OK\r\n" + idField + ": a\r\nX-Server-Seal: 3e1b.07\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + idField + ": a\r\nX-Seal: 3e1b.07\r\n"
 	tests := []struct {
 		name, text string
 		// whole is the number of bytes from which the response counts as whole.
