--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -16,6 +16,10 @@
 	maxNameLength        = 128       // bytes of the service name or run id
 	maxLimit             = 100_000   // slots or connections
 	maxColdMS            = 3_600_000 // one hour
+	// maxEpoch and maxSequence leave room for later runs and announcements: nothing replaces
+	// the highest number.
+	maxEpoch    = 1 << 62
+	maxSequence = 1 << 53
 )
 
 // Announcement is the JSON body by which a target describes itself to its
@@ -120,8 +124,8 @@
 	if a.Service == "" || len(a.Service) > maxNameLength {
 		return &InvalidError{"service", fmt.Sprintf("must have 1 to %d bytes", maxNameLength)}
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return &InvalidError{"address", fmt.Sprintf("must be IP:port, got %q", a.Address)}
+	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		return &InvalidError{"address", fmt.Sprintf("must be IP:port, got %.80q", a.Address)}
 	}
 	if a.state() == 0 {
 		return &InvalidError{"state", fmt.Sprintf("must be warming, ready, draining or gone, got %q", a.State)}
@@ -132,6 +136,12 @@
 	if a.Connections < 0 || a.Connections > maxLimit {
 		return &InvalidError{"connections", fmt.Sprintf("must be 0 to %d, got %d", maxLimit, a.Connections)}
 	}
+	if a.Epoch > maxEpoch {
+		return &InvalidError{"epoch", fmt.Sprintf("must be at most %d, got %d", uint64(maxEpoch), a.Epoch)}
+	}
+	if a.Sequence > maxSequence {
+		return &InvalidError{"sequence", fmt.Sprintf("must be at most %d, got %d", uint64(maxSequence), a.Sequence)}
+	}
 	if len(a.RunID) > maxNameLength {
 		return &InvalidError{"run-id", fmt.Sprintf("must have at most %d bytes", maxNameLength)}
 	}
