Ignore membership records with fields out of bounds

A record with the largest incarnation took a target out of use for good: its daemon refutes a record by the next incarnation, which was 0. A port out of range or an unknown state was kept and passed on.

Records of peers are checked field by field; those that fail are counted and logged, and the others of the message hold.

TestOddRecordMovesNoState before: "targets in use: got [b c], want [a b]".

--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -85,10 +85,18 @@
 	return changed
 }
 
-// handleMembers merges records that a peer sent and refutes those that replaced
-// this daemon's own record.
+// handleMembers merges the valid ones of the records that a peer sent and refutes those that
+// replaced this daemon's own record.
 func (s *Spreader) handleMembers(_ context.Context, records []tracker.Record, from *session) {
-	for _, r := range s.mergeAndPush(records, from.id, false) {
+	valid := slices.DeleteFunc(slices.Clone(records), func(r tracker.Record) bool {
+		err := r.Validate()
+		if err != nil {
+			s.Counters.Malformed.Add(1)
+			s.Log.Warn("record-malformed", zap.String("peer", from.node.InstanceID), zap.Error(err))
+		}
+		return err != nil
+	})
+	for _, r := range s.mergeAndPush(valid, from.id, false) {
 		if r.InstanceID == s.InstanceID {
 			s.refute(r)
 		}
