Count a relay slot without an address as vacant

A value that is no address under a relay slot's key kept all daemons from claiming the slot, since it may name a live relay; with all slots of a failure domain, its daemons joined nothing.

A slot whose value is no address with a port from 1 to 65535 is vacant now, and is claimed by a write that expects its revision.

TestOddSlotsKeepNoRelayOut before: "slots with the value "\x00\xff": got none that can be claimed, want all".

--- a/logger/events.go
+++ b/logger/events.go
@@ -63,6 +63,8 @@
 		{"target-notice-malformed", "an answer of the target has a rate limit that is not a number of calls per second; the former one holds", "run-id, error"},
 		{"target-gave-no-answer", "the target received a call, but returned no complete answer; the digest is the same for all repeats of a request by one partner", "request-id, cause, request-digest, ran, error"},
 		{"request-quarantined", "targets ended each time that they ran the request, which is not run from now on; learned says that another daemon found it", "request-digest, service, partner, crashes, for, learned"},
+		{"record-malformed", "a peer sent a membership record with a field out of bounds; the record is ignored, the others hold", "peer, error"},
+		{"slot-malformed", "a relay slot in the store holds no address; it counts as vacant", "slot"},
 		{"quarantine-malformed", "the store's record of quarantined requests can't be read; the next one replaces it", "error"},
 		{"request-cleared", "a target has run the request to its end, after others had ended while they ran it", "request-digest, service, crashes"},
 		{"target-crashed", "a run of the target ended, without having said that it leaves, while it was running calls", "run-id, epoch, interrupted, request-digests"},
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -172,9 +172,19 @@
 		if item.Key == quarantineKey {
 			s.loadQuarantine(item)
 		}
-		if domain, ok := slotDomain(item.Key); ok {
-			slots = append(slots, slot{key: item.Key, domain: domain, addr: string(item.Value), revision: item.Revision})
+		domain, ok := slotDomain(item.Key)
+		if !ok {
+			continue
+		}
+		o := slot{key: item.Key, domain: domain, revision: item.Revision}
+		if addr := string(item.Value); tracker.IsAddress(addr) {
+			o.addr = addr
+		} else {
+			// The slot is vacant, so that a relay can claim it.
+			s.Counters.Malformed.Add(1)
+			s.Log.Warn("slot-malformed", zap.String("slot", item.Key))
 		}
+		slots = append(slots, o)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/spreader/malformed_test.go
+++ b/spreader/malformed_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -120,3 +123,61 @@
 		}
 	})
 }
+
+// TestOddRecordMovesNoState guards against a daemon whose own record is never believed again,
+// or that calls a target without an address, because of one odd record among others.
+func TestOddRecordMovesNoState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newIdleSpreader()
+		own := tracker.Record{InstanceID: "a", Incarnation: 5, Sequence: 1, Service: "payout-desk", PeerAddress: "10.0.0.1:7101", State: tracker.StateReady}
+		other := own
+		other.InstanceID, other.PeerAddress = "b", "10.0.0.2:7101"
+		s.Announce(t.Context(), []tracker.Record{own})
+		poisoned, unreachable, unknown := own, other, other
+		poisoned.Incarnation, poisoned.State = math.MaxUint64, tracker.StateGone
+		unreachable.InstanceID, unreachable.PeerAddress = "c", "10.0.0.3:65536"
+		unknown.InstanceID, unknown.State = "d", 9
+		s.handle(t.Context(), newIdleSession(s), &messenger.Members{Records: []tracker.Record{poisoned, unreachable, other, unknown}})
+		s.reannounceOwn()
+		var got []string
+		for _, r := range s.Table.Service("payout-desk") {
+			got = append(got, r.InstanceID)
+		}
+		if want := []string{"a", "b"}; !slices.Equal(got, want) {
+			t.Errorf("targets in use: got %v, want %v", got, want)
+		}
+		if got := len(s.Table.All()); got != 2 {
+			t.Errorf("records: got %d, want 2", got)
+		}
+		if got := s.Counters.Malformed.Value(); got != 3 {
+			t.Errorf("malformed records: got %d, want 3", got)
+		}
+	})
+}
+
+// TestOddSlotsKeepNoRelayOut guards against a failure domain without relays, whose daemons
+// join nothing, because another writer left odd values under the slots' keys.
+func TestOddSlotsKeepNoRelayOut(t *testing.T) {
+	for _, value := range []string{"", "\x00\xff", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", strings.Repeat("[", 4096), "10.0.0.1:99999999999999999999"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newIdleSpreader()
+			s.PeerAddress = "10.0.0.1:7101"
+			for n := range s.cfg.Slots {
+				if _, err := s.Store.CompareAndSwap(t.Context(), slotKey(s.Domain, n), []byte(value), 0, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			slots, err := s.readSlots(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			free, ok := s.claimableSlot(s.ownSlots(slots), "")
+			if !ok {
+				t.Fatalf("slots with the value %.20q: got none that can be claimed, want all", value)
+			}
+			if _, err := s.Store.CompareAndSwap(t.Context(), free.key, []byte(s.PeerAddress), free.revision, 0); err != nil {
+				t.Errorf("claim of a slot with the value %.20q: got error %v, want none", value, err)
+			}
+		})
+	}
+}
