Try a suspected request in one run in the fleet

Cause: a target's gate admitted all repeats of the request that is tried, and each daemon chose the target of the trial by its own view, so that one request was tried at several targets when targets came back together or the target of a trial had just ended. A trace of TestDeadlyRequestThatComesEverywhereAtOnce shows the latter: the target of the trial ends at 6.100 s, and a call of that moment runs at the next one.

The gate now admits one call; its repeats wait for the verdict within their objective. A target's daemon tries a request only if its view has that target as the one to try it and the service's targets and runs have been the same for half a second, and otherwise refuses the call at once with the time at which to come back. Ten seconds after the last crash it is tried anyway.

TestGateAdmitsOneRequestAtATime and a row of TestSuspectsOnTrialRunAlone expected repeats on trial to run together, which is the fault; what replaces them expects one call at a time.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,6 +101,7 @@
 		Quarantine: d.quarantine,
 	}
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
+	d.executor.TrialHolder = d.forwarder.TrialHolder
 	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits, Log: d.log}
 	d.forwarder.Retrier.Daemons = d.fleetSize
 	if cfg.Platform {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -72,6 +72,11 @@
 	CauseQuarantined = "request-quarantined"
 	CauseSuspected   = "request-suspected"
 	CauseTrialQueue  = "trial-queue"
+	// CauseTrialUnsettled means that the targets of the service have just changed, so that
+	// daemons may disagree where the request is tried, and CauseTrialElsewhere that this
+	// target is not the one.
+	CauseTrialUnsettled = "trial-unsettled"
+	CauseTrialElsewhere = "trial-elsewhere"
 	// CauseInternal means that this daemon failed while it handled the call.
 	CauseInternal = "internal-error"
 )
@@ -145,6 +150,10 @@
 	// Quarantine holds the requests under which targets have ended; nil runs them like all
 	// others.
 	Quarantine *quarantiner.Table
+	// TrialHolder returns the instance at whose target the request, which is on trial, runs,
+	// and for how long the targets of the service have been the same. If it is nil, that is
+	// always this one.
+	TrialHolder func(service string, request quarantiner.Digest) (instanceID string, settled time.Duration)
 	// OnInterrupt, unless nil, is called when the target broke a connection while it was
 	// running a call, and still accepts others.
 	OnInterrupt func()
--- a/executor/trial.go
+++ b/executor/trial.go
@@ -14,6 +14,12 @@
 	defaultTrialWait = time.Second
 	// trialRetryAfter is when a call may come back that could not get a trial in time.
 	trialRetryAfter = 200 * time.Millisecond
+	// trialSettleTime is how long the targets of a service must have been the same before one
+	// of them tries a request. By then all daemons know them, and the crash of the last trial.
+	trialSettleTime = 500 * time.Millisecond
+	// trialPatience is the time since a request's last crash after which it is tried although
+	// the targets of its service go on changing.
+	trialPatience = 10 * time.Second
 )
 
 // admitSuspect admits the run of a call as far as crashes that are held against its request
@@ -35,9 +41,10 @@
 		return nil, refusal
 	}
 	// Another trial may have ended meanwhile.
-	if t.Judge(r.contentDigest(), r.call.Service).Status != quarantiner.StatusSuspected {
+	isCleared := t.Judge(r.contentDigest(), r.call.Service).Status == quarantiner.StatusClear
+	if refusal := x.refuseSuspect(r); refusal != nil || isCleared {
 		x.trials.Leave()
-		return func() {}, x.refuseSuspect(r)
+		return func() {}, refusal
 	}
 	r.isTrial = isTrial
 	t.Counters.Trials.Add(1)
@@ -45,7 +52,7 @@
 }
 
 // refuseSuspect returns the refusal of a call whose request is quarantined, or suspected
-// without the call being a trial, and otherwise nil.
+// and not to run at this target now, and otherwise nil.
 func (x *Executor) refuseSuspect(r *run) *messenger.Answer {
 	t := x.Quarantine
 	if t == nil || t.IsEmpty() {
@@ -60,6 +67,25 @@
 		// The entry daemon does not know the suspicion, and chose this target for other
 		// reasons than a trial.
 		return x.notRunSuspect(r, CauseSuspected, 0)
+	case verdict.IsOnTrial() && !r.call.IsKeyed():
+		return x.refuseTrial(r, verdict)
+	}
+	return nil
+}
+
+// refuseTrial returns the refusal of a call on trial that is not to run at this target now,
+// and otherwise nil. All daemons know the same targets once these have settled, so that the
+// request then runs at one of them only.
+func (x *Executor) refuseTrial(r *run, verdict quarantiner.Verdict) *messenger.Answer {
+	if x.TrialHolder == nil {
+		return nil
+	}
+	holder, settled := x.TrialHolder(r.call.Service, r.contentDigest())
+	switch {
+	case settled < trialSettleTime && verdict.SinceCrash < trialPatience:
+		return x.notRunSuspect(r, CauseTrialUnsettled, trialSettleTime-settled)
+	case holder != x.InstanceID:
+		return x.notRunSuspect(r, CauseTrialElsewhere, trialRetryAfter)
 	}
 	return nil
 }
--- a/forwarder/deadlyfleet_test.go
+++ b/forwarder/deadlyfleet_test.go
@@ -128,6 +128,7 @@
 		Applier: apply, InstanceID: id, RunLocal: d.executor.Run, Dial: f.network.dialCalls, Quarantine: d.quarantine,
 		Picker: &picker.Picker{Table: table, Domain: domain, Source: &lockedSource{source: rand.NewPCG(1, uint64(i))}},
 	}
+	d.executor.TrialHolder = d.forwarder.TrialHolder
 	mux := http.NewServeMux()
 	mux.HandleFunc(messenger.ControlPath, func(w http.ResponseWriter, r *http.Request) {
 		if link, err := messenger.Accept(w, r); err == nil {
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -61,8 +61,7 @@
 // pickForTrial chooses the target at which the call of a suspected request is tried. It
 // refuses the attempt if the service would have no target left in case this one ends.
 func (f *Forwarder) pickForTrial(x *exchange, need picker.Need, s *suspect) (picker.Choice, *messenger.Answer) {
-	rank := func(instanceID string) uint64 { return messenger.Rank(messenger.KeyID(s.request), instanceID) }
-	choice, accepting, ok := f.Picker.PickForTrial(x.policy, need, x.triedInTrials(), rank)
+	choice, accepting, ok := f.Picker.PickForTrial(x.policy, need, x.triedInTrials(), trialRank(s.request))
 	if !ok {
 		return choice, refuseAttempt(x, causeNoTarget, unavailableRetryAfterMS)
 	}
@@ -73,6 +72,17 @@
 	return choice, nil
 }
 
+// trialRank returns the order in which targets try the request: the highest rank is first.
+func trialRank(request quarantiner.Digest) func(instanceID string) uint64 {
+	return func(instanceID string) uint64 { return messenger.Rank(messenger.KeyID(request), instanceID) }
+}
+
+// TrialHolder returns the instance at whose target a request on trial runs, and for how long
+// the targets of the service have been the same, as far as this daemon knows.
+func (f *Forwarder) TrialHolder(service string, request quarantiner.Digest) (instanceID string, settled time.Duration) {
+	return f.Picker.TrialHolder(service, trialRank(request))
+}
+
 // staysAtTarget reports whether the call may not be sent to another target, although this one
 // refused it for lack of capacity: a request on trial runs at one target at a time.
 func (f *Forwarder) staysAtTarget(x *exchange, answer *messenger.Answer) bool {
--- a/forwarder/suspect_test.go
+++ b/forwarder/suspect_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/tracker"
 )
@@ -45,6 +46,7 @@
 			f.executor.Quarantine = new(quarantiner.Table)
 		}
 		f.executor.Requester.Dial = mt.dial
+		f.executor.TrialHolder = (&Forwarder{Picker: &picker.Picker{Table: f.table}}).TrialHolder
 		f.handle = func(r *http.Request, body string) (*http.Response, error) {
 			answer, err := mt.mortalProcess.run(r.Context(), body)
 			if err != nil {
--- a/picker/trial.go
+++ b/picker/trial.go
@@ -1,6 +1,10 @@
 package picker
 
-import "bambooweir.example/bambooweir/applier"
+import (
+	"time"
+
+	"bambooweir.example/bambooweir/applier"
+)
 
 // PickForTrial chooses the target for a call of a suspected request: the one with the highest
 // rank, so that all daemons send the repeats of the request to the same target. Targets that
@@ -10,9 +14,31 @@
 // The load of the targets does not count: the target's daemon makes the call wait.
 func (p *Picker) PickForTrial(policy *applier.Policy, need Need, tried Tried, rank func(instanceID string) uint64) (c Choice, accepting int, ok bool) {
 	now := p.now()
-	var best *target
+	best, accepting := p.view(policy.Service, now).bestForTrial(&tried, rank)
+	if best == nil {
+		p.Counters.None.Add(1)
+		return Choice{}, accepting, false
+	}
+	c = p.newChoice(best, policy, ReasonTrial, now)
+	c.need = need
+	return c, accepting, true
+}
+
+// TrialHolder returns the instance whose target tries a suspected request with the rank, ""
+// if no target accepts calls, and for how long the targets of the service have been the same.
+func (p *Picker) TrialHolder(service string, rank func(instanceID string) uint64) (instanceID string, settled time.Duration) {
+	best, _ := p.view(service, p.now()).bestForTrial(new(Tried), rank)
+	if best == nil {
+		return "", 0
+	}
+	return best.record.Load().InstanceID, time.Since(p.Table.ReadySince(service))
+}
+
+// bestForTrial returns the target with the highest rank among those that accept calls and
+// were not tried, nil if there is none, and the number of those that accept calls.
+func (v *view) bestForTrial(tried *Tried, rank func(instanceID string) uint64) (best *target, accepting int) {
 	var highest uint64
-	for _, t := range p.view(policy.Service, now).all {
+	for _, t := range v.all {
 		if t.isDraining() || t.domain.lost.Load() {
 			continue
 		}
@@ -24,11 +50,5 @@
 			best, highest = t, r
 		}
 	}
-	if best == nil {
-		p.Counters.None.Add(1)
-		return Choice{}, accepting, false
-	}
-	c = p.newChoice(best, policy, ReasonTrial, now)
-	c.need = need
-	return c, accepting, true
+	return best, accepting
 }
--- a/quarantiner/gate.go
+++ b/quarantiner/gate.go
@@ -18,10 +18,10 @@
 	return fmt.Sprintf("%d calls of suspected requests wait already", e.Waiting)
 }
 
-// Gate admits the suspected requests of one group at a time to a target, and any number of
-// calls of that group. A group holds the repeats of one request: if the target ends, no other
-// suspect can have been the cause. Calls of other groups wait in the order in which they came.
-// The zero value is open.
+// Gate admits one suspected request on trial at a time to a target: if the target ends, no
+// other can have been the cause, and its repeats wait for the verdict. The calls of the zero
+// group, which are not on trial, run beside each other. Calls that wait are admitted in the
+// order in which they came. The zero value is open.
 type Gate struct {
 	mu      sync.Mutex
 	running int
@@ -40,7 +40,7 @@
 // the context.
 func (g *Gate) Enter(ctx context.Context, group Digest) error {
 	g.mu.Lock()
-	if g.running == 0 || g.group == group && len(g.waiting) == 0 {
+	if g.running == 0 || g.group == group && group.admitsRepeats() && len(g.waiting) == 0 {
 		g.running, g.group = g.running+1, group
 		g.mu.Unlock()
 		return nil
@@ -85,5 +85,11 @@
 		close(g.waiting[0].admitted)
 		g.running++
 		g.waiting = g.waiting[1:]
+		if !g.group.admitsRepeats() {
+			return
+		}
 	}
 }
+
+// admitsRepeats reports whether calls of the group run beside each other.
+func (d Digest) admitsRepeats() bool { return d == Digest{} }
--- a/tracker/queries.go
+++ b/tracker/queries.go
@@ -16,6 +16,16 @@
 	return v.ready[name]
 }
 
+// ReadySince returns when the ready targets of a service, or their runs, last changed. It is
+// zero if the service never had one.
+func (t *Table) ReadySince(service string) time.Time {
+	v := t.view.Load()
+	if v == nil {
+		return time.Time{}
+	}
+	return v.readySince[service]
+}
+
 // Draining returns the targets of a service in StateDraining, which accept no new
 // calls and are not gone, sorted by instance id. The caller must not modify the
 // slice.
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -75,6 +75,8 @@
 	ready    map[string][]Record
 	draining map[string][]Record
 	departed map[string][]Departure
+	// readySince holds, by service, when the ready targets or their runs last changed.
+	readySince map[string]time.Time
 }
 
 // Table is the set of known targets. The zero value is an empty table, ready to
@@ -237,14 +239,19 @@
 func (t *Table) publish(touched map[string]struct{}) {
 	next := &view{
 		ready: make(map[string][]Record), draining: make(map[string][]Record), departed: make(map[string][]Departure),
+		readySince: make(map[string]time.Time),
 	}
 	if old := t.view.Load(); old != nil {
 		next.ready = maps.Clone(old.ready)
 		next.draining = maps.Clone(old.draining)
 		next.departed = maps.Clone(old.departed)
+		next.readySince = maps.Clone(old.readySince)
 	}
 	for service := range touched {
 		ready, draining, departed := t.groupByState(service)
+		if !slices.EqualFunc(ready, next.ready[service], isSameRun) {
+			next.readySince[service] = time.Now()
+		}
 		setOrDelete(next.ready, service, ready)
 		setOrDelete(next.draining, service, draining)
 		setOrDelete(next.departed, service, departed)
@@ -286,6 +293,11 @@
 	return ready, draining, departed
 }
 
+// isSameRun reports whether two records are of the same run of a target and process of its daemon.
+func isSameRun(a, b Record) bool {
+	return a.InstanceID == b.InstanceID && a.Incarnation == b.Incarnation && a.Epoch == b.Epoch
+}
+
 func compareID(a, b Record) int { return cmp.Compare(a.InstanceID, b.InstanceID) }
 
 // Purge removes the records of the targets that this daemon learned to be gone
