Save quarantined requests again after a restore of the store

Cause: a quarantine was written once, by the daemons that found the crashes, and never compared with the store again.

A daemon that notices a restore now compares the store's record with its table within a second, and writes it if something is missing. One that finds all there writes nothing, so that a fleet writes once or twice.

--- a/daemon/restore.go
+++ b/daemon/restore.go
@@ -14,19 +14,20 @@
 const (
 	// headRestoreTimeout bounds the attempt to write a version that the store has lost.
 	headRestoreTimeout = 10 * time.Second
-	// departureRestoreTimeout bounds the attempt to write the departures that it has lost.
-	departureRestoreTimeout = time.Minute
-	// departureRestoreJitter is the longest wait before that, since all daemons that use the
-	// store learn of its return at the same time, and one of them is enough.
-	departureRestoreJitter = time.Second
+	// recordRestoreTimeout bounds the attempt to write the departures that it has lost.
+	recordRestoreTimeout = time.Minute
+	// recordRestoreJitter is the longest wait before departures and quarantined requests are
+	// written, since all daemons that use the store learn of its return at the same time, and
+	// one of them is enough.
+	recordRestoreJitter = time.Second
 )
 
 // handleRestore logs that the store came back from an older copy of its data, and writes
-// what this daemon knows and the store has lost: departures, and the newest version. A
-// configuration of the platform's operators is theirs to write again.
+// what this daemon knows and the store has lost: departures, quarantined requests, and the
+// newest version. A configuration of the platform's operators is theirs to write again.
 func (d *Daemon) handleRestore(former, era storer.Era) {
 	d.log.Warn("store-restored", zap.Uint64("era", uint64(era)), zap.Uint64("former-era", uint64(former)))
-	go d.restoreDepartures()
+	go d.restoreRecords()
 	if d.cfg.Load().Platform {
 		return
 	}
@@ -40,12 +41,14 @@
 	}()
 }
 
-// restoreDepartures writes the departures that the store has lost, of the targets in this
-// daemon's failure domain.
-func (d *Daemon) restoreDepartures() {
-	ctx, cancel := context.WithTimeout(context.Background(), departureRestoreTimeout)
+// restoreRecords writes what the store has lost of the quarantined requests, and of the
+// departures of the targets in this daemon's failure domain.
+func (d *Daemon) restoreRecords() {
+	ctx, cancel := context.WithTimeout(context.Background(), recordRestoreTimeout)
 	defer cancel()
-	if sleeper.Sleep(ctx, rand.N(departureRestoreJitter)) == nil {
-		d.announcer.RestoreDepartures(ctx, d.table.Domain(d.cfg.Load().FailureDomain))
+	if sleeper.Sleep(ctx, rand.N(recordRestoreJitter)) != nil {
+		return
 	}
+	d.quarantine.MarkUnsaved()
+	d.announcer.RestoreDepartures(ctx, d.table.Domain(d.cfg.Load().FailureDomain))
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -255,9 +255,22 @@
 }
 
 // Unsaved returns a channel that holds a token after a request was quarantined of which this
-// daemon found a crash, so that the daemons that found it save it, and not all that learn of it.
+// daemon found a crash, so that the daemons that found it save it, and not all that learn of
+// it, and after MarkUnsaved.
 func (t *Table) Unsaved() <-chan struct{} { return t.unsavedChan() }
 
+// MarkUnsaved makes Unsaved return a token if a request is quarantined, since what was saved
+// may be lost.
+func (t *Table) MarkUnsaved() {
+	if len(t.Quarantined()) == 0 {
+		return
+	}
+	select {
+	case t.unsavedChan() <- struct{}{}:
+	default:
+	}
+}
+
 // unsavedChan returns unsaved and makes it on the first call.
 func (t *Table) unsavedChan() chan struct{} {
 	t.unsavedOnce.Do(func() { t.unsaved = make(chan struct{}, 1) })
--- a/spreader/savedquarantine.go
+++ b/spreader/savedquarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -61,15 +62,20 @@
 	}
 }
 
-// trySave adds the quarantined requests of this daemon's table to those in the store.
+// trySave adds the quarantined requests of this daemon's table to those in the store, unless
+// these are the same.
 func (s *Spreader) trySave(ctx context.Context) error {
 	item, err := s.Store.Get(ctx, quarantineKey)
 	var missing *storer.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
 		return err
 	}
-	s.loadQuarantine(item)
-	value, err := cbor.Marshal(savedQuarantine{SavedAtMS: time.Now().UnixMilli(), Records: s.Quarantine.QuarantinedShare(maxSaved)})
+	saved := s.loadQuarantine(item)
+	records := s.Quarantine.QuarantinedShare(maxSaved)
+	if containsRecords(saved, records) {
+		return nil
+	}
+	value, err := cbor.Marshal(savedQuarantine{SavedAtMS: time.Now().UnixMilli(), Records: records})
 	if err != nil {
 		return err
 	}
@@ -77,21 +83,32 @@
 	return err
 }
 
-// loadQuarantine merges the quarantined requests of a store item into this daemon's table. An
-// item that can't be read holds none, and the next save replaces it.
-func (s *Spreader) loadQuarantine(item storer.Item) {
+// containsRecords reports whether the saved records hold all crashes of the others.
+func containsRecords(saved, others []quarantiner.Record) bool {
+	return !slices.ContainsFunc(others, func(r quarantiner.Record) bool {
+		return !slices.ContainsFunc(saved, func(s quarantiner.Record) bool {
+			return s.Request == r.Request && s.Service == r.Service && s.Cleared == r.Cleared && slices.Equal(s.Crashes, r.Crashes)
+		})
+	})
+}
+
+// loadQuarantine merges the quarantined requests of a store item into this daemon's table,
+// and returns them. An item that can't be read holds none, and the next save replaces it.
+func (s *Spreader) loadQuarantine(item storer.Item) []quarantiner.Record {
 	if s.Quarantine == nil || len(item.Value) == 0 {
-		return
+		return nil
 	}
 	var saved savedQuarantine
 	if err := cbor.Unmarshal(item.Value, &saved); err != nil {
 		s.Log.Warn("quarantine-malformed", zap.Error(err))
-		return
+		return nil
 	}
 	// Clocks of two machines may differ.
 	since := max(0, time.Now().UnixMilli()-saved.SavedAtMS)
 	for i := range saved.Records {
 		saved.Records[i].AgeMS += since
 	}
-	s.Quarantine.Merge(saved.Records[:min(len(saved.Records), maxSaved)], 0)
+	records := saved.Records[:min(len(saved.Records), maxSaved)]
+	s.Quarantine.Merge(records, 0)
+	return records
 }
--- a/spreader/suspicion_test.go
+++ b/spreader/suspicion_test.go
@@ -7,6 +7,7 @@
 
 	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/storer"
 )
 
 // waitStatus waits until all daemons of the fleet treat the request as want.
@@ -75,6 +76,62 @@
 	f.waitStatus(request, quarantiner.StatusQuarantined)
 }
 
+// TestQuarantineIsSavedAgainAfterARestore guards against a request that ends targets again:
+// the store comes back from a copy of before the quarantine, and then all daemons end.
+func TestQuarantineIsSavedAgainAfterARestore(t *testing.T) {
+	f := newFleet(t)
+	f.acceptVersion()
+	f.startMembers(3, "mobile-bay", "selma-row")
+	f.waitConverged()
+	f.waitMembers(6)
+	copied := f.store.Copy()
+	request := quarantiner.NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	for i, m := range f.members[:3] {
+		m.Quarantine.ReportCrash(request, "ledger-view", "magnolia", quarantiner.Crash{Run: uint64(i), IsTrial: i > 0})
+	}
+	f.waitStatus(request, quarantiner.StatusQuarantined)
+	f.store.Restore(copied)
+	// One daemon that found no crash learns of the restore.
+	f.members[5].Quarantine.MarkUnsaved()
+	f.waitFor("the quarantine in the store", func() (bool, string) {
+		item, err := f.store.Get(t.Context(), quarantineKey)
+		return err == nil, fmt.Sprint(len(item.Value), err)
+	})
+	before := slices.Clone(f.members)
+	for _, m := range before {
+		m.kill()
+	}
+	for _, m := range before {
+		f.restart(m)
+	}
+	f.waitStatus(request, quarantiner.StatusQuarantined)
+}
+
+// TestKnownQuarantineIsNotSavedAgain guards against a write by every daemon of the fleet after
+// a restore of the store.
+func TestKnownQuarantineIsNotSavedAgain(t *testing.T) {
+	s := newIdleSpreader()
+	s.Quarantine = new(quarantiner.Table)
+	request := quarantiner.NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	for run := range uint64(3) {
+		s.Quarantine.ReportCrash(request, "ledger-view", "magnolia", quarantiner.Crash{Run: run, IsTrial: true})
+	}
+	var revisions []storer.Revision
+	for range 2 {
+		if err := s.trySave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		item, err := s.Store.Get(t.Context(), quarantineKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revisions = append(revisions, item.Revision)
+	}
+	if revisions[0] != revisions[1] {
+		t.Errorf("revisions after the first and the second save: got %v, want the same", revisions)
+	}
+}
+
 // Daemons whose tables are full exchange no more than their records, once.
 func TestFullTablesOfSuspicionsComeToRest(t *testing.T) {
 	f := newFleet(t)
