Close a connection only for the request that it carries

A request ended as unknown when the context of the one before it on the connection ended just after that one had been answered: the connection was idle already, or carried the next request, and was closed (found by reading in the review).

The end of a context now closes the connection only while it carries that context's request. TestCancelledRequestLeavesTheNextOneAlone makes the order certain; with an unconditional close it fails: the second request gets "no complete response: context canceled".

--- a/requester/conn.go
+++ b/requester/conn.go
@@ -121,7 +121,7 @@
 	c.pending = p
 	p.written = true
 	c.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
+	stop := context.AfterFunc(ctx, func() { c.closePending(p, ctx.Err()) })
 	defer stop()
 	head := encodeHead(req)
 	if len(req.Body) <= readBufferBytes {
@@ -284,6 +284,22 @@
 // request with a *LostError.
 func (c *conn) close(cause error) {
 	c.mu.Lock()
+	c.closeAndUnlock(cause)
+}
+
+// closePending is like close, but does nothing if the connection is not carrying p any more:
+// it may carry another request already.
+func (c *conn) closePending(p *pending, cause error) {
+	c.mu.Lock()
+	if c.pending != p {
+		c.mu.Unlock()
+		return
+	}
+	c.closeAndUnlock(cause)
+}
+
+// closeAndUnlock implements close. The caller holds mu, which it releases.
+func (c *conn) closeAndUnlock(cause error) {
 	if c.closed != nil {
 		c.mu.Unlock()
 		return
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -335,3 +336,35 @@
 		}
 	}
 }
+
+// TestCancelledRequestLeavesTheNextOneAlone guards against a request that is lost because the
+// context of the one before it on the connection ends just after that one was answered.
+func TestCancelledRequestLeavesTheNextOneAlone(t *testing.T) {
+	release := make(chan struct{})
+	addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+		id := r.Header.Get(idField)
+		if id == "second" {
+			<-release
+		}
+		fmt.Fprint(c, responseText(id, id))
+		return true
+	})
+	r := &Requester{IDField: idField}
+	mustDo(t, r, addr, "first")
+	// The connection is idle, and the first request has not stopped to wait for its context.
+	c := r.idle[0]
+	first := &pending{req: newRequest("first")}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := r.Do(t.Context(), addr, newRequest("second"))
+		answered <- err
+	}()
+	for c.pendingRequest() == nil {
+		runtime.Gosched()
+	}
+	c.closePending(first, context.Canceled)
+	close(release)
+	if err := <-answered; err != nil {
+		t.Errorf("second request: got error %v, want an answer", err)
+	}
+}
