Carry header values that are not UTF-8

Cause: the decoder of messages rejects text that is not UTF-8, while the encoder writes it. It accepts such text now, and values arrive as they were sent.

TestBytesThatAreNotUTF8AreCarried before: "malformed message ... invalid UTF-8 string".

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -79,6 +79,17 @@
 	return mode
 }
 
+// decMode accepts text that is not UTF-8: header values may hold any bytes.
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // envelopeBytes is the usual encoded length of a message without its body.
 // Encode allocates this much in addition to the body.
 const envelopeBytes = 320
@@ -117,7 +128,7 @@
 	if m == nil {
 		return nil, &MalformedError{Kind: kind, Cause: errorx.IllegalFormat.New("unknown kind")}
 	}
-	if err := cbor.Unmarshal(b[1:], m); err != nil {
+	if err := decMode.Unmarshal(b[1:], m); err != nil {
 		return nil, &MalformedError{Kind: kind, Cause: err}
 	}
 	return m, nil
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -47,6 +47,26 @@
 	}
 }
 
+// TestBytesThatAreNotUTF8AreCarried guards against a link that is closed, with all its calls,
+// because of a header value with bytes that HTTP allows.
+func TestBytesThatAreNotUTF8AreCarried(t *testing.T) {
+	const value = "caf\xe9 \xff\x80"
+	call, answer := sampleCall(), sampleAnswer()
+	call.Headers = append(call.Headers, Header{Name: "X-Name", Value: value})
+	call.Target = "/shares/\xe9"
+	answer.Headers = append(answer.Headers, Header{Name: "X-Name", Value: value})
+	for _, want := range []Message{call, answer} {
+		b, err := Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(b)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("kind %d: got %+v, %v, want %+v", want.Kind(), got, err, want)
+		}
+	}
+}
+
 // Decode must return a *MalformedError for bytes that are no message, and what
 // it accepts must survive another round trip.
 func FuzzDecode(f *testing.F) {
