End the sending of a message with its context

A daemon waited for good for a peer that does not read: a write on a link ignores the context of its sender, so that a daemon's Run never ended (TestSilentSessionIsClosed hung in 2 of 8 processes of six repeats each, beside four busy processes).

Send returns when its context ends. The write that has begun goes on until the link ends, since to cancel it would close the link and fail all its calls. Senders that queue behind a write never waited.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -67,8 +67,8 @@
 // called concurrently; Receive must be called by one goroutine only.
 //
 // Messages are written in the order of the Send calls. A Send that finds no
-// write in progress writes its message and all those that other goroutines queue
-// meanwhile, so that no sender waits for a lock that is held during a write.
+// write in progress waits until its message and all those that other goroutines queue
+// meanwhile are written, so that no sender waits for a lock that is held during a write.
 type Link struct {
 	conn *websocket.Conn
 	// Traffic counts the link's bytes; nil disables counting. It must be set
@@ -115,9 +115,9 @@
 	return &Link{conn: conn}
 }
 
-// Send implements Conn. It checks ctx only before it queues the message and does
-// not cancel a write that has begun, because that would close the link and fail
-// all its calls.
+// Send implements Conn. When ctx ends, it returns, but does not cancel a write that has
+// begun, because that would close the link and fail all its calls. The write then ends with
+// the link.
 func (l *Link) Send(ctx context.Context, m Message) error {
 	if err := ctx.Err(); err != nil {
 		return err
@@ -130,7 +130,19 @@
 	if err != nil || !first {
 		return err
 	}
-	l.writeQueue()
+	if ctx.Done() == nil {
+		l.writeQueue()
+		return nil
+	}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.writeQueue()
+	}()
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
 	return nil
 }
 
