Bound the bodies that are being read

Cause: the bound on all bodies was checked by the handler, when the body was in memory; nothing bounded the bodies that were being read, and callers' requests and calls of other daemons had a bound each.

All bodies that a daemon reads or holds share one budget now, a quarter of its memory and 96 MiB at most. Bytes are taken before they are read and given back however the body ends.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -13,6 +13,24 @@
 	"bambooweir.example/bambooweir/versioner"
 )
 
+const (
+	// maxBodyBudgetBytes bounds the bodies that a daemon reads or holds.
+	maxBodyBudgetBytes = 96 << 20
+	// bodyBudgetPercent bounds them in percent of the process's memory. A body that is sent to
+	// another daemon is in memory twice.
+	bodyBudgetPercent = 25
+)
+
+// newBodyBudget returns the budget for the bodies of callers' requests and of calls from other
+// daemons together.
+func newBodyBudget(cfg *loader.Daemon) *limiter.ByteBudget {
+	budget := &limiter.ByteBudget{Max: maxBodyBudgetBytes}
+	if cfg.MemoryMB > 0 {
+		budget.Max = min(budget.Max, int64(cfg.MemoryMB*bodyBudgetPercent/100*(1<<20)))
+	}
+	return budget
+}
+
 // admit waits for one of the target's slots and returns the function that
 // releases it. If the limiter refuses the call, admit returns instead the answer
 // that tells the caller that the call has not run.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,7 +102,9 @@
 	}
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
 	d.executor.TrialHolder = d.forwarder.TrialHolder
-	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits, Log: d.log}
+	bodies := newBodyBudget(cfg)
+	d.executor.Bodies = bodies
+	d.callerServer = &listener.Server{Handler: d.forwarder, Limits: d.callerLimits, Bodies: bodies, Log: d.log}
 	d.forwarder.Retrier.Daemons = d.fleetSize
 	if cfg.Platform {
 		d.configurePlatform()
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -21,10 +21,6 @@
 	"bambooweir.example/bambooweir/requester"
 )
 
-// maxBufferedBytes limits the total size of the bodies of all calls from links that
-// are accepted and not yet answered.
-const maxBufferedBytes = 96 << 20
-
 // smallBodyBytes is the size below which a body takes about as long on a link as the
 // rest of its message. Only calls with smaller bodies are samples of the link's
 // delay.
@@ -159,6 +155,9 @@
 	OnInterrupt func()
 	// BodyPacer schedules the transfer of large bodies over the link of this instance.
 	BodyPacer limiter.BodyPacer
+	// Bodies bounds the bodies of the calls from links that are accepted and not yet answered;
+	// nil sets no bound.
+	Bodies *limiter.ByteBudget
 	// Calls records the calls from links, so that each of them begins at most once.
 	Calls          fencer.Fencer
 	KeyCoordinator KeyCoordinator
@@ -169,12 +168,9 @@
 	trials   quarantiner.Gate
 	stopping atomic.Bool // set by Drain
 	inFlight atomic.Int64
-	// buffered is the total size in bytes of the bodies of accepted calls from links.
-	buffered atomic.Int64
-
-	mu      sync.Mutex
-	links   map[*servedLink]struct{} // open links, which Drain notifies
-	running map[messenger.CallID]*run
+	mu       sync.Mutex
+	links    map[*servedLink]struct{} // open links, which Drain notifies
+	running  map[messenger.CallID]*run
 	// kept holds the running idempotent calls whose answers are to be kept.
 	kept map[messenger.CallID]struct{}
 
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -133,8 +133,8 @@
 	if len(call.Body) < smallBodyBytes {
 		x.BodyPacer.ObserveDelay(delay)
 	}
-	if x.buffered.Add(int64(len(call.Body))) > maxBufferedBytes {
-		x.buffered.Add(-int64(len(call.Body)))
+	size := int64(len(call.Body))
+	if !x.Bodies.Take(size, size) {
 		go x.send(ctx, l, messenger.NotRun(call.ID, CauseBuffersFull))
 		return
 	}
@@ -142,7 +142,7 @@
 	var full *fencer.FullError
 	var ended *fencer.LinkEndedError
 	if err != nil {
-		x.buffered.Add(-int64(len(call.Body)))
+		x.Bodies.Give(size)
 	}
 	switch {
 	case errors.As(err, &full):
@@ -174,7 +174,7 @@
 // serveCall runs a call that was accepted from a link, and answers it.
 func (x *Executor) serveCall(ctx context.Context, l *servedLink, call *messenger.Call, deadline time.Time) {
 	defer x.inFlight.Add(-1)
-	defer x.buffered.Add(-int64(len(call.Body)))
+	defer x.Bodies.Give(int64(len(call.Body)))
 	runCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -113,6 +113,9 @@
 			x.closesConn = true
 		}
 		if !c.enqueue(x) {
+			if refusal == nil {
+				c.server.Bodies.Give(req.ContentLength)
+			}
 			return
 		}
 		if refusal == nil {
@@ -194,6 +197,7 @@
 // handle runs the handler of a request.
 func (c *conn) handle(x *exchange, arrived time.Time) {
 	defer close(x.done)
+	defer c.server.Bodies.Give(x.req.ContentLength)
 	defer recoverer.Recover(c.server.Log, "request", func() {
 		// What the handler did before it failed is not known.
 		x.response = newResponse()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/limiter"
 )
 
 // Limits bounds the size and the time of callers' requests.
@@ -43,6 +45,8 @@
 	// Malformed counts invalid requests, TooLarge those that exceeded a size limit,
 	// and Slow those that did not arrive in time.
 	Malformed, TooLarge, Slow expvar.Int
+	// Crowded counts requests that were refused because the bodies of others took all room.
+	Crowded expvar.Int
 	// Departed counts the requests whose callers left before the answer.
 	Departed expvar.Int
 }
@@ -56,6 +60,8 @@
 	// Limits returns the limits for the next request of a connection.
 	Limits   func() Limits
 	Counters Counters
+	// Bodies bounds the bodies that are being read or handled; nil sets no bound.
+	Bodies *limiter.ByteBudget
 	// Log receives an event for each panic of Handler; nil disables logging.
 	Log *zap.Logger
 
--- a/listener/request.go
+++ b/listener/request.go
@@ -18,11 +18,16 @@
 type refusal struct {
 	status int
 	reason string
+	// retryAfter is the value of the Retry-After field, in seconds, unless it is "".
+	retryAfter string
 }
 
 // write writes the refusal to w.
 func (r *refusal) write(w *response) {
 	w.header.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.retryAfter != "" {
+		w.header.Set("Retry-After", r.retryAfter)
+	}
 	w.WriteHeader(r.status)
 	_, _ = w.Write([]byte(r.reason + "\n"))
 }
@@ -43,15 +48,15 @@
 	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head.bytes)))
 	if err != nil || req.Host == "" && req.ProtoAtLeast(1, 1) || head.isAmbiguous() {
 		c.server.Counters.Malformed.Add(1)
-		return nil, &refusal{http.StatusBadRequest, "malformed request"}
+		return nil, &refusal{status: http.StatusBadRequest, reason: "malformed request"}
 	}
 	if req.Method == http.MethodConnect || !strings.HasPrefix(req.RequestURI, "/") {
 		c.server.Counters.Malformed.Add(1)
-		return nil, &refusal{http.StatusBadRequest, "the request target must be a path"}
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the request target must be a path"}
 	}
 	if req.ContentLength > int64(limits.BodyBytes) {
 		c.server.Counters.TooLarge.Add(1)
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body is too large"}
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
 	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		c.sendContinue()
@@ -73,13 +78,13 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		c.server.Counters.TooLarge.Add(1)
-		return &refusal{http.StatusRequestHeaderFieldsTooLarge, "head is too large"}
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "head is too large"}
 	case errors.Is(err, errMalformed):
 		c.server.Counters.Malformed.Add(1)
-		return &refusal{http.StatusBadRequest, "malformed request"}
+		return &refusal{status: http.StatusBadRequest, reason: "malformed request"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.server.Counters.Slow.Add(1)
-		return &refusal{http.StatusRequestTimeout, "the head took too long"}
+		return &refusal{status: http.StatusRequestTimeout, reason: "the head took too long"}
 	}
 	return nil
 }
@@ -96,29 +101,77 @@
 	}
 }
 
-// readBody reads the whole body. It returns a refusal if the body is too large or
-// too slow, and an error if it could not be read, for example because the caller
-// has left.
+// readBody reads the whole body, whose bytes it takes from the budget before it reads them. It
+// returns a refusal if the body is too large or too slow or there is no room for it, and an
+// error if it could not be read, for example because the caller has left. Unless the body is
+// returned, its bytes are given back.
 func (c *conn) readBody(req *http.Request, limit int) ([]byte, *refusal, error) {
 	if len(req.TransferEncoding) == 0 {
-		if req.ContentLength <= 0 {
-			return nil, nil, nil
-		}
-		body := make([]byte, req.ContentLength)
-		_, err := io.ReadFull(c.br, body)
-		return body, c.refuseSlowBody(err), err
+		return c.readSizedBody(req)
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.br), int64(limit)+1))
-	if err == nil && len(body) > limit {
-		c.server.Counters.TooLarge.Add(1)
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body is too large"}, nil
+	return c.readChunkedBody(limit)
+}
+
+// readSizedBody implements readBody for a body of a stated length.
+func (c *conn) readSizedBody(req *http.Request) ([]byte, *refusal, error) {
+	if req.ContentLength <= 0 {
+		return nil, nil, nil
+	}
+	if !c.server.Bodies.Take(req.ContentLength, req.ContentLength) {
+		return nil, c.refuseCrowded(), nil
+	}
+	body := make([]byte, req.ContentLength)
+	if _, err := io.ReadFull(c.br, body); err != nil {
+		c.server.Bodies.Give(req.ContentLength)
+		return nil, c.refuseSlowBody(err), err
+	}
+	return body, nil, nil
+}
+
+// readChunkedBody implements readBody for a body in chunks.
+func (c *conn) readChunkedBody(limit int) ([]byte, *refusal, error) {
+	chunks := httputil.NewChunkedReader(c.br)
+	var body bytes.Buffer
+	taken := int64(0)
+	refuse := func(r *refusal, err error) ([]byte, *refusal, error) {
+		c.server.Bodies.Give(taken)
+		return nil, r, err
 	}
-	if err == nil {
-		err = skipTrailers(c.br)
+	for {
+		if !c.server.Bodies.Take(chunkedStepBytes, taken+chunkedStepBytes) {
+			return refuse(c.refuseCrowded(), nil)
+		}
+		taken += chunkedStepBytes
+		n, err := body.ReadFrom(io.LimitReader(chunks, chunkedStepBytes))
+		switch {
+		case err != nil:
+			return refuse(c.refuseSlowBody(err), err)
+		case body.Len() > limit:
+			c.server.Counters.TooLarge.Add(1)
+			return refuse(&refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}, nil)
+		case n == chunkedStepBytes:
+			continue
+		}
+		if err := skipTrailers(c.br); err != nil {
+			return refuse(c.refuseSlowBody(err), err)
+		}
+		c.server.Bodies.Give(taken - int64(body.Len()))
+		return body.Bytes(), nil, nil
 	}
-	return body, c.refuseSlowBody(err), err
 }
 
+// chunkedStepBytes is the size of the steps in which a body in chunks takes its bytes.
+const chunkedStepBytes = 16 << 10
+
+// refuseCrowded returns the refusal of a request for whose body there is no room.
+func (c *conn) refuseCrowded() *refusal {
+	c.server.Counters.Crowded.Add(1)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no room for the body", retryAfter: crowdedRetryAfter}
+}
+
+// crowdedRetryAfter is when a caller may come back for whose body there is no room, in seconds.
+const crowdedRetryAfter = "1"
+
 // refuseSlowBody returns the refusal of a request whose body did not arrive within
 // bodyTimeout, or nil if err is another error or nil.
 func (c *conn) refuseSlowBody(err error) *refusal {
@@ -126,7 +179,7 @@
 		return nil
 	}
 	c.server.Counters.Slow.Add(1)
-	return &refusal{http.StatusRequestTimeout, "the body took too long"}
+	return &refusal{status: http.StatusRequestTimeout, reason: "the body took too long"}
 }
 
 // maxTrailerBytes bounds the trailer section of a chunked body.
