Bound the age of a record of a crashing request

A record whose age is beyond what a duration holds counted as one of this moment: the request, innocent or not, was refused for ten minutes. Ages come from peers and from the store, and were only checked to be 0 or more.

TestRecordFromTheFutureQuarantinesNothing before: "age ms: got status 2 for 10m0s, want clear".

--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -22,6 +22,8 @@
 	suspicionLifetime = time.Hour
 	// maxCrashes bounds the crashes of one record.
 	maxCrashes = 8
+	// maxAgeMS bounds the age of a record, in milliseconds. Older ones have no effect.
+	maxAgeMS = int64(24 * time.Hour / time.Millisecond)
 	// maxNameBytes bounds the names in a record from another daemon.
 	maxNameBytes = 128
 )
@@ -65,7 +67,7 @@
 // isValid reports whether the record, which came from another daemon, says something and is
 // within the bounds.
 func (r *Record) isValid() bool {
-	return (r.Cleared > 0 || len(r.Crashes) > 0) && len(r.Service) <= maxNameBytes && len(r.Partner) <= maxNameBytes && len(r.Crashes) <= maxCrashes && r.AgeMS >= 0
+	return (r.Cleared > 0 || len(r.Crashes) > 0) && len(r.Service) <= maxNameBytes && len(r.Partner) <= maxNameBytes && len(r.Crashes) <= maxCrashes && r.AgeMS >= 0 && r.AgeMS <= maxAgeMS
 }
 
 // entry is a record of the table.
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -289,3 +290,17 @@
 		t.Errorf("records by partner: got %s, want %s", got, want)
 	}
 }
+
+// TestRecordFromTheFutureQuarantinesNothing guards against a request that is refused for years
+// because of a record whose age is beyond what a duration holds.
+func TestRecordFromTheFutureQuarantinesNothing(t *testing.T) {
+	request := NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	crashes := []Crash{{Run: 1, IsTrial: true}, {Run: 2, IsTrial: true}, {Run: 3, IsTrial: true}}
+	for _, ageMS := range []int64{math.MinInt64, -1, maxAgeMS + 1, math.MaxInt64/1_000_000 + 1, math.MaxInt64 / 500_000, math.MaxInt64} {
+		var table Table
+		table.Merge([]Record{{Request: request, Service: "ledger-view", Crashes: crashes, AgeMS: ageMS}}, 0)
+		if got := table.Judge(request, "ledger-view"); got.Status != StatusClear {
+			t.Errorf("age %d ms: got status %v for %v, want clear", ageMS, got.Status, got.Remaining)
+		}
+	}
+}
