Fuzz what is read back from the store

Departures and quarantined requests: no value ends a daemon, the next write replaces one that can't be read, and none holds a request back for longer than the longest quarantine.

--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -151,3 +151,26 @@
 		})
 	}
 }
+
+// FuzzSavedDeparture guards against a value of another writer that ends a daemon as it starts.
+func FuzzSavedDeparture(f *testing.F) {
+	for _, text := range []string{"", "\xa0", "\xa1\x01\x19\x03\xe8", "\xa1\x01\x1b\xff\xff\xff\xff\xff\xff\xff\xff", "\xa1\x01\x20", "\xf6", "\x9f\x9f\x9f\x9f", "1000"} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		store := new(fakestorer.Store)
+		log := &DepartureLog{Store: store, InstanceID: "d1"}
+		if _, err := store.CompareAndSwap(t.Context(), departurePrefix+"d1", value, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Load(t.Context()); err != nil {
+			t.Errorf("load: got error %v, want none", err)
+		}
+		if err := log.Save(t.Context(), 7); err != nil {
+			t.Errorf("next departure: got error %v, want none", err)
+		}
+		if got, err := log.Load(t.Context()); got != 7 || err != nil {
+			t.Errorf("load after the next departure: got %d, error %v, want 7", got, err)
+		}
+	})
+}
--- a/spreader/malformed_test.go
+++ b/spreader/malformed_test.go
@@ -8,13 +8,17 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/recoverer"
+	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -181,3 +185,27 @@
 		})
 	}
 }
+
+// FuzzLoadQuarantine guards against a value of another writer that ends the daemons that read
+// the relay slots, or that keeps a request from being run for longer than any quarantine.
+func FuzzLoadQuarantine(f *testing.F) {
+	record := quarantiner.Record{Service: "ledger-view", Crashes: []quarantiner.Crash{{Run: 1, IsTrial: true}, {Run: 2}, {Run: 3}}, AgeMS: 1000}
+	for _, saved := range []savedQuarantine{{}, {SavedAtMS: 1, Records: []quarantiner.Record{record}}, {SavedAtMS: math.MinInt64, Records: []quarantiner.Record{record}}, {SavedAtMS: math.MaxInt64, Records: []quarantiner.Record{record}}} {
+		value, err := cbor.Marshal(saved)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(value)
+	}
+	f.Add([]byte("\x9f\x9f\x9f\x9f"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s := newIdleSpreader()
+		s.Quarantine = new(quarantiner.Table)
+		s.loadQuarantine(storer.Item{Key: quarantineKey, Value: value})
+		for _, r := range s.Quarantine.Quarantined() {
+			if got := s.Quarantine.Judge(r.Request, r.Service); got.Remaining > 5*time.Hour {
+				t.Errorf("quarantine of %v: got %v, want at most 5 h", r.Request, got.Remaining)
+			}
+		}
+	})
+}
