--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -34,12 +34,13 @@
 	// service, for this target only; 0 keeps the configured limit.
 	Slots       int `json:"slots,omitempty"`
 	Connections int `json:"connections,omitempty"`
-	// Epoch increases with each start of the target; it may be the start time.
-	// An announcement with a lower epoch than the current one is rejected.
+	// Epoch increases with each start of the target; it may be the start time. It is at
+	// most 2^62. An announcement with a lower epoch than the current one is rejected, and so
+	// is a run that says that it is ready after its departure.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// RunID identifies one run of the target. It is optional.
 	RunID string `json:"run-id,omitempty"`
-	// Sequence increases with each announcement of one run. It is 0 if the
+	// Sequence increases with each announcement of one run, up to 2^53. It is 0 if the
 	// target does not number its announcements.
 	Sequence uint64 `json:"sequence,omitempty"`
 	// ColdMS is the time for which the target will still be slow after its
