--- a/spreader/suspicion_test.go
+++ b/spreader/suspicion_test.go
@@ -23,6 +23,17 @@
 	})
 }
 
+// restartAll ends all daemons at once and starts them again.
+func (f *fleet) restartAll() {
+	before := slices.Clone(f.members)
+	for _, m := range before {
+		m.kill()
+	}
+	for _, m := range before {
+		f.restart(m)
+	}
+}
+
 // Each of three daemons sees one crash. All daemons must put them together, the ones that
 // start later too, and forget them when one sees the request answered.
 func TestCrashesSeenByDifferentDaemonsAddUpEverywhere(t *testing.T) {
@@ -66,13 +77,7 @@
 		item, err := f.store.Get(t.Context(), quarantineKey)
 		return err == nil && string(item.Value) != "garbage", fmt.Sprint(len(item.Value), err)
 	})
-	before := slices.Clone(f.members)
-	for _, m := range before {
-		m.kill()
-	}
-	for _, m := range before {
-		f.restart(m)
-	}
+	f.restartAll()
 	f.waitStatus(request, quarantiner.StatusQuarantined)
 }
 
@@ -97,13 +102,7 @@
 		item, err := f.store.Get(t.Context(), quarantineKey)
 		return err == nil, fmt.Sprint(len(item.Value), err)
 	})
-	before := slices.Clone(f.members)
-	for _, m := range before {
-		m.kill()
-	}
-	for _, m := range before {
-		f.restart(m)
-	}
+	f.restartAll()
 	f.waitStatus(request, quarantiner.StatusQuarantined)
 }
 
