Log which attempt a target refused, and responses that are discarded

A refusal that was taken for the response to a later attempt could not be told from one of a target that runs what it refuses: the log named the request and the status alone, and responses to other requests were counted without a trace.

target-shed and other-run-answered now hold the attempt, the time from the request to the refusal, and how many requests the connection had carried; response-discarded names the pending request and the one that the response belongs to, and StrayErrors counts those that say that a request failed.

TestDiscardedRefusalIsLogged did not compile before: there was no log. No logic changes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,7 @@
 	}
 	d.limiter.RateLimit = d.rateLimit
 	d.executor.Requester.MaxConnections = d.maxConnections
+	d.executor.Requester.Log = log
 	d.executor.Requester.MaxHeadBytes = cfg.TargetHeadBytes
 	d.executor.Requester.MaxBufferedBytes = int64(cfg.TargetBufferBytes)
 	d.executor.BodyPacer.Kbps = int(cfg.LinkMbps * 1000)
--- a/executor/target.go
+++ b/executor/target.go
@@ -102,7 +102,7 @@
 	if res.Status != http.StatusMisdirectedRequest {
 		x.observeNotice(run, res.Header)
 	}
-	answer := x.answerFromResponse(id, r.call.RequestID, req, res)
+	answer := x.answerFromResponse(r.call, req, res, time.Since(began))
 	x.reportCompleted(r, answer)
 	return markSent(answer)
 }
@@ -133,15 +133,16 @@
 	}
 }
 
-// answerFromResponse returns the answer that corresponds to a response of the
-// target.
-func (x *Executor) answerFromResponse(id messenger.CallID, requestID string, req *requester.Request, res *requester.Response) *messenger.Answer {
+// answerFromResponse returns the answer that corresponds to a response that the target gave
+// after the time took.
+func (x *Executor) answerFromResponse(call *messenger.Call, req *requester.Request, res *requester.Response, took time.Duration) *messenger.Answer {
+	id := call.ID
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
-		x.logger().Info("other-run-answered", zap.String("request-id", requestID))
+		x.logger().Info("other-run-answered", refusalFields(call, res, took)...)
 		return messenger.NotRun(id, CauseOtherRun)
 	case res.Header.Get(x.Headers.WithDefaults().NotRun) != "":
-		x.logger().Info("target-shed", zap.String("request-id", requestID), zap.Int("status", res.Status))
+		x.logger().Info("target-shed", refusalFields(call, res, took)...)
 		answer := messenger.NotRun(id, CauseShed)
 		answer.RetryAfterMS = retryAfter(res.Header)
 		return answer
@@ -154,6 +155,15 @@
 	}
 }
 
+// refusalFields returns what is logged of a response by which the target says that it has not
+// run the call.
+func refusalFields(call *messenger.Call, res *requester.Response, took time.Duration) []zap.Field {
+	return []zap.Field{
+		zap.String("request-id", call.RequestID), zap.Uint16("attempt", call.ID.Attempt()),
+		zap.Int("status", res.Status), zap.Duration("took", took), zap.Int("carried", res.Carried),
+	}
+}
+
 // retryAfter returns the delay of the Retry-After field in milliseconds, or 0 if
 // there is none. Dates are ignored, since clocks differ.
 func retryAfter(h http.Header) int64 {
--- a/requester/conn.go
+++ b/requester/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/recoverer"
 )
 
@@ -44,6 +46,8 @@
 
 	mu      sync.Mutex
 	pending *pending
+	// carried is the number of requests sent on the connection before the pending one.
+	carried int
 	// closed is the cause for which the connection was closed, nil while it is open.
 	closed error
 	// usableUntil is when an idle connection becomes too old for another request.
@@ -206,7 +210,7 @@
 			return
 		}
 		if !c.requester.isResponseTo(p.req, res) {
-			c.requester.Counters.Stray.Add(1)
+			c.requester.observeStray(p.req, res)
 			if stray++; stray > maxStrayResponses || keep == 0 {
 				c.close(errUnsolicited)
 				return
@@ -239,6 +243,19 @@
 	return false
 }
 
+// observeStray counts and logs a response that belongs to another request than the pending
+// one.
+func (r *Requester) observeStray(pending *Request, res *Response) {
+	r.Counters.Stray.Add(1)
+	if res.Status >= http.StatusBadRequest {
+		r.Counters.StrayErrors.Add(1)
+	}
+	if r.Log != nil {
+		r.Log.Info("response-discarded", zap.String("request-id", pending.ID), zap.String("response-id", res.Header.Get(r.IDField)),
+			zap.Int("status", res.Status), zap.Int("carried", res.Carried))
+	}
+}
+
 // pendingRequest returns the request that the connection is carrying, or nil.
 func (c *conn) pendingRequest() *pending {
 	c.mu.Lock()
@@ -246,6 +263,13 @@
 	return c.pending
 }
 
+// carriedBefore returns the number of requests sent before the pending one.
+func (c *conn) carriedBefore() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.carried
+}
+
 // recycle makes the connection available for the next request once p, whose response
 // has been read, has been sent whole. The connection may then be idle for keep. It
 // returns false if the connection cannot be used again.
@@ -265,6 +289,7 @@
 		return false
 	}
 	c.pending = nil
+	c.carried++
 	c.idleSince, c.usableUntil = now, now.Add(keep)
 	c.mu.Unlock()
 	return c.requester.putIdle(c)
@@ -348,7 +373,7 @@
 		if res.Close {
 			keep = 0
 		}
-		return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, keep, nil
+		return &Response{Status: res.StatusCode, Header: res.Header, Body: body, Carried: c.carriedBefore()}, keep, nil
 	}
 }
 
--- a/requester/repeated_test.go
+++ b/requester/repeated_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // TestRepeatedRefusalAnswersNoLaterAttempt guards against a request that is reported as not
@@ -50,6 +54,29 @@
 	}
 }
 
+// TestDiscardedRefusalIsLogged guards against a refusal of an earlier request that arrives in
+// place of a response and leaves no trace: the line names both requests.
+func TestDiscardedRefusalIsLogged(t *testing.T) {
+	addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+		if id := r.Header.Get(idField); id == "b" {
+			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: a\r\nContent-Length: 0\r\n\r\n", idField)
+		}
+		fmt.Fprint(c, responseText(r.Header.Get(idField), "ran"))
+		return true
+	})
+	core, logged := observer.New(zap.InfoLevel)
+	r := &Requester{IDField: idField, Log: zap.New(core)}
+	mustDo(t, r, addr, "a")
+	mustDo(t, r, addr, "b")
+	want := map[string]any{"request-id": "b", "response-id": "a", "status": int64(503), "carried": int64(1)}
+	if got := logged.FilterMessage("response-discarded").All(); len(got) != 1 || !maps.Equal(got[0].ContextMap(), want) {
+		t.Errorf("lines: got %v, want one with %v", got, want)
+	}
+	if got := r.Counters.StrayErrors.Value(); got != 1 {
+		t.Errorf("stray errors: got %d, want 1", got)
+	}
+}
+
 // TestConnectionIsRetiredAfterManyRefusals guards against the IDs of refused requests taking
 // memory without bound, or being forgotten while the connection is used.
 func TestConnectionIsRetiredAfterManyRefusals(t *testing.T) {
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bambooweir.example/bambooweir/messenger"
 )
 
@@ -47,6 +49,9 @@
 	// Stray counts responses to other requests than the pending one, Unasked the
 	// connections closed since bytes arrived while no request was pending.
 	Stray, Unasked expvar.Int
+	// StrayErrors counts the stray responses with an error status: taken for the response
+	// to the pending request, they would say that it failed or was refused.
+	StrayErrors expvar.Int
 	// Cut counts responses that were truncated or malformed.
 	Cut expvar.Int
 	// Oversized counts responses whose head, body or interim responses exceeded a
@@ -76,6 +81,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Carried is the number of requests that the connection had carried before this one.
+	Carried int
 }
 
 // NotSentError reports a request of which the target cannot have received a byte.
@@ -125,7 +132,10 @@
 	// read; 0 means DefaultBufferedBytes.
 	MaxBufferedBytes int64
 	// Dial opens a connection; nil means TCP.
-	Dial     func(ctx context.Context, addr string) (net.Conn, error)
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Log receives an event for each response that belongs to another request than the
+	// pending one; nil disables logging.
+	Log      *zap.Logger
 	Counters Counters
 
 	mu sync.Mutex
