Play a target that writes its refusals twice, from end to end

Fake targets can refuse a part of their calls and write each refusal once more before their next answer, and callers name their requests: without an ID of the caller's, each attempt has its own, and the fault can't occur. No scenario and no soak run named one, which is why they missed it.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"bambooweir.example/bambooweir/faketarget"
+	"bambooweir.example/bambooweir/messenger"
 )
 
 // Outcome says what a caller knows about the execution of its call.
@@ -97,6 +98,7 @@
 	}
 	req.GetBody = nil // without GetBody, net/http cannot send the request again
 	req.Header.Set(faketarget.CallIDHeader, call.ID)
+	req.Header.Set(messenger.HeaderNames{}.WithDefaults().RequestID, call.ID)
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
 	}
--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -31,7 +32,7 @@
 }
 
 func (f *fakeStoreCommand) run(c *cobra.Command, _ []string) error {
-	return listenAndServe(c.Context(), f.address, platform.StoreHandler(new(fakestorer.Store)))
+	return serve(c.Context(), f.address, &http.Server{Handler: platform.StoreHandler(new(fakestorer.Store))})
 }
 
 // fakeTargetCommand runs a fake target.
@@ -61,15 +62,19 @@
 	}
 	go f.target.Announce(c.Context())
 	f.target.Exit = func() { os.Exit(statusCrashed) }
-	return listenAndServe(c.Context(), f.target.Address, &f.target)
+	return serve(c.Context(), f.target.Address, &http.Server{Handler: &f.target, ConnContext: faketarget.ConnContext})
 }
 
-// listenAndServe serves h on addr until ctx is done.
-func listenAndServe(ctx context.Context, addr string, h http.Handler) error {
-	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+// serve runs the server on addr until ctx is done.
+func serve(ctx context.Context, addr string, server *http.Server) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	server.ReadHeaderTimeout = readHeaderTimeout
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(faketarget.Listener{Listener: l}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -46,6 +46,12 @@
 	// ShedPercent is the percentage of calls that are refused with 503 and do not
 	// run.
 	ShedPercent int `json:"shed-percent"`
+	// RefusePercent is the percentage of calls that do not run and are answered with the
+	// statement that they never will.
+	RefusePercent int `json:"refuse-percent"`
+	// RepeatRefusals writes each such answer once more on its connection, before the answer
+	// to the next call.
+	RepeatRefusals bool `json:"repeat-refusals"`
 	// FailPercent is the percentage of calls that run and are answered with 500.
 	FailPercent int `json:"fail-percent"`
 	// CutAnswers aborts the connection after half of the bytes of each answer.
@@ -131,6 +137,10 @@
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
+	if rand.IntN(100) < b.RefusePercent {
+		refuse(w, r, b)
+		return
+	}
 	if id := r.Header.Get(messenger.HeaderNames{}.WithDefaults().RequestID); id != "" {
 		w.Header().Set(messenger.HeaderNames{}.WithDefaults().RequestID, id)
 	}
