Let the soak's targets refuse calls and write the refusals twice

The soak found no request that ran after a refusal (REFUSED), because its targets refused nothing. They now refuse one call in ten at all times, and write each of these refusals once more before their next answer. What a seed draws stays as it was, since this is no fault of its own.

--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
 
 	"bambooweir.example/bambooweir/fakestorer"
@@ -37,8 +39,9 @@
 
 // fakeTargetCommand runs a fake target.
 type fakeTargetCommand struct {
-	target  faketarget.Target
-	journal string
+	target   faketarget.Target
+	journal  string
+	behavior string
 }
 
 func (f *fakeTargetCommand) command() *cobra.Command {
@@ -46,6 +49,7 @@
 	c.Flags().StringVar(&f.target.Address, "address", "127.0.0.1:8080", "address to listen on, as IP:port")
 	c.Flags().StringVar(&f.target.AnnouncedAddress, "announced-address", "", "address to announce, as IP:port; the default is the value of --address")
 	c.Flags().StringVar(&f.target.Service, "service", "", "service to announce")
+	c.Flags().StringVar(&f.behavior, "behavior", "{}", "how it handles calls at first, in JSON; docs/SCENARIOS.md lists the fields")
 	c.Flags().StringVar(&f.journal, "journal", "", "file to append a line to for each event, such as a call that ran")
 	c.Flags().StringVar(&f.target.DaemonURL, "daemon", "", "operator URL of the target's daemon")
 	return c
@@ -60,6 +64,11 @@
 		defer journal.Close()
 		f.target.Journal = journal
 	}
+	var b faketarget.Behavior
+	if err := json.Unmarshal([]byte(f.behavior), &b); err != nil {
+		return errorx.Decorate(err, "flag behavior")
+	}
+	f.target.SetBehavior(b)
 	go f.target.Announce(c.Context())
 	f.target.Exit = func() { os.Exit(statusCrashed) }
 	return serve(c.Context(), f.target.Address, &http.Server{Handler: &f.target, ConnContext: faketarget.ConnContext})
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -54,6 +54,9 @@
 // DAEMON to the store, "DAEMON:peers" those from other daemons to DAEMON, and
 // "TARGET:calls" those from its daemon to TARGET.
 type Fleet struct {
+	// TargetArgs are further arguments of the fake targets that are started.
+	TargetArgs []string
+
 	program string // path of the bambooweir binary
 	dir     string // directory of settings files, logs and journals
 
@@ -131,8 +134,9 @@
 	f.mu.Lock()
 	f.targets[name] = Target{Name: name, Service: service, Daemon: daemon, URL: "http://" + addr}
 	f.mu.Unlock()
-	return f.startProcess(name, "fake-target", "--address", addr, "--announced-address", calls,
-		"--service", service, "--daemon", d.OperatorURL, "--journal", f.JournalPath(name))
+	args := []string{"fake-target", "--address", addr, "--announced-address", calls,
+		"--service", service, "--daemon", d.OperatorURL, "--journal", f.JournalPath(name)}
+	return f.startProcess(name, append(args, f.TargetArgs...)...)
 }
 
 // JournalPath returns the path of the file to which a target writes its events.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -32,6 +32,10 @@
 	maxVictims = 3
 )
 
+// usualBehavior is how targets handle calls while no fault changes it: they refuse some, and
+// write these refusals twice.
+var usualBehavior = faketarget.Behavior{RefusePercent: 10, RepeatRefusals: true}
+
 // fault is a kind of fault.
 type fault struct {
 	name string
@@ -59,9 +63,11 @@
 	stop := func(s *soak, name string) error { return s.fleet.Stop(name) }
 	reset := func(s *soak, link string) error { return s.onLinks(link, (*faulter.Proxy).Reset) }
 	limit := func(s *soak, name string) error {
-		return s.behave(name, faketarget.Behavior{CallsPerSecond: soakCallsPerSecond})
+		b := usualBehavior
+		b.CallsPerSecond = soakCallsPerSecond
+		return s.behave(name, b)
 	}
-	unlimit := func(s *soak, name string) error { return s.behave(name, faketarget.Behavior{}) }
+	unlimit := func(s *soak, name string) error { return s.behave(name, usualBehavior) }
 	reload := func(s *soak, name string) error { return s.fleet.Reload(name) }
 	return []fault{
 		{"kill daemon", daemonNames, kill, restart},
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -53,6 +53,11 @@
 // startFleet starts the processes and waits until the first version is in force on
 // all daemons.
 func (s *soak) startFleet(ctx context.Context) error {
+	behavior, err := json.Marshal(usualBehavior)
+	if err != nil {
+		return err
+	}
+	s.fleet.TargetArgs = []string{"--behavior", string(behavior)}
 	if err := s.fleet.StartStore(); err != nil {
 		return err
 	}
