Pass on no status that promises what the target did not say

Callers of the platform take 408, 421, 429 and 503 for the statement that their request has not run, and repeat postings after it. A target that answers a posting with such a status without marking it as not run may have run it: the marked response alone says so.

Such a response to a call that must not be repeated is unknown now (502, cause refusal-unmarked). Calls that may be repeated, and marked refusals, are answered as before.

TestUnmarkedRefusalIsNoPromise before: "got answered, want unknown" for 503, 429 and 408.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -28,6 +28,7 @@
 	d.forwarder.FindRunning = d.executor.FindRunning
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
+	d.executor.PromisesNotRun = platform.PromisesNotRun
 	// Here the announcer believes a report without a check of its own.
 	d.executor.OnInterrupt = nil
 	d.executor.RunID = func() string { return d.announcer.Current().RunID }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -36,6 +36,9 @@
 	// CauseOtherRun that another run of a target answered at its address.
 	CauseShed     = "target-shed"
 	CauseOtherRun = "other-target-run"
+	// CauseUnmarkedRefusal means that the target answered a call, which must not be repeated,
+	// with a status that tells callers that it has not run, without saying so itself.
+	CauseUnmarkedRefusal = "refusal-unmarked"
 	// CauseOtherService means that the target belongs to another service.
 	CauseOtherService = "other-service"
 	CauseTooLarge     = "answer-too-large"
@@ -132,6 +135,9 @@
 	RunID func() string
 	// TargetRun returns the target's current run; nil means that runs are not told apart.
 	TargetRun func() messenger.TargetRun
+	// PromisesNotRun reports whether callers take a response with the status for the statement
+	// that the call has not run; if it is nil, they never do.
+	PromisesNotRun func(status int) bool
 	// EchoesID is set if the target always repeats the request's ID on its answers, so
 	// that an answer without it belongs to no request. Otherwise that holds once the
 	// target has repeated one, and calls without an ID get one.
--- a/executor/target.go
+++ b/executor/target.go
@@ -146,6 +146,8 @@
 		answer := messenger.NotRun(id, CauseShed)
 		answer.RetryAfterMS = retryAfter(res.Header)
 		return answer
+	case !call.Idempotent && x.PromisesNotRun != nil && x.PromisesNotRun(res.Status):
+		return messenger.Unknown(id, CauseUnmarkedRefusal)
 	case !messenger.MatchesContentDigest(res.Header, res.Body) && req.Method != http.MethodHead:
 		return messenger.Unknown(id, CauseDamaged)
 	}
--- a/executor/target_test.go
+++ b/executor/target_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/requester"
 )
 
@@ -125,6 +126,43 @@
 	}
 }
 
+// TestUnmarkedRefusalIsNoPromise guards against a posting that callers repeat although it ran:
+// the target answers with a status that they take for "not run", but does not say so.
+func TestUnmarkedRefusalIsNoPromise(t *testing.T) {
+	const unmarked, marked = "", "Bambooweir-Not-Run: 1\r\n"
+	tests := []struct {
+		name       string
+		status     int
+		mark       string
+		idempotent bool
+		want       messenger.Outcome
+		cause      string
+	}{
+		{"503", 503, unmarked, false, messenger.OutcomeUnknown, CauseUnmarkedRefusal},
+		{"429", 429, unmarked, false, messenger.OutcomeUnknown, CauseUnmarkedRefusal},
+		{"408", 408, unmarked, false, messenger.OutcomeUnknown, CauseUnmarkedRefusal},
+		{"503 that is marked", 503, marked, false, messenger.OutcomeNotRun, CauseShed},
+		{"503 to a call that may be repeated", 503, unmarked, true, messenger.OutcomeAnswered, ""},
+		{"500", 500, unmarked, false, messenger.OutcomeAnswered, ""},
+		{"404", 404, unmarked, false, messenger.OutcomeAnswered, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			base := listenRaw(t, func(c net.Conn) {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				fmt.Fprintf(c, "HTTP/1.1 %d Some Status\r\n%sContent-Length: 0\r\n\r\n", tt.status, tt.mark)
+			})
+			x := newExecutor(base)
+			x.PromisesNotRun = platform.PromisesNotRun
+			call := newKeyedCall(http.MethodPost, "1")
+			call.IdempotencyKey, call.Idempotent = "", tt.idempotent
+			if got := x.Run(t.Context(), call); got.Outcome != tt.want || got.Cause != tt.cause {
+				t.Errorf("got %v %q, want %v %q", got.Outcome, got.Cause, tt.want, tt.cause)
+			}
+		})
+	}
+}
+
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
