Take late in a stop only what ends before the process

Other operators reported requests that came late in the grace time of a planned stop, were passed on and cut off without an answer, postings among them (LOST).

Callers are served for 2.2 s and other daemons for 1.3 s of a stop, whatever the time that their calls may take. A call is now taken only if its deadline comes before the end of the process, or eight times the mean run time of such calls at that target does. Otherwise it is refused at once as not-run: by the entry daemon before an attempt, and by the target's daemon when the call arrives and before it begins, for its own callers and those of other daemons.

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -112,6 +112,8 @@
 	abort, cancel := context.WithTimeout(abort, limit)
 	defer cancel()
 	d.stopping.Store(true)
+	d.forwarder.SetStopEnd(start.Add(limit))
+	d.executor.SetStopEnd(start.Add(limit))
 	d.callerServer.Drain()
 	hasReadinessProbe := d.cfg.Load().ReadyAddress != ""
 	if hasReadinessProbe {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -48,9 +48,11 @@
 	CauseDeadline     = "deadline-passed"
 	CauseCancelled    = "cancelled"
 	CauseDraining     = "draining"
-	CauseTableFull    = "call-table-full"
-	CauseBuffersFull  = "buffers-full"
-	CauseLinkEnded    = "link-ended"
+	// CauseStopping means that this daemon stops, and the call might not end before its process.
+	CauseStopping    = "target-daemon-stops"
+	CauseTableFull   = "call-table-full"
+	CauseBuffersFull = "buffers-full"
+	CauseLinkEnded   = "link-ended"
 	// CauseLinkCrowded means that the body would have had to wait too long for its
 	// transfer over the link of the target's instance.
 	CauseLinkCrowded = "link-crowded"
@@ -173,6 +175,8 @@
 	crash    crashDetector
 	trials   quarantiner.Gate
 	stopping atomic.Bool // set by Drain
+	// stopEnd is when the process ends at the latest, nil before a planned stop.
+	stopEnd  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	mu       sync.Mutex
 	links    map[*servedLink]struct{} // open links, which Drain notifies
@@ -257,6 +261,9 @@
 	if !r.call.IsWhole() {
 		return messenger.NotRun(id, CauseDamaged)
 	}
+	if !x.endsInTime(r) {
+		return messenger.NotRun(id, CauseStopping)
+	}
 	end, refusal := x.admitSuspect(ctx, r)
 	if refusal != nil {
 		return refusal
@@ -278,6 +285,9 @@
 		// A target ended under the request while the call was waiting.
 		return refusal
 	}
+	if !x.endsInTime(r) {
+		return messenger.NotRun(id, CauseStopping)
+	}
 	req, cause := x.newRequest(r.call, r.deadline)
 	if req == nil {
 		return messenger.NotRun(id, cause)
@@ -309,6 +319,23 @@
 	return &labeled
 }
 
+// SetStopEnd sets when a planned stop that has begun ends the process at the latest. From then
+// on the executor refuses calls that may not end before that.
+func (x *Executor) SetStopEnd(at time.Time) { x.stopEnd.Store(&at) }
+
+// endsInTime reports whether the call, sent to the target now, ends before the process does.
+func (x *Executor) endsInTime(r *run) bool {
+	end := x.stopEnd.Load()
+	if end == nil {
+		return true
+	}
+	meanRun := time.Duration(0)
+	if x.Load != nil {
+		meanRun = x.Load(r.call).Run
+	}
+	return limiter.EndsInTime(time.Until(*end), time.Until(r.deadline), meanRun)
+}
+
 // isDraining reports whether new calls are refused.
 func (x *Executor) isDraining() bool {
 	return x.stopping.Load() || x.Draining != nil && x.Draining() || x.hasTargetLeft()
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -218,6 +218,10 @@
 	if refusal != nil {
 		return refusal
 	}
+	if !f.endsInTime(x, choice) {
+		choice.Done(picker.Result{Outcome: picker.Abandoned})
+		return refuseAttempt(x, causeStopping, unavailableRetryAfterMS)
+	}
 	call := x.startAttempt(choice, marked)
 	if choice.Reason == picker.ReasonTrial {
 		call.Suspicions = f.Quarantine.Find(x.contentDigest())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/listener"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
@@ -96,6 +97,8 @@
 	notices        noticeTable
 	// stopping is set by Drain.
 	stopping atomic.Bool
+	// stopEnd is when the process ends at the latest, nil before a planned stop.
+	stopEnd  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	// buffered is the total size of the bodies of the requests in flight, in bytes.
 	buffered atomic.Int64
@@ -367,6 +370,17 @@
 	_, _ = w.Write(answer.Body)
 }
 
+// SetStopEnd sets when a planned stop that has begun ends the process at the latest. From then
+// on the forwarder refuses calls that may not end before that.
+func (f *Forwarder) SetStopEnd(at time.Time) { f.stopEnd.Store(&at) }
+
+// endsInTime reports whether the call, sent to the target of the choice now, ends before the
+// process does.
+func (f *Forwarder) endsInTime(x *exchange, choice picker.Choice) bool {
+	end := f.stopEnd.Load()
+	return end == nil || limiter.EndsInTime(time.Until(*end), time.Until(x.deadline), max(choice.MeanRun(), choice.ExpectedLatency))
+}
+
 // Drain makes the forwarder refuse new calls from now on.
 func (f *Forwarder) Drain() { f.stopping.Store(true) }
 
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -26,6 +26,8 @@
 	causeDigestMismatch  = "content-digest-mismatch"
 	causeBuffersFull     = "buffers-full"
 	causeDraining        = "draining"
+	// causeStopping means that this daemon stops, and the call might not end before its process.
+	causeStopping        = "entry-daemon-stops"
 	causeDeadline        = "deadline-passed"
 	causeCancelled       = "cancelled"
 	causeDamaged         = "answer-damaged"
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -115,6 +115,15 @@
 	byEstimate bool
 }
 
+// MeanRun returns the mean run time of calls of this class at the target, as its daemon last
+// reported it; 0 means unknown.
+func (c Choice) MeanRun() time.Duration {
+	if c.target == nil {
+		return 0
+	}
+	return time.Duration(c.target.reported.meanRuns[classIndex(c.policy)].Load())
+}
+
 // Tried holds the targets that a call has already been sent to, at most the last
 // maxTried. The zero value is empty.
 type Tried struct {
