Acknowledge refusals that targets gave

A target's refusal is kept at its daemon until the entry daemon acknowledges it, which it did only for answers and unknown outcomes. Each refusal stayed in the table for two minutes, so that 68 a second, less than a busy service refuses, fill its 8,192 places, and the daemon then refuses every call (call-table-full), with a free target beside it. A stop waited half a second for the same reason.

The entry daemon acknowledges a not-run answer, too, if the call had been sent to the target. Calls that have not begun are in no table.

TestRefusalsOfTheTargetAreAcknowledged before: "calls in the table: got 14, want 0" after ten calls.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -136,7 +136,9 @@
 	l.mu.Lock()
 	wait := l.waiting[answer.ID]
 	delete(l.waiting, answer.ID)
-	if answer.Outcome != messenger.OutcomeNotRun && len(l.acks) < maxPendingAcks {
+	// The table at the target's daemon holds no calls that have not begun.
+	isKept := answer.Outcome != messenger.OutcomeNotRun || answer.Sent
+	if isKept && len(l.acks) < maxPendingAcks {
 		l.acks = append(l.acks, answer.ID)
 	}
 	l.mu.Unlock()
