Serve callers that open their connection as a stop begins

When a stop begins, the daemon closes the connections on which no request is being read or has arrived. A caller that opens a connection for each request is between the two for a moment: its connection is open, its request not yet there, and gets EOF instead of a refusal. So it is a close that crosses a request, and none that was passed on is cut off. The same happens when the process ends, while callers still connect.

A connection without a request counts as fresh for half a second, and a fresh one stays open and gets its answer. At the end of a stop the daemon first accepts no more connections, so that callers see that they were refused, and ends once the open ones are quiet.

TestStopServesOpenedConnections before: "late request: io: read/write on closed pipe".

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -146,6 +146,7 @@
 			}
 			acknowledged := d.executor.Calls.Len() == 0 || now.Sub(idleSince) > acknowledgeTimeout
 			if acknowledged && now.Sub(start) > min(minDrainTime, limit/2) {
+				d.stopServingCallers(abort)
 				d.handOverAndLeave(abort)
 				d.flushDeparture(serving)
 				d.forgetDeparture(serving)
@@ -156,6 +157,14 @@
 	}
 }
 
+// stopServingCallers accepts no further connections of callers, and answers the requests that
+// are on their way over those that are open, until ctx ends.
+func (d *Daemon) stopServingCallers(ctx context.Context) {
+	d.callerServer.StopAccepting()
+	for !d.callerServer.IsQuiet() && sleeper.Sleep(ctx, drainPollInterval) == nil {
+	}
+}
+
 // flushDeparture waits until the record of this daemon's departure has been sent
 // to the connected daemons, for at most closeTimeout.
 func (d *Daemon) flushDeparture(ctx context.Context) {
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -53,6 +53,10 @@
 	// lastActive is when the last response was written, or else when the
 	// connection was accepted.
 	lastActive time.Time
+	// opened is when the connection was accepted, and hasCarried says that a request has been
+	// read from it.
+	opened     time.Time
+	hasCarried bool
 	// readingRequest says that the first byte of a request has arrived, but the
 	// request is not yet queued.
 	readingRequest bool
@@ -72,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
 		server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), ctx: ctx, cancel: cancel,
-		queue: make(chan *exchange, maxPipelined), lastActive: time.Now(),
+		queue: make(chan *exchange, maxPipelined), lastActive: time.Now(), opened: time.Now(),
 	}
 }
 
@@ -183,7 +187,7 @@
 		c.server.Counters.Pipelined.Add(1)
 	}
 	c.unanswered++
-	c.readingRequest = false
+	c.readingRequest, c.hasCarried = false, true
 	c.closing = x.closesConn
 	c.mu.Unlock()
 	select {
@@ -299,11 +303,31 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// closeIfIdle closes the connection if no request is being read or answered, or has
-// arrived without having been read yet.
+// isFresh reports whether the connection was opened so recently that its first request is
+// probably on its way. The caller holds mu.
+func (c *conn) isFresh() bool { return !c.hasCarried && time.Since(c.opened) < freshTime }
+
+// freshTime is how long after its opening a connection without a request counts as fresh.
+// Callers open a connection when they have a request.
+const freshTime = 500 * time.Millisecond
+
+// isIdle reports whether no request is being read or answered, has arrived without having
+// been read yet, or is probably on its way.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isIdleLocked()
+}
+
+// isIdleLocked implements isIdle. The caller holds mu.
+func (c *conn) isIdleLocked() bool {
+	return c.unanswered == 0 && !c.readingRequest && !c.isFresh() && !hasUnreadBytes(c.nc)
+}
+
+// closeIfIdle closes the connection if it is idle.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.unanswered == 0 && !c.readingRequest && !hasUnreadBytes(c.nc)
+	idle := c.isIdleLocked()
 	if idle {
 		c.closing = true
 	}
--- /dev/null
+++ b/listener/fresh_test.go
@@ -0,0 +1,56 @@
+package listener
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestStopServesOpenedConnections guards against a request that gets no answer since its
+// connection, which the caller has just opened, is closed as idle when a planned stop begins.
+func TestStopServesOpenedConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		age  time.Duration
+		want bool
+	}{
+		{"just opened", 0, true},
+		{"a while ago", freshTime / 2, true},
+		{"long idle", freshTime, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, c := startPaused(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+				synctest.Wait()
+				time.Sleep(tt.age)
+				s.Drain()
+				s.CloseIdle()
+				if got := !s.IsQuiet(); got != tt.want {
+					t.Errorf("request expected: got %v, want %v", got, tt.want)
+				}
+				_, err := io.WriteString(c, get("/late"))
+				if !tt.want {
+					if !errors.Is(err, io.ErrClosedPipe) {
+						t.Errorf("connection: got error %v, want it closed", err)
+					}
+					return
+				}
+				if err != nil {
+					t.Fatalf("late request: %v", err)
+				}
+				if status, _, closes := receive(t, bufio.NewReader(c)); status != http.StatusOK || !closes {
+					t.Errorf("late request: got status %d, closes %v, want 200, true", status, closes)
+				}
+				_ = c.Close()
+				synctest.Wait()
+				if !s.IsQuiet() {
+					t.Error("server is not quiet after its last answer")
+				}
+			})
+		})
+	}
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -68,6 +68,8 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	// listener is what Serve accepts from, nil before that.
+	listener net.Listener
 }
 
 // arrivalKey is the context key of a request's arrival time.
@@ -85,6 +87,9 @@
 // Serve accepts and serves connections until the listener is closed. It then
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -132,6 +137,29 @@
 	}
 }
 
+// StopAccepting closes the listener, so that callers can open no further connections. Those
+// that are open are served.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
+
+// IsQuiet reports whether no request is being read or answered, has arrived without having
+// been read yet, or is probably on its way.
+func (s *Server) IsQuiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.isIdle() {
+			return false
+		}
+	}
+	return true
+}
+
 // Unanswered returns the number of requests whose responses have not been written
 // completely. It includes requests whose handler has already returned.
 func (s *Server) Unanswered() int {
