Give measured fleets addresses that no other connection can take

A measured fleet took free ports of 127.0.0.1, closed them, and let its daemons listen later. Meanwhile the source port of any process's connection can be one of them; the daemon then ends at once, and its error was dropped, so that the fleet waited in vain.

The addresses are those of the launcher, whose host no connection leaves from, and the error of a daemon that ends is the cause with which the fleet's preparation fails.

--- a/measurer/callfleet.go
+++ b/measurer/callfleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +19,7 @@
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/daemon"
 	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/launcher"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/loadgenerator"
 	"bambooweir.example/bambooweir/tracker"
@@ -99,7 +99,8 @@
 	nodes []*callNode
 	http  *http.Client
 
-	cancel context.CancelFunc
+	// cancel ends the fleet with a cause, such as the error of a daemon that ended by itself.
+	cancel context.CancelCauseFunc
 	done   sync.WaitGroup
 	// changes counts the accepted versions.
 	changes atomic.Int64
@@ -119,16 +120,11 @@
 // newCallFleet starts a fleet and waits until every target has run a call. The caller
 // must call stop, unless there is an error.
 func newCallFleet(ctx context.Context, p fleetPlan) (*callFleet, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	f := &callFleet{store: new(fakestorer.Store), cancel: cancel, http: newHTTPClient()}
 	f.acceptor.Store = f.store
 	for i := range p.targets + 1 {
-		n, err := newCallNode(i, p)
-		if err != nil {
-			f.stop()
-			return nil, err
-		}
-		f.nodes = append(f.nodes, n)
+		f.nodes = append(f.nodes, newCallNode(i, p))
 	}
 	f.entry = f.nodes[0]
 	for _, n := range f.nodes {
@@ -145,9 +141,9 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}}
 }
 
-// newCallNode returns node i with free loopback addresses, without starting it. Node 0
+// newCallNode returns node i with unused loopback addresses, without starting it. Node 0
 // runs localService, all others run targetService.
-func newCallNode(i int, p fleetPlan) (*callNode, error) {
+func newCallNode(i int, p fleetPlan) *callNode {
 	n := &callNode{service: targetService, target: newCallTarget(p.slots, p.bodyBytes, p.serviceTime)}
 	if i == 0 {
 		n.service = localService
@@ -155,14 +151,9 @@
 	n.cfg = *loader.Defaults()
 	n.cfg.InstanceID, n.cfg.FailureDomain = fmt.Sprintf("node-%d", i), "mobile-bay"
 	for _, addr := range []*string{&n.cfg.CallerAddress, &n.cfg.PeerAddress, &n.cfg.OperatorAddress, &n.address} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errorx.Decorate(err, "reserving an address")
-		}
-		*addr = l.Addr().String()
-		_ = l.Close()
+		*addr = launcher.NewAddress()
 	}
-	return n, nil
+	return n
 }
 
 // start runs the node's daemon and target in the background until ctx is done.
@@ -172,14 +163,16 @@
 	server := &http.Server{Addr: n.address, Handler: n.target, ReadHeaderTimeout: readHeaderTimeout}
 	f.done.Go(func() { _ = server.ListenAndServe() })
 	f.done.Go(func() {
-		_ = d.Run(ctx, ctx)
+		if err := d.Run(ctx, ctx); err != nil {
+			f.cancel(errorx.Decorate(err, "%s ended", n.cfg.InstanceID))
+		}
 		_ = server.Close()
 	})
 }
 
 // stop stops the fleet and waits until its daemons and targets have ended.
 func (f *callFleet) stop() {
-	f.cancel()
+	f.cancel(nil)
 	f.http.CloseIdleConnections()
 	f.done.Wait()
 }
@@ -227,8 +220,8 @@
 	return nil
 }
 
-// retry calls f until it succeeds; when ctx is done first, it returns f's last
-// error.
+// retry calls f until it succeeds; when ctx is done first, it returns f's last error with the
+// cause of that.
 func retry(ctx context.Context, f func() error) error {
 	for {
 		err := f()
@@ -237,7 +230,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errorx.Decorate(err, "preparing the fleet")
+			return errorx.Decorate(err, "preparing the fleet (%v)", context.Cause(ctx))
 		case <-time.After(retryInterval):
 		}
 	}
