Hold no lock while a caller is asked to go on

The server wrote 100 Continue while it held the lock of the connection. A caller that does not read, with full buffers, kept the lock for up to ten seconds, and whoever asks for the state of all connections (a planned stop) then holds the server's lock, so that no connection is accepted either. Found by looking at each write for locks that are held across it; this was the only one.

Only the goroutine that reads from the connection adds requests, so that nobody else writes while none is unanswered, and the lock may be released before.

TestUnreadContinueBlocksNoOthers before: "the connection is locked while it waits for its caller".

--- a/listener/request.go
+++ b/listener/request.go
@@ -94,8 +94,10 @@
 // are outstanding: after those, the caller sends the body without it.
 func (c *conn) sendContinue() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.unanswered == 0 {
+	isNext := c.unanswered == 0
+	c.mu.Unlock()
+	// Only this goroutine adds requests, so nobody else writes now.
+	if isNext {
 		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
--- a/listener/fresh_test.go
+++ b/listener/stop_test.go
@@ -10,6 +10,27 @@
 	"time"
 )
 
+// TestUnreadContinueBlocksNoOthers guards against a server that accepts no connections while one
+// caller does not read the interim response that it asked for.
+func TestUnreadContinueBlocksNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := startPaused(t, func(http.ResponseWriter, *http.Request) {})
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			if !c.mu.TryLock() {
+				t.Fatal("the connection is locked while it waits for its caller")
+			}
+			c.mu.Unlock()
+		}
+	})
+}
+
 // TestStopServesOpenedConnections guards against a request that gets no answer since its
 // connection, which the caller has just opened, is closed as idle when a planned stop begins.
 func TestStopServesOpenedConnections(t *testing.T) {
