Close callers' connections when an embedded daemon has stopped

Since a stop closes the listener before it has served the open connections, nothing closed those that were left when Run returned: their callers waited for nobody, and a program that embeds a daemon kept their goroutines. Processes end, so that callers of the daemon command saw nothing of it. Found by reading the change again.

The connections are closed when serving ends, as before. The fakes get their listeners from their commands, so that the fake store doesn't use the fake target's.

TestStopClosesConnectionsOfCallers before: "i/o timeout, want it closed".

--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -34,7 +34,11 @@
 }
 
 func (f *fakeStoreCommand) run(c *cobra.Command, _ []string) error {
-	return serve(c.Context(), f.address, &http.Server{Handler: platform.StoreHandler(new(fakestorer.Store))})
+	l, err := net.Listen("tcp", f.address)
+	if err != nil {
+		return err
+	}
+	return serve(c.Context(), l, &http.Server{Handler: platform.StoreHandler(new(fakestorer.Store))})
 }
 
 // fakeTargetCommand runs a fake target.
@@ -69,21 +73,21 @@
 		return errorx.Decorate(err, "flag behavior")
 	}
 	f.target.SetBehavior(b)
-	go f.target.Announce(c.Context())
 	f.target.Exit = func() { os.Exit(statusCrashed) }
-	return serve(c.Context(), f.target.Address, &http.Server{Handler: &f.target, ConnContext: faketarget.ConnContext})
-}
-
-// serve runs the server on addr until ctx is done.
-func serve(ctx context.Context, addr string, server *http.Server) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", f.target.Address)
 	if err != nil {
 		return err
 	}
+	go f.target.Announce(c.Context())
+	return serve(c.Context(), faketarget.Listener{Listener: l}, &http.Server{Handler: &f.target, ConnContext: faketarget.ConnContext})
+}
+
+// serve runs the server on l until ctx is done.
+func serve(ctx context.Context, l net.Listener, server *http.Server) error {
 	server.ReadHeaderTimeout = readHeaderTimeout
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(faketarget.Listener{Listener: l}); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -208,6 +209,26 @@
 	}
 }
 
+// TestStopClosesConnectionsOfCallers guards against connections that stay open, without anyone
+// to serve them, when an embedded daemon has stopped.
+func TestStopClosesConnectionsOfCallers(t *testing.T) {
+	t.Parallel()
+	r := startDaemon(t, "entry", "ledger-view", http.NotFoundHandler())
+	c, err := net.Dial("tcp", r.daemon.cfg.Load().CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r.stop()
+	if err := <-r.runErr; err != nil {
+		t.Errorf("Run: got error %v, want none", err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("connection after the stop: got %v, want it closed", err)
+	}
+}
+
 // A planned stop that is aborted, as by a second signal, must report the calls
 // that it interrupted.
 func TestAbortedStopReportsInterruptedCalls(t *testing.T) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -53,12 +53,15 @@
 	if err != nil {
 		return errorx.Decorate(err, "listening for callers")
 	}
-	stop := context.AfterFunc(ctx, func() {
-		_ = l.Close()
-		d.callerServer.Close()
-	})
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	return d.callerServer.Serve(l)
+	if err := d.callerServer.Serve(l); err != nil {
+		return err
+	}
+	// A planned stop closes the listener before it has served the open connections.
+	<-ctx.Done()
+	d.callerServer.Close()
+	return nil
 }
 
 // isReady reports whether this daemon can serve callers: it has a configuration
