--- a/measurer/callfleet_test.go
+++ b/measurer/callfleet_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	f.start(ctx, f.entry, daemon.Tuning{})
 	defer f.stop()
 	<-ctx.Done()
