Rely on measured run times alone late in a stop

A late request was also taken if its expected latency was short. That latency is assumed (a share of the objective) until a target has reported a run time, so that the first requests of a class could be cut off after they had begun.

Without a measured run time, the deadline alone decides now. TestAssumedRunTimeIsNoEvidence before: "got true, want false".

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -378,7 +378,15 @@
 // process does.
 func (f *Forwarder) endsInTime(x *exchange, choice picker.Choice) bool {
 	end := f.stopEnd.Load()
-	return end == nil || limiter.EndsInTime(time.Until(*end), time.Until(x.deadline), max(choice.MeanRun(), choice.ExpectedLatency))
+	if end == nil {
+		return true
+	}
+	meanRun := choice.MeanRun()
+	if meanRun > 0 {
+		// The expected latency also holds the wait for a slot.
+		meanRun = max(meanRun, choice.ExpectedLatency)
+	}
+	return limiter.EndsInTime(time.Until(*end), time.Until(x.deadline), meanRun)
 }
 
 // Drain makes the forwarder refuse new calls from now on.
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -8,6 +8,7 @@
 
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/picker"
 )
 
 // TestLateRequestInStopIsNotCutOff guards against a request that is sent to a target late in a
@@ -64,3 +65,16 @@
 		}
 	}
 }
+
+// TestAssumedRunTimeIsNoEvidence guards against a late request that is taken since its expected
+// latency is short, although no target has reported a run time and the latency is assumed.
+func TestAssumedRunTimeIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := new(Forwarder)
+		f.SetStopEnd(time.Now().Add(time.Second))
+		x := &exchange{deadline: time.Now().Add(4 * time.Second)}
+		if f.endsInTime(x, picker.Choice{ExpectedLatency: 10 * time.Millisecond}) {
+			t.Error("request with an assumed latency and a late deadline: got true, want false")
+		}
+	})
+}
