Identify callers' tenants by API keys

Cause: a configuration may define tenants, each with API keys, a priority and a quota. Nothing of that existed: the key was passed on to targets, and unknown keys were served.

The entry daemon refuses unknown keys on routes that are not public with 401, drops the key, and names the tenant to the target whatever the caller sent. Configurations without tenants are served as before. A key of two tenants makes a configuration invalid. Quotas are decoded and not yet enforced.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -30,6 +30,7 @@
 	policies map[policyKey]*Policy
 	shares   []Share
 	routes   *routeIndex
+	tenants  tenantIndex
 }
 
 // Version returns the snapshot's version.
@@ -74,6 +75,7 @@
 	return &Snapshot{
 		Document: doc, Digest: digest, Domain: domain, settings: set,
 		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies),
+		tenants: newTenantIndex(doc),
 	}, nil
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,7 +145,12 @@
 		f.refuse(w, r, causeNoRoute)
 		return
 	}
-	x, cause := f.newExchange(w, r, snapshot, route)
+	tenant, ok := f.authenticate(r.Header, snapshot, route)
+	if !ok {
+		f.refuse(w, r, causeUnknownKey)
+		return
+	}
+	x, cause := f.newExchange(w, r, snapshot, route, tenant)
 	if cause != "" {
 		f.refuse(w, r, cause)
 		return
@@ -171,7 +176,7 @@
 
 // newExchange reads the request of a caller into an exchange. It returns the cause
 // of the refusal if the request is invalid or its body can't be read.
-func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, matched *applier.Route) (x *exchange, cause string) {
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, s *applier.Snapshot, matched *applier.Route, tenant *applier.Tenant) (x *exchange, cause string) {
 	names := f.Headers.WithDefaults()
 	route, policy := matched.Config, matched.NextPolicy()
 	timeout, ok := callTimeout(r.Header.Get(names.Deadline), policy, route)
@@ -199,7 +204,7 @@
 	x = &exchange{route: matched.Name, arrived: arrived, deadline: deadline, policy: policy, maxTargets: route.MaxTargets}
 	x.call = messenger.Call{
 		Class: route.Class, Partner: route.Partner, Service: policy.Service, Host: r.Host,
-		Method: r.Method, Target: requestTarget(r), Headers: f.forwardedHeaders(r.Header),
+		Method: r.Method, Target: requestTarget(r), Headers: f.forwardedHeaders(r.Header, s, tenant),
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
@@ -209,6 +214,9 @@
 		remaining, _ := strconv.ParseInt(statedMS, 10, 64)
 		x.call.WaitedMS = f.waits.estimateMS(matched.Name, remaining, arrived)
 	}
+	if tenant != nil {
+		x.call.Tenant, x.call.TenantPriority = tenant.Name, tenant.Config.Priority
+	}
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
 	}
@@ -219,12 +227,18 @@
 }
 
 // forwardedHeaders returns the header fields that are sent on to the target. The
-// calling service is set by this daemon; a value from the caller is dropped.
-func (f *Forwarder) forwardedHeaders(h http.Header) []messenger.Header {
+// calling service and, where the configuration has tenants, the tenant are set by this
+// daemon; values from the caller are dropped, as is its API key.
+func (f *Forwarder) forwardedHeaders(h http.Header, s *applier.Snapshot, tenant *applier.Tenant) []messenger.Header {
 	names := f.Headers.WithDefaults()
+	hasTenants := s.HasTenants()
 	fields := slices.DeleteFunc(messenger.FromHTTP(h), func(field messenger.Header) bool {
-		return field.Name == names.CallingService || field.Name == names.Target
+		return field.Name == names.CallingService || field.Name == names.Target ||
+			hasTenants && (field.Name == names.APIKey || field.Name == names.Tenant)
 	})
+	if tenant != nil {
+		fields = append(fields, messenger.Header{Name: names.Tenant, Value: tenant.Name})
+	}
 	if f.Service == nil {
 		return fields
 	}
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -64,7 +64,7 @@
 	f.logger().Info(event,
 		zap.String("request-id", x.call.RequestID), zap.String("route", x.route), zap.String("service", x.call.Service),
 		zap.String("class", x.call.Class), zap.Int("priority", x.call.Priority), zap.Bool("nested", x.call.IsNested),
-		zap.Uint64("version", uint64(x.version)), zap.String("outcome", answer.Outcome.String()),
+		zap.String("tenant", x.call.Tenant), zap.Uint64("version", uint64(x.version)), zap.String("outcome", answer.Outcome.String()),
 		zap.String("cause", answer.Cause), zap.Int("status", callerStatus(answer)), zap.Int64("retry-after-ms", answer.RetryAfterMS),
 		zap.Int64("objective-ms", x.call.ObjectiveMS), zap.Int64("waited-before-ms", x.call.WaitedMS),
 		zap.Int64("limit-ms", x.deadline.Sub(x.arrived).Milliseconds()), zap.Int64("took-ms", took.Milliseconds()),
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -15,17 +15,20 @@
 const (
 	causeNoConfiguration = "no-configuration"
 	causeNoRoute         = "no-route"
-	causeNoTarget        = "no-target"
-	causeUnreachable     = "target-daemon-unreachable"
-	causeSilent          = "target-daemon-silent"
-	causeCongested       = "link-congested"
-	causeBodyTooLarge    = "body-too-large"
-	causeBodyCutShort    = "body-cut-short"
-	causeBadDeadline     = "malformed-deadline"
-	causeBadKey          = "malformed-idempotency-key"
-	causeDigestMismatch  = "content-digest-mismatch"
-	causeBuffersFull     = "buffers-full"
-	causeDraining        = "draining"
+	// causeUnknownKey means that no tenant holds the API key of a request on a route that
+	// needs one.
+	causeUnknownKey     = "unknown-api-key"
+	causeNoTarget       = "no-target"
+	causeUnreachable    = "target-daemon-unreachable"
+	causeSilent         = "target-daemon-silent"
+	causeCongested      = "link-congested"
+	causeBodyTooLarge   = "body-too-large"
+	causeBodyCutShort   = "body-cut-short"
+	causeBadDeadline    = "malformed-deadline"
+	causeBadKey         = "malformed-idempotency-key"
+	causeDigestMismatch = "content-digest-mismatch"
+	causeBuffersFull    = "buffers-full"
+	causeDraining       = "draining"
 	// causeStopping means that this daemon stops, and the call might not end before its process.
 	causeStopping        = "entry-daemon-stops"
 	causeDeadline        = "deadline-passed"
@@ -54,6 +57,7 @@
 // outcome.
 var statusByCause = map[string]int{
 	causeNoRoute:           http.StatusNotFound,
+	causeUnknownKey:        http.StatusUnauthorized,
 	causeBodyTooLarge:      http.StatusRequestEntityTooLarge,
 	causeBodyCutShort:      http.StatusBadRequest,
 	causeBadDeadline:       http.StatusBadRequest,
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -92,6 +92,11 @@
 	// IsForAnyHost reports that the call's route names no host, so that the host says
 	// nothing about what the call does.
 	IsForAnyHost bool `cbor:"26,keyasint,omitempty"`
+	// Tenant is the tenant on whose behalf the call is made, "" for none.
+	Tenant string `cbor:"27,keyasint,omitempty"`
+	// TenantPriority takes precedence over Priority in the order of waiting calls; nil
+	// means that the tenant has none.
+	TenantPriority *int `cbor:"28,keyasint,omitempty"`
 }
 
 // IsKeyed reports whether the call must run at the owner of its idempotency key.
--- a/messenger/header_names.go
+++ b/messenger/header_names.go
@@ -23,6 +23,11 @@
 	RateLimit string
 	// Leaving is "1" on every answer of a target that is shutting down.
 	Leaving string
+	// APIKey is the key by which a caller identifies its tenant. It is read by the entry
+	// daemon alone and sent no further.
+	APIKey string
+	// Tenant tells the target on which tenant's behalf a call is made.
+	Tenant string
 }
 
 // WithDefaults returns n with bambooweir's own names in its empty fields.
@@ -35,5 +40,7 @@
 		NotRun:         cmp.Or(n.NotRun, "Bambooweir-Not-Run"),
 		RateLimit:      cmp.Or(n.RateLimit, "Bambooweir-Rate-Limit"),
 		Leaving:        cmp.Or(n.Leaving, "Bambooweir-Leaving"),
+		APIKey:         cmp.Or(n.APIKey, "Bambooweir-Api-Key"),
+		Tenant:         cmp.Or(n.Tenant, "Bambooweir-Tenant"),
 	}
 }
--- a/parser/format.go
+++ b/parser/format.go
@@ -16,6 +16,7 @@
 		Class:       make(map[string]versioner.Class),
 		Service:     make(map[string]versioner.Service),
 		Route:       make(map[string]versioner.Route),
+		Tenant:      make(map[string]versioner.Tenant),
 		Exception:   make(map[string]versioner.Exception),
 	}
 	for _, e := range doc.Entries {
@@ -41,6 +42,8 @@
 		f.Service[e.Key.Name] = *e.Service
 	case e.Route != nil:
 		f.Route[e.Key.Name] = *e.Route
+	case e.Tenant != nil:
+		f.Tenant[e.Key.Name] = *e.Tenant
 	case e.Exception != nil:
 		f.Exception[e.Key.Name] = *e.Exception
 	}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -36,13 +36,15 @@
 	Class       map[string]versioner.Class     `toml:"class,omitempty"`
 	Service     map[string]versioner.Service   `toml:"service,omitempty"`
 	Route       map[string]versioner.Route     `toml:"route,omitempty"`
+	Tenant      map[string]versioner.Tenant    `toml:"tenant,omitempty"`
 	Exception   map[string]versioner.Exception `toml:"exception,omitempty"`
 }
 
 // kinds lists the kinds of entries that Delete may name.
 var kinds = []versioner.Kind{
 	versioner.KindFleet, versioner.KindPartner, versioner.KindClass,
-	versioner.KindService, versioner.KindRoute, versioner.KindException,
+	versioner.KindService, versioner.KindRoute, versioner.KindTenant,
+	versioner.KindException,
 }
 
 // Parse reads the edits in the content b of the file called name, and checks each
@@ -144,6 +146,9 @@
 	for name, v := range f.Route {
 		add(versioner.KindRoute, name, versioner.Entry{Route: &v})
 	}
+	for name, v := range f.Tenant {
+		add(versioner.KindTenant, name, versioner.Entry{Tenant: &v})
+	}
 	for name, v := range f.Exception {
 		add(versioner.KindException, name, versioner.Entry{Exception: &v})
 	}
--- a/planner/fields.go
+++ b/planner/fields.go
@@ -99,6 +99,8 @@
 		return e.Service
 	case e.Route != nil:
 		return e.Route
+	case e.Tenant != nil:
+		return e.Tenant
 	}
 	return e.Exception
 }
--- a/validator/entries.go
+++ b/validator/entries.go
@@ -1,6 +1,7 @@
 package validator
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
 	"regexp"
@@ -12,20 +13,22 @@
 
 // Limits on the size of a document and on the values in it.
 const (
-	maxEntries       = 10_000
-	maxNameBytes     = 63
-	maxHosts         = 64
-	maxHostBytes     = 253
-	maxPathBytes     = 256
-	maxReasonBytes   = 1000
-	maxSlots         = 100_000
-	maxConnections   = 1_000_000
-	maxRouteMS       = 60 * 60 * 1000 // one hour, for timeouts and objectives
-	maxPriority      = 1000
-	maxTargets       = 1000
-	maxSplitParts    = 64
-	maxWeight        = 1_000_000
-	tokenDigestBytes = 32
+	maxEntries     = 10_000 // tenants aside
+	maxTenants     = 200_000
+	maxTenantKeys  = 64
+	maxRatePerS    = 1e9
+	maxNameBytes   = 63
+	maxHosts       = 64
+	maxHostBytes   = 253
+	maxPathBytes   = 256
+	maxReasonBytes = 1000
+	maxSlots       = 100_000
+	maxConnections = 1_000_000
+	maxRouteMS     = 60 * 60 * 1000 // one hour, for timeouts and objectives
+	maxPriority    = 1000
+	maxTargets     = 1000
+	maxSplitParts  = 64
+	maxWeight      = 1_000_000
 )
 
 // classes holds the names of all call classes. A problem with the sum of their
@@ -75,8 +78,7 @@
 	if p.TokenSHA256 == "" {
 		return
 	}
-	b, err := hex.DecodeString(p.TokenSHA256)
-	if err != nil || len(b) != tokenDigestBytes || strings.ToLower(p.TokenSHA256) != p.TokenSHA256 {
+	if !isSHA256(p.TokenSHA256) {
 		c.addProblem(k, "token-sha256", "must be 64 lower-case hexadecimal digits")
 	}
 }
@@ -115,6 +117,39 @@
 	}
 }
 
+// checkTenant checks that a tenant's keys are digests and that its quota is a rate.
+func (c *checker) checkTenant(k versioner.Key, t *versioner.Tenant) {
+	if len(t.KeySHA256) > maxTenantKeys {
+		c.addProblem(k, "key-sha256", "must be at most %d, got %d", maxTenantKeys, len(t.KeySHA256))
+	}
+	for i, digest := range t.KeySHA256 {
+		if !isSHA256(digest) {
+			c.addProblem(k, "key-sha256", "must be 64 lower-case hexadecimal digits each")
+		}
+		if slices.Contains(t.KeySHA256[:i], digest) {
+			c.addProblem(k, "key-sha256", "names a key twice")
+		}
+	}
+	if t.Priority != nil {
+		c.checkRange(k, "priority", *t.Priority, maxPriority)
+	}
+	c.checkRate(k, "rate-per-s", t.RatePerS)
+	c.checkRate(k, "burst", t.Burst)
+}
+
+// checkRate checks that a number is from 0 to maxRatePerS; it may be a fraction.
+func (c *checker) checkRate(k versioner.Key, field string, got float64) {
+	if !(got >= 0 && got <= maxRatePerS) {
+		c.addProblem(k, field, "must be from 0 to %d, got %g", int(maxRatePerS), got)
+	}
+}
+
+// isSHA256 reports whether the text is a SHA-256 in lower-case hexadecimal.
+func isSHA256(text string) bool {
+	b, err := hex.DecodeString(text)
+	return err == nil && len(b) == sha256.Size && strings.ToLower(text) == text
+}
+
 // checkDestination checks that a route has either a service or a valid split over
 // several services.
 func (c *checker) checkDestination(k versioner.Key, r *versioner.Route) {
--- a/validator/relations.go
+++ b/validator/relations.go
@@ -38,6 +38,23 @@
 	}
 }
 
+// checkTenantKeys checks that no two tenants have a key in common, so that a key identifies
+// one tenant.
+func (c *checker) checkTenantKeys() {
+	owners := make(map[string]string)
+	for _, e := range c.doc.Entries {
+		if e.Tenant == nil {
+			continue
+		}
+		for _, key := range e.Tenant.KeySHA256 {
+			if owner, ok := owners[key]; ok && owner != e.Key.Name {
+				c.addProblem(e.Key, "key-sha256", "holds a key of tenant %q", owner)
+			}
+			owners[key] = e.Key.Name
+		}
+	}
+}
+
 // checkRoutes checks that no two routes match the same requests with equal
 // precedence.
 func (c *checker) checkRoutes() {
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -45,6 +45,7 @@
 	c.checkEntries()
 	c.checkShares()
 	c.checkTokens()
+	c.checkTenantKeys()
 	c.checkRoutes()
 	c.checkExceptions()
 	c.checkReservations()
@@ -80,10 +81,20 @@
 }
 
 func (c *checker) checkEntries() {
-	if n := len(c.doc.Entries); n > maxEntries {
+	tenants := 0
+	for _, e := range c.doc.Entries {
+		if e.Tenant != nil {
+			tenants++
+		}
+	}
+	if n := len(c.doc.Entries) - tenants; n > maxEntries {
 		c.addProblem(versioner.Key{}, "entries", "must be at most %d, got %d", maxEntries, n)
 		return
 	}
+	if tenants > maxTenants {
+		c.addProblem(versioner.Key{}, "tenants", "must be at most %d, got %d", maxTenants, tenants)
+		return
+	}
 	for _, e := range c.doc.Entries {
 		c.checkEntry(e)
 	}
@@ -104,6 +115,8 @@
 		c.checkService(e.Key, e.Service)
 	case e.Route != nil:
 		c.checkRoute(e.Key, e.Route)
+	case e.Tenant != nil:
+		c.checkTenant(e.Key, e.Tenant)
 	case e.Exception != nil:
 		c.checkException(e.Key, e.Exception)
 	}
--- a/versioner/decode.go
+++ b/versioner/decode.go
@@ -64,6 +64,7 @@
 		{KindClass, e.Class != nil},
 		{KindService, e.Service != nil},
 		{KindRoute, e.Route != nil},
+		{KindTenant, e.Tenant != nil},
 		{KindException, e.Exception != nil},
 	} {
 		if v.set {
--- a/versioner/entries.go
+++ b/versioner/entries.go
@@ -87,6 +87,26 @@
 	// MaxTargets bounds the number of targets to which one call may be sent; 0
 	// means that only the class's number of retries bounds it.
 	MaxTargets int `json:"max-targets,omitempty" toml:"max-targets,omitempty"`
+	// Public reports whether calls need no API key where the configuration has
+	// tenants.
+	Public bool `json:"public,omitempty" toml:"public,omitempty"`
+}
+
+// Tenant is a customer of the partners, on whose behalf callers make calls. Callers
+// state one of its API keys.
+//
+// Invariant: no two tenants of a document have a key in common.
+type Tenant struct {
+	// KeySHA256 lists the SHA-256 of the tenant's API keys, in hexadecimal.
+	KeySHA256 []string `json:"key-sha256,omitempty" toml:"key-sha256,omitempty"`
+	// Priority takes precedence over the priority of the route; nil means that the
+	// route's applies.
+	Priority *int `json:"priority,omitempty" toml:"priority,omitempty"`
+	// RatePerS is the quota of the tenant over all daemons, in calls per second; 0
+	// means that there is none.
+	RatePerS float64 `json:"rate-per-s,omitempty" toml:"rate-per-s,omitempty"`
+	// Burst is the number of calls that the tenant may make at once beyond the rate.
+	Burst float64 `json:"burst,omitempty" toml:"burst,omitempty"`
 }
 
 // Part is the share of a route's calls that one service gets.
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -51,6 +51,7 @@
 	KindClass     Kind = "class"
 	KindService   Kind = "service"
 	KindRoute     Kind = "route"
+	KindTenant    Kind = "tenant"
 	KindException Kind = "exception"
 )
 
@@ -79,6 +80,7 @@
 	Class     *Class     `json:"class,omitempty"`
 	Service   *Service   `json:"service,omitempty"`
 	Route     *Route     `json:"route,omitempty"`
+	Tenant    *Tenant    `json:"tenant,omitempty"`
 	Exception *Exception `json:"exception,omitempty"`
 }
 
