Refuse calls at the entry that other failure domains would refuse

Cause: when a service was short of room in all failure domains, each call that its own domain refused was carried to the others, one after the other, and refused there too.

Change: package throttler counts how many of the entry daemon's calls other domains accepted; while most are refused it lets only a few leave. The picker can be limited to the own domain.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,6 +101,7 @@
 		InstanceID: cfg.InstanceID, RunLocal: d.executor.Run, Service: func() string { return d.cfg.Load().TargetService },
 		Quarantine: d.quarantine,
 	}
+	d.forwarder.Throttler.Ratio = cfg.SpillRatio
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
 	d.executor.TrialHolder = d.forwarder.TrialHolder
 	bodies := newBodyBudget(cfg)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -23,6 +23,7 @@
 	m.Set("requests-quarantined", expvar.Func(func() any { return len(d.quarantine.Quarantined()) }))
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
+	m.Set("throttler", publisher.Counters(&d.forwarder.Throttler.Counters))
 	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -62,6 +62,8 @@
 	sent int
 	// unknownAttempts counts the attempts with an unknown outcome.
 	unknownAttempts int
+	// refusedForMS is the Retry-After of the last refusal, 0 if it had none.
+	refusedForMS int64
 	// fallback is the answer to the caller if the last attempt brings none: the
 	// last server error that a target answered, or else the first unknown outcome.
 	fallback *messenger.Answer
@@ -188,6 +190,9 @@
 	if answer.Sent || answer.Outcome == messenger.OutcomeUnknown {
 		x.sent++
 	}
+	if answer.Outcome == messenger.OutcomeNotRun {
+		x.refusedForMS = answer.RetryAfterMS
+	}
 	if answer.Outcome == messenger.OutcomeUnknown {
 		if x.fallback == nil {
 			x.fallback = answer
@@ -248,6 +253,7 @@
 	if choice.Record.Domain != f.Picker.Domain {
 		f.Counters.Crossed.add(call.Class, len(call.Body)+len(answer.Body))
 	}
+	f.observeSpill(x, choice, answer)
 	result := pickerResult(answer)
 	if answer.HandlingUS > 0 {
 		result.Transit = max(1, took-time.Duration(answer.HandlingUS)*time.Microsecond)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/retrier"
+	"bambooweir.example/bambooweir/throttler"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -71,6 +72,8 @@
 	// Quarantine holds the requests under which targets have ended; nil treats them like all
 	// others.
 	Quarantine *quarantiner.Table
+	// Throttler limits the calls that leave the failure domain while the others refuse them.
+	Throttler throttler.Throttler
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -37,6 +37,9 @@
 	causeLinkLost        = "link-lost"
 	causeDaemonLost      = "target-daemon-lost"
 	causeDaemonRestarted = "target-daemon-restarted"
+	// causeDomainsFull means that the local failure domain has no room for the call, and the
+	// others have lately refused most of the calls like it.
+	causeDomainsFull = "domains-full"
 	// causeLastTarget means that a suspected request is not tried at the last target of its
 	// service.
 	causeLastTarget = "last-target"
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -52,6 +52,13 @@
 		return f.pickForTrial(x, need, s)
 	}
 	choice, ok := f.Picker.Pick(x.policy, need, x.triedTargets())
+	if ok && !f.mayLeaveDomain(x, choice) {
+		choice.Done(picker.Result{Outcome: picker.Abandoned})
+		need.IsLocal = true
+		if choice, ok = f.Picker.Pick(x.policy, need, x.triedTargets()); !ok {
+			return choice, refuseAttempt(x, causeDomainsFull, x.retryAfterMS())
+		}
+	}
 	if !ok {
 		return choice, refuseAttempt(x, causeNoTarget, unavailableRetryAfterMS)
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -50,6 +50,7 @@
 	TargetHeadBytes      int     `toml:"target-head-bytes"`
 	TargetBufferBytes    int     `toml:"target-buffer-bytes"`
 	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
+	SpillRatio           float64 `toml:"spill-ratio"`
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
 	MemoryMB             float64 `toml:"memory-mb"`
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -48,6 +48,8 @@
 	Objective time.Duration
 	// Bytes is the size of the request's body.
 	Bytes int
+	// IsLocal restricts the choice to targets of the local failure domain.
+	IsLocal bool
 }
 
 const (
@@ -98,6 +100,9 @@
 	if local != nil && localTime <= time.Duration(share*float64(need.Objective)) {
 		return local, localTime, ReasonLocal
 	}
+	if need.IsLocal {
+		return local, localTime, ReasonLocal
+	}
 	anywhere, anyTime, probe := e.earliest(p, v.all, tried)
 	switch {
 	case anywhere == nil:
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -202,20 +202,23 @@
 			return c, true
 		}
 	}
-	set, reason := v.local, ReasonLocal
+	set, all, reason := v.local, v.all, ReasonLocal
+	if need.IsLocal {
+		all = v.local
+	}
 	if len(set) == 0 {
-		set, reason = v.all, ReasonRemote
-	} else if len(v.all) > len(set) && p.shouldSpillOver(set, policy, now) {
-		set, reason = v.all, ReasonSpillOver
+		set, reason = all, ReasonRemote
+	} else if len(all) > len(set) && p.shouldSpillOver(set, policy, now) {
+		set, reason = all, ReasonSpillOver
 	}
 	t, probe := p.bestOfSample(set, policy, &tried, now)
 	if t == nil && reason == ReasonLocal {
 		reason = ReasonRemote
-		t, probe = p.bestOfSample(v.all, policy, &tried, now)
+		t, probe = p.bestOfSample(all, policy, &tried, now)
 	}
 	if t == nil {
 		reason = ReasonLastResort
-		t = p.lastResort(v.all, &tried)
+		t = p.lastResort(all, &tried)
 	}
 	if t == nil {
 		p.Counters.None.Add(1)
