Order waiting calls by their tenants' priorities

Cause: a tenant's priority goes before its route's, but was not used: a waiting call was ordered by its route's priority alone.

Change: a waiting call has a precedence: its rank is the tenant's priority, or the route's if the tenant has none, and among equal ranks the route's priority decides. Run times are still kept by the route's priority. Calls without a tenant are ordered as before; so are the bounds of the levels, except that priorities of tenants beyond the last level stay distinct. Run times by tenant were ruled out: how long a call runs depends on what it asks for.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,7 +10,8 @@
 // times, and postings and scans whose run time is not known yet, borrow only from
 // partners that have sent no call here for activeWindow.
 //
-// Waiting calls with a latency objective are ordered by priority, then by the
+// Waiting calls are ordered by the priority of their tenant or else of their route, and
+// then by that of their route. Those with a latency objective are further ordered by the
 // latest time at which they may start, and are kept only while they can be
 // expected to meet the objective: under lasting overload a longer queue would
 // make every answer late without serving more calls. This order favors callers
@@ -86,8 +87,8 @@
 	generalRunning  int
 	reservedRunning [classCount]int
 	runs            runTimes
-	// runningByPriority counts the running calls by priority level.
-	runningByPriority [priorityCount]int
+	// runningByRank counts the running calls by precedence.countedRank.
+	runningByRank [priorityCount]int
 }
 
 // priorityCount is the number of priority levels. Lower priorities count as the
@@ -100,6 +101,9 @@
 	Class, Partner string
 	// Priority orders waiting calls; 0 is the highest priority.
 	Priority int
+	// TenantPriority takes precedence over Priority in that order; nil means that the call
+	// has none, and counts as one of its Priority.
+	TenantPriority *int
 	// Objective is the latency objective of the call; 0 means none.
 	Objective time.Duration
 	// Waited is how much of the objective the caller has already spent waiting.
@@ -113,12 +117,41 @@
 // level returns the call's priority level.
 func (r Request) level() int { return min(max(r.Priority, 0), priorityCount-1) }
 
+// precedence returns the call's precedence among waiting calls.
+func (r Request) precedence() precedence {
+	p := precedence{rank: r.level(), level: r.level()}
+	if r.TenantPriority != nil {
+		p.rank = max(*r.TenantPriority, 0)
+	}
+	return p
+}
+
+// precedence orders waiting calls: first by rank, then by level.
+type precedence struct {
+	// rank is the tenant's priority, or else the level.
+	rank int
+	// level is the priority level. Run times are measured by level: how long a call runs
+	// depends on what it asks for and not on its tenant.
+	level int
+}
+
+// goesBefore reports whether a call with precedence p goes before one with other.
+func (p precedence) goesBefore(other precedence) bool {
+	if p.rank != other.rank {
+		return p.rank < other.rank
+	}
+	return p.level < other.level
+}
+
+// countedRank returns the rank by which the running call is counted.
+func (p precedence) countedRank() int { return min(p.rank, priorityCount-1) }
+
 // Slot is the right to run one call. Release must be called once.
 type Slot struct {
 	limiter  *Limiter
 	account  *account
 	class    class
-	level    int
+	order    precedence
 	reserved bool
 	start    time.Time
 }
@@ -150,7 +183,7 @@
 	}
 	if len(a.queues[c]) == 0 && l.isNextAtGate(now) {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
-			slot := l.takeSlot(a, c, r.level(), r.Objective, kind, now)
+			slot := l.takeSlot(a, c, r.precedence(), r.Objective, kind, now)
 			l.mu.Unlock()
 			return slot, nil
 		}
@@ -183,8 +216,8 @@
 		s.account.generalRunning--
 		l.generalRunning--
 	}
-	l.runningByPriority[s.level]--
-	l.runs.end(s.class, s.level, s.start, now)
+	l.runningByRank[s.order.countedRank()]--
+	l.runs.end(s.class, s.order.level, s.start, now)
 	l.refreshLimits()
 	l.refreshRate(now)
 	l.shed(now)
@@ -308,14 +341,14 @@
 
 // takeSlot marks a slot of the given kind as in use and returns it. The caller
 // holds mu.
-func (l *Limiter) takeSlot(a *account, c class, level int, objective time.Duration, kind slotKind, now time.Time) Slot {
+func (l *Limiter) takeSlot(a *account, c class, order precedence, objective time.Duration, kind slotKind, now time.Time) Slot {
 	l.running++
 	assumedRun := time.Duration(0)
 	if l.WarmsUp != nil && l.WarmsUp() {
 		assumedRun = objective * warmupRunPercent / 100
 	}
-	l.runs.begin(c, level, assumedRun, now)
-	l.runningByPriority[level]++
+	l.runs.begin(c, order.level, assumedRun, now)
+	l.runningByRank[order.countedRank()]++
 	if kind == slotReserved {
 		a.reservedRunning[c]++
 		l.reservedRunning[c]++
@@ -328,5 +361,5 @@
 	if kind == slotBorrowed {
 		l.Counters.Borrowed.Add(1)
 	}
-	return Slot{limiter: l, account: a, class: c, level: level, reserved: kind == slotReserved, start: now}
+	return Slot{limiter: l, account: a, class: c, order: order, reserved: kind == slotReserved, start: now}
 }
--- a/limiter/objective_test.go
+++ b/limiter/objective_test.go
@@ -50,11 +50,18 @@
 }
 
 func TestObjectiveOrdersTheQueue(t *testing.T) {
+	high, low, lowest := 0, 2, 7
 	tests := []struct {
 		name          string
 		first, second Request
 	}{
 		{"priority goes first", Request{Priority: 2}, Request{Priority: 1}},
+		{"the tenant's priority goes before the route's", Request{Priority: 0, TenantPriority: &low}, Request{Priority: 2, TenantPriority: &high}},
+		{"the route's priority orders the calls of equal tenants", Request{Priority: 1, TenantPriority: &low}, Request{TenantPriority: &low}},
+		{"a tenant without a priority has the route's", Request{Priority: 1, TenantPriority: &low}, Request{Priority: 1}},
+		{"a tenant's priority goes before a lower one of a route", Request{Priority: 1}, Request{Priority: 1, TenantPriority: &high}},
+		{"the tenant's priority goes before nesting", Request{Priority: 1, IsNested: true}, Request{Priority: 1, TenantPriority: &high}},
+		{"low priorities of tenants differ", Request{TenantPriority: &lowest}, Request{Priority: 3}},
 		{"the shorter objective goes first", Request{}, Request{Objective: 250 * time.Millisecond}},
 		{"a retried call goes first", Request{}, Request{Waited: 80 * time.Millisecond}},
 		{"a nested call goes first", Request{}, Request{IsNested: true}},
@@ -98,6 +105,25 @@
 	}
 }
 
+// TestRunTimesAreThoseOfTheRoutesPriority guards against the run times of two kinds of
+// requests being mixed because their tenants have the same priority.
+func TestRunTimesAreThoseOfTheRoutesPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newOnePartnerLimiter(t, 12)
+		first := 0
+		for priority, run := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+			slot := mustAdmit(t, l, 1, withObjective(Request{Class: lookup, Partner: "magnolia", Priority: priority, TenantPriority: &first}))[0]
+			time.Sleep(run)
+			slot.Release()
+		}
+		for priority, want := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+			if got := l.MeanRun(lookup, priority); got != want {
+				t.Errorf("mean run time at priority %d: got %v, want %v", priority, got, want)
+			}
+		}
+	})
+}
+
 // TestCallThatCannotStartInTimeIsRefusedAtOnce checks that a call that can't be
 // expected to start in time is refused without waiting, with the time after which
 // it may be retried.
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -41,7 +41,7 @@
 type waiter struct {
 	account *account
 	class   class
-	level   int // priority level
+	order   precedence
 	// expires is when the call stops waiting, because starting later would be
 	// useless.
 	expires time.Time
@@ -64,8 +64,8 @@
 
 // goesBefore reports whether w gets a slot before other.
 func (w *waiter) goesBefore(other *waiter) bool {
-	if w.level != other.level {
-		return w.level < other.level
+	if w.order != other.order {
+		return w.order.goesBefore(other.order)
 	}
 	if w.isNested != other.isNested {
 		// The parent of a nested call occupies a slot elsewhere until it returns.
@@ -80,7 +80,7 @@
 // enqueue adds a call to the queue of its partner and class, or refuses it at once
 // if it cannot be expected to get a slot in time. The caller holds mu.
 func (l *Limiter) enqueue(ctx context.Context, a *account, c class, r Request, now time.Time) (*waiter, error) {
-	w := &waiter{account: a, class: c, level: r.level(), objective: r.Objective, isNested: r.IsNested, result: make(chan admitResult, 1)}
+	w := &waiter{account: a, class: c, order: r.precedence(), objective: r.Objective, isNested: r.IsNested, result: make(chan admitResult, 1)}
 	maxLength := l.limits.queueLength[c]
 	if w.objective > 0 {
 		maxLength = maxObjectiveQueue
@@ -222,8 +222,8 @@
 func (l *Limiter) usableSlots(w *waiter) int {
 	slots := max(w.account.guarantee, w.account.generalRunning)
 	if w.objective > 0 {
-		for level := range w.level {
-			slots -= l.runningByPriority[level]
+		for rank := range w.order.countedRank() {
+			slots -= l.runningByRank[rank]
 		}
 	}
 	return max(1, slots)
@@ -307,7 +307,7 @@
 			return
 		}
 		w.account.queues[w.class] = w.account.queues[w.class][1:]
-		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, w.level, w.objective, kind, now)}
+		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, w.order, w.objective, kind, now)}
 	}
 }
 
