Keep the idempotency keys of tenants apart

Cause: a key was known by service, partner and text, so that a tenant which sent another's key with the same request got the other's answer, and key-reused with another request.

Change: the key's id includes the tenant, if the call has one. Without tenants the ids are those of before, also between daemons of both versions.

--- a/messenger/keys.go
+++ b/messenger/keys.go
@@ -127,10 +127,14 @@
 	return h.Sum64()
 }
 
-// KeyID returns the id of the call's idempotency key within its service and
-// partner.
+// KeyID returns the id of the call's idempotency key within its service, partner and
+// tenant, so that no tenant gets the answer to a call of another.
 func (c *Call) KeyID() KeyID {
-	sum := sha256.Sum256([]byte(c.Service + "\x00" + c.Partner + "\x00" + c.IdempotencyKey))
+	scope := c.Service + "\x00" + c.Partner + "\x00"
+	if c.Tenant != "" {
+		scope += c.Tenant + "\x00"
+	}
+	sum := sha256.Sum256([]byte(scope + c.IdempotencyKey))
 	return KeyID(sum[:16])
 }
 
