Let a tenant that floods wait behind the others

Cause: while a target is short of slots, callers of all tenants were refused alike, so that one tenant that sends several times its usual took room from all others. The bound of a queued call by the slots that it can expect also counted the levels of tenants alone, so that calls on less urgent routes expected too many slots.

Change: the limiter remembers how much slot time each tenant lately used. Calls of a tenant beyond its share, by quota, go after others of the same priority; free slots go to whoever asks. Running calls are counted by tenant's and route's priority.

--- a/forwarder/spill.go
+++ b/forwarder/spill.go
@@ -33,7 +33,11 @@
 
 // spillFlow returns the calls like x.
 func spillFlow(x *exchange) throttler.Flow {
-	return throttler.Flow{Service: x.policy.Service, Priority: x.call.Priority}
+	flow := throttler.Flow{Service: x.policy.Service, Rank: x.call.Priority, Priority: x.call.Priority}
+	if x.call.TenantPriority != nil {
+		flow.Rank = *x.call.TenantPriority
+	}
+	return flow
 }
 
 // retryAfterMS returns when the caller should come back: as the last target said that refused
--- a/limiter/counters.go
+++ b/limiter/counters.go
@@ -10,8 +10,9 @@
 	// Admitted counts calls that got a slot, Borrowed those that got one out of
 	// another partner's share.
 	Admitted, Borrowed expvar.Int
-	// Queued counts calls that waited for a slot.
-	Queued expvar.Int
+	// Queued counts calls that waited for a slot, OverShare those of them that waited behind
+	// others because their tenant had used more than its share of the target.
+	Queued, OverShare expvar.Int
 	// Refused counts calls that got none, Expired those of them whose deadline
 	// passed or whose caller went away.
 	Refused, Expired expvar.Int
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,6 +10,10 @@
 // times, and postings and scans whose run time is not known yet, borrow only from
 // partners that have sent no call here for activeWindow.
 //
+// Among calls of the same priority, those of tenants that have lately used more than their share
+// of the target go after the others, so that a tenant that sends more than it usually does takes
+// room from nobody. Free slots are never kept for a tenant.
+//
 // Waiting calls are ordered by the priority of their tenant or else of their route, and
 // then by that of their route. Those with a latency objective are further ordered by the
 // latest time at which they may start, and are kept only while they can be
@@ -87,8 +91,10 @@
 	generalRunning  int
 	reservedRunning [classCount]int
 	runs            runTimes
-	// runningByRank counts the running calls by precedence.countedRank.
-	runningByRank [priorityCount]int
+	// runningByOrder counts the running calls by precedence.counted.
+	runningByOrder [priorityCount][priorityCount]int
+	// tenants holds how much of the target each tenant has lately used.
+	tenants tenantUses
 }
 
 // priorityCount is the number of priority levels. Lower priorities count as the
@@ -101,6 +107,8 @@
 	Class, Partner string
 	// Priority orders waiting calls; 0 is the highest priority.
 	Priority int
+	// Tenant is the tenant on whose behalf the call is made, "" for none.
+	Tenant string
 	// TenantPriority takes precedence over Priority in that order; nil means that the call
 	// has none, and counts as one of its Priority.
 	TenantPriority *int
@@ -143,8 +151,12 @@
 	return p.level < other.level
 }
 
-// countedRank returns the rank by which the running call is counted.
-func (p precedence) countedRank() int { return min(p.rank, priorityCount-1) }
+// counted returns the precedence by which a running call is counted: ranks from the last level
+// on are not told apart.
+func (p precedence) counted() precedence {
+	p.rank = min(p.rank, priorityCount-1)
+	return p
+}
 
 // Slot is the right to run one call. Release must be called once.
 type Slot struct {
@@ -183,7 +195,7 @@
 	}
 	if len(a.queues[c]) == 0 && l.isNextAtGate(now) {
 		if kind := l.slotFor(a, c, now); kind != slotNone {
-			slot := l.takeSlot(a, c, r.precedence(), r.Objective, kind, now)
+			slot := l.takeSlot(a, c, &r, kind, now)
 			l.mu.Unlock()
 			return slot, nil
 		}
@@ -216,7 +228,7 @@
 		s.account.generalRunning--
 		l.generalRunning--
 	}
-	l.runningByRank[s.order.countedRank()]--
+	*l.runningAt(s.order)--
 	l.runs.end(s.class, s.order.level, s.start, now)
 	l.refreshLimits()
 	l.refreshRate(now)
@@ -264,6 +276,12 @@
 	return deadline.Sub(now) < needed
 }
 
+// runningAt returns the number of running calls of a precedence, as they are counted.
+func (l *Limiter) runningAt(p precedence) *int {
+	p = p.counted()
+	return &l.runningByOrder[p.rank][p.level]
+}
+
 // slotKind is the kind of slot that a call may use, in order of preference.
 type slotKind int
 
@@ -341,14 +359,16 @@
 
 // takeSlot marks a slot of the given kind as in use and returns it. The caller
 // holds mu.
-func (l *Limiter) takeSlot(a *account, c class, order precedence, objective time.Duration, kind slotKind, now time.Time) Slot {
+func (l *Limiter) takeSlot(a *account, c class, r *Request, kind slotKind, now time.Time) Slot {
+	order := r.precedence()
 	l.running++
 	assumedRun := time.Duration(0)
 	if l.WarmsUp != nil && l.WarmsUp() {
-		assumedRun = objective * warmupRunPercent / 100
+		assumedRun = r.Objective * warmupRunPercent / 100
 	}
 	l.runs.begin(c, order.level, assumedRun, now)
-	l.runningByRank[order.countedRank()]++
+	*l.runningAt(order)++
+	l.tenants.use(r.Tenant, l.runs.ofClass[c], l.snapshot, now)
 	if kind == slotReserved {
 		a.reservedRunning[c]++
 		l.reservedRunning[c]++
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -41,12 +41,15 @@
 type waiter struct {
 	account *account
 	class   class
+	request Request
 	order   precedence
 	// expires is when the call stops waiting, because starting later would be
 	// useless.
 	expires time.Time
 	// isNested is set if a target makes the call while it runs another one.
 	isNested bool
+	// isOverShare is set if the call's tenant has lately used more than its share of the target.
+	isOverShare bool
 	// isLate is set if the answer will miss its objective even without waiting.
 	isLate bool
 	// objective is the call's latency objective, 0 for none. A call with an objective is
@@ -71,6 +74,9 @@
 		// The parent of a nested call occupies a slot elsewhere until it returns.
 		return w.isNested
 	}
+	if w.isOverShare != other.isOverShare {
+		return other.isOverShare
+	}
 	if w.isLate != other.isLate {
 		return other.isLate
 	}
@@ -80,7 +86,10 @@
 // enqueue adds a call to the queue of its partner and class, or refuses it at once
 // if it cannot be expected to get a slot in time. The caller holds mu.
 func (l *Limiter) enqueue(ctx context.Context, a *account, c class, r Request, now time.Time) (*waiter, error) {
-	w := &waiter{account: a, class: c, order: r.precedence(), objective: r.Objective, isNested: r.IsNested, result: make(chan admitResult, 1)}
+	w := &waiter{
+		account: a, class: c, request: r, order: r.precedence(), objective: r.Objective, isNested: r.IsNested,
+		isOverShare: l.tenants.isOverShare(r.Tenant, l.runs.ofClass[c], now), result: make(chan admitResult, 1),
+	}
 	maxLength := l.limits.queueLength[c]
 	if w.objective > 0 {
 		maxLength = maxObjectiveQueue
@@ -110,6 +119,9 @@
 	}
 	a.queues[c] = slices.Insert(q, at, w)
 	l.Counters.Queued.Add(1)
+	if w.isOverShare {
+		l.Counters.OverShare.Add(1)
+	}
 	return w, nil
 }
 
@@ -222,8 +234,13 @@
 func (l *Limiter) usableSlots(w *waiter) int {
 	slots := max(w.account.guarantee, w.account.generalRunning)
 	if w.objective > 0 {
-		for rank := range w.order.countedRank() {
-			slots -= l.runningByRank[rank]
+		own := w.order.counted()
+		for rank := range own.rank + 1 {
+			for level := range priorityCount {
+				if p := (precedence{rank: rank, level: level}); p.goesBefore(own) {
+					slots -= l.runningByOrder[rank][level]
+				}
+			}
 		}
 	}
 	return max(1, slots)
@@ -307,7 +324,7 @@
 			return
 		}
 		w.account.queues[w.class] = w.account.queues[w.class][1:]
-		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, w.order, w.objective, kind, now)}
+		w.result <- admitResult{slot: l.takeSlot(w.account, w.class, &w.request, kind, now)}
 	}
 }
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -29,8 +29,9 @@
 
 // Flow names calls that are refused alike: those to one service with the same precedence.
 type Flow struct {
-	Service  string
-	Priority int
+	Service string
+	// Rank is the priority of the calls' tenant, or else that of their route, which Priority is.
+	Rank, Priority int
 }
 
 // Counters count the decisions of a Throttler.
