Bound the tenants of a document by what daemons decode

Cause: the validator took 200,000 tenants, but the decoder of documents takes at most 131,072 elements in a list: a version could be accepted that no daemon can read.

Change: at most 120,000 tenants beside 10,000 other entries. The validator's and the codec's tests learn tenants: keys of two tenants, malformed digests, values out of range, and the round trip of a document.

--- a/validator/entries.go
+++ b/validator/entries.go
@@ -13,8 +13,10 @@
 
 // Limits on the size of a document and on the values in it.
 const (
-	maxEntries     = 10_000 // tenants aside
-	maxTenants     = 200_000
+	maxEntries = 10_000 // tenants aside
+	// maxTenants and maxEntries together stay below the 131,072 elements that the decoder of
+	// documents takes in one list.
+	maxTenants     = 120_000
 	maxTenantKeys  = 64
 	maxRatePerS    = 1e9
 	maxNameBytes   = 63
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -35,6 +36,7 @@
 	Class     map[string]versioner.Class     `toml:"class"`
 	Service   map[string]versioner.Service   `toml:"service"`
 	Route     map[string]versioner.Route     `toml:"route"`
+	Tenant    map[string]versioner.Tenant    `toml:"tenant"`
 	Exception map[string]versioner.Exception `toml:"exception"`
 }
 
@@ -58,6 +60,9 @@
 	for name, v := range f.Route {
 		add(versioner.KindRoute, name, versioner.Entry{Route: &v})
 	}
+	for name, v := range f.Tenant {
+		add(versioner.KindTenant, name, versioner.Entry{Tenant: &v})
+	}
 	for name, v := range f.Exception {
 		add(versioner.KindException, name, versioner.Entry{Exception: &v})
 	}
@@ -89,6 +94,18 @@
 	route := func(lines string) string {
 		return "\n[route.r]\npartner = \"regie\"\nservice = \"catalogue\"\nclass = \"lookup\"\n" + lines
 	}
+	tenant := func(name, lines string) string { return "\n[tenant." + name + "]\n" + lines }
+	keys := func(digits ...string) string {
+		var list []string
+		for _, d := range digits {
+			list = append(list, `"`+strings.Repeat(d, 64)+`"`)
+		}
+		return "key-sha256 = [" + strings.Join(list, ", ") + "]\n"
+	}
+	manyKeys := make([]string, 65)
+	for i := range manyKeys {
+		manyKeys[i] = fmt.Sprintf(`"%064x"`, i)
+	}
 	for _, tt := range []struct {
 		name, edit string
 		// want is a substring of the only problem; empty means that the document
@@ -121,6 +138,21 @@
 		{"route method", route(`path-prefix = "/a"` + "\n" + `methods = ["get"]`), "methods: must be one of"},
 		{"route with the pattern of another", route(`path-prefix = "/shares/"`), "same requests as route.r"},
 		{"route with the path of another, but a host", route(`path-prefix = "/shares"` + "\n" + `hosts = ["shop.example"]`), ""},
+		{"tenants", tenant("north", keys("a", "b")+"priority = 1000\nrate-per-s = 0.5\nburst = 1000000000.0") + tenant("south", keys("c")), ""},
+		{"tenant without keys", tenant("north", ""), ""},
+		{"tenant's name", tenant("North", ""), "must be kebab-case"},
+		{"key of two tenants", tenant("north", keys("a", "b")) + tenant("south", keys("c", "b")), `tenant.south: key-sha256: holds a key of tenant "north"`},
+		{"key named twice", tenant("north", keys("a", "a")), "tenant.north: key-sha256: names a key twice"},
+		{"key that is no digest", tenant("north", keys("x")), "64 lower-case hexadecimal digits"},
+		{"key in upper case", tenant("north", keys("A")), "64 lower-case hexadecimal digits"},
+		{"key that is too short", tenant("north", `key-sha256 = ["`+strings.Repeat("a", 62)+`"]`), "64 lower-case hexadecimal digits"},
+		{"too many keys", tenant("north", "key-sha256 = ["+strings.Join(manyKeys, ", ")+"]"), "must be at most 64, got 65"},
+		{"tenant's priority", tenant("north", "priority = 1001"), "priority: must be from 0 to 1000"},
+		{"negative priority of a tenant", tenant("north", "priority = -1"), "priority: must be from 0 to 1000"},
+		{"negative rate", tenant("north", "rate-per-s = -0.5"), "rate-per-s: must be from 0 to"},
+		{"infinite rate", tenant("north", "rate-per-s = inf"), "rate-per-s: must be from 0 to"},
+		{"rate that is no number", tenant("north", "rate-per-s = nan"), "rate-per-s: must be from 0 to"},
+		{"too large a burst", tenant("north", "burst = 1000000001.0"), "burst: must be from 0 to"},
 		{"exception without reason", exception(`service = "catalogue"`, "eject-ms", "500", " "), "reason: is required"},
 		{"exception without scope", exception("", "eject-ms", "500", "x"), "at least one is required"},
 		{"exception of an unknown setting", exception(`service = "catalogue"`, "eject", "500", "x"), "must name a setting"},
--- a/versioner/decode_test.go
+++ b/versioner/decode_test.go
@@ -22,6 +22,7 @@
 		{Key: key(versioner.KindClass, versioner.ClassLookup), Class: &versioner.Class{Idempotent: &yes, TimeoutMS: &n}},
 		{Key: key(versioner.KindService, "ledger-view"), Service: &versioner.Service{Partner: "magnolia", Slots: 12}},
 		{Key: key(versioner.KindRoute, "shares"), Route: &versioner.Route{Partner: "magnolia", Hosts: []string{"a"}, PathPrefix: "/", Methods: []string{"GET"}, Service: "ledger-view", Class: "lookup", TimeoutMS: 5}},
+		{Key: key(versioner.KindTenant, "north"), Tenant: &versioner.Tenant{KeySHA256: []string{versioner.HashKey("k")}, Priority: new(int), RatePerS: 0.1, Burst: 40}},
 		{Key: key(versioner.KindException, "slow"), Exception: &versioner.Exception{
 			Service: "ledger-view", Setting: "eject-ms", Value: 500, Reason: "r", Author: "ada",
 			At: versioner.TimestampOf(time.Date(2026, 3, 1, 12, 0, 0, 123_456_789, time.FixedZone("x", 3600))),
@@ -148,3 +149,20 @@
 		}
 	})
 }
+
+// TestLargestDocumentIsDecoded guards against a version that is accepted and that no daemon
+// can read: the decoder bounds the number of entries, as the validator does.
+func TestLargestDocumentIsDecoded(t *testing.T) {
+	const most = 10_000 + 120_000 // the validator's bounds
+	doc := &versioner.Document{Version: 1}
+	for i := range most {
+		doc.Entries = append(doc.Entries, versioner.Entry{Key: versioner.Key{Kind: versioner.KindTenant, Name: fmt.Sprintf("t%06d", i)}, Tenant: new(versioner.Tenant)})
+	}
+	b, err := versioner.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := versioner.DecodeDocument(b); err != nil || len(got.Entries) != most {
+		t.Errorf("got error %v, want %d entries", err, most)
+	}
+}
