Count the calls of the busiest tenants and show them to operators

Cause: an operator could not see which tenants ask, and which of them are refused. A metric for each of 100,000 tenants would be too many on each daemon.

Change: tallier counts the calls of a daemon's 48 busiest tenants by name and of all others together (Space-Saving). GET /v1/tenants and bambooweir tenants show them with what the version in force says of them; forwarder.unknown-keys counts 401. Refusals before routing name the tenant in the log too, and LOGS.md lists the field of every event that has it.

TestFormerlyBusyTenantGivesWay fails if ranks don't halve.

--- a/applier/tenants.go
+++ b/applier/tenants.go
@@ -16,6 +16,14 @@
 // HasQuota reports whether the calls of the tenant are limited.
 func (t *Tenant) HasQuota() bool { return t.Config.RatePerS > 0 }
 
+// NameOrNone returns the tenant's name, or "" if t is nil.
+func (t *Tenant) NameOrNone() string {
+	if t == nil {
+		return ""
+	}
+	return t.Name
+}
+
 // tenantIndex finds tenants by API key and by name.
 type tenantIndex struct {
 	// byKey maps the SHA-256 of an API key to its tenant. A lookup by digest says nothing
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -27,6 +27,9 @@
 type Counters struct {
 	// Answered, NotRun and Unknown count the requests of callers by outcome.
 	Answered, NotRun, Unknown expvar.Int
+	// UnknownKeys counts the requests that were refused because no tenant holds their API
+	// key, or they have none.
+	UnknownKeys expvar.Int
 	// Redispatched counts further attempts, Reattached the calls whose link was lost
 	// and whose answer was asked for over a new one.
 	Redispatched, Reattached expvar.Int
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,7 +13,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +28,7 @@
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/retrier"
+	"bambooweir.example/bambooweir/tallier"
 	"bambooweir.example/bambooweir/versioner"
 )
 
@@ -86,6 +86,8 @@
 	// abnormally or late, and for links that fail; nil logs nothing.
 	Log      *zap.Logger
 	Counters Counters
+	// Tenants counts the calls of tenants.
+	Tenants tallier.Tallier
 	// ObserveLatency is called with the outcome and the latency of each request; it may be
 	// nil.
 	ObserveLatency func(class, outcome, cause string, took time.Duration)
@@ -152,7 +154,7 @@
 	}
 	x, cause := f.newExchange(w, r, snapshot, route, tenant)
 	if cause != "" {
-		f.refuse(w, r, cause)
+		f.refuseTenant(w, r, tenant, cause)
 		return
 	}
 	x.version = snapshot.Version()
@@ -160,6 +162,7 @@
 	defer cancel()
 	answer := f.dispatch(ctx, x)
 	f.logCall(r.Context(), x, answer)
+	f.tally(x.call.Tenant, answer)
 	f.writeAnswer(w, r, answer)
 }
 
@@ -226,28 +229,6 @@
 	return x, ""
 }
 
-// forwardedHeaders returns the header fields that are sent on to the target. The
-// calling service and, where the configuration has tenants, the tenant are set by this
-// daemon; values from the caller are dropped, as is its API key.
-func (f *Forwarder) forwardedHeaders(h http.Header, s *applier.Snapshot, tenant *applier.Tenant) []messenger.Header {
-	names := f.Headers.WithDefaults()
-	hasTenants := s.HasTenants()
-	fields := slices.DeleteFunc(messenger.FromHTTP(h), func(field messenger.Header) bool {
-		return field.Name == names.CallingService || field.Name == names.Target ||
-			hasTenants && (field.Name == names.APIKey || field.Name == names.Tenant)
-	})
-	if tenant != nil {
-		fields = append(fields, messenger.Header{Name: names.Tenant, Value: tenant.Name})
-	}
-	if f.Service == nil {
-		return fields
-	}
-	if service := f.Service(); service != "" {
-		fields = append(fields, messenger.Header{Name: names.CallingService, Value: service})
-	}
-	return fields
-}
-
 // attemptRetry is the value of retrier.AttemptHeader on calls that this daemon marks.
 const attemptRetry = "retry"
 
@@ -328,31 +309,6 @@
 	return body, ""
 }
 
-// refuse answers a request that this daemon refuses before any attempt. The outcome
-// is not-run, but unknown for a refusal with status 503 of a call with an
-// idempotency key: an earlier call with the key may have run, and only the key's
-// owner knows.
-func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, cause string) {
-	answer := messenger.NotRun(messenger.CallID{}, cause)
-	f.logger().Info("request-refused", zap.String("request-id", r.Header.Get(f.Headers.WithDefaults().RequestID)),
-		zap.String("cause", cause), zap.Int("status", statusOf(answer)), zap.String("host", r.Host),
-		zap.String("method", r.Method), zap.Uint64("version", f.currentVersion()))
-	f.observeLatency("", answer, 0)
-	if statusOf(answer) != http.StatusServiceUnavailable {
-		f.Counters.NotRun.Add(1)
-		f.writeProblem(w, answer)
-		return
-	}
-	answer.RetryAfterMS = unavailableRetryAfterMS
-	if r.Header.Get(messenger.HeaderIdempotencyKey) != "" {
-		answer.Outcome = messenger.OutcomeUnknown
-		f.Counters.Unknown.Add(1)
-	} else {
-		f.Counters.NotRun.Add(1)
-	}
-	f.writeProblem(w, answer)
-}
-
 // writeAnswer writes the outcome of the call as the response to the caller.
 func (f *Forwarder) writeAnswer(w http.ResponseWriter, r *http.Request, answer *messenger.Answer) {
 	switch answer.Outcome {
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strconv"
 
+	"go.uber.org/zap"
+
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/messenger"
 )
 
@@ -104,6 +107,37 @@
 	_, _ = w.Write(body)
 }
 
+// refuse answers a request that this daemon refuses before any attempt. The outcome
+// is not-run, but unknown for a refusal with status 503 of a call with an
+// idempotency key: an earlier call with the key may have run, and only the key's
+// owner knows.
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, cause string) {
+	f.refuseTenant(w, r, nil, cause)
+}
+
+// refuseTenant is refuse for a request of a known tenant; nil means none.
+func (f *Forwarder) refuseTenant(w http.ResponseWriter, r *http.Request, tenant *applier.Tenant, cause string) {
+	answer := messenger.NotRun(messenger.CallID{}, cause)
+	f.tally(tenant.NameOrNone(), answer)
+	f.logger().Info("request-refused", zap.String("request-id", r.Header.Get(f.Headers.WithDefaults().RequestID)),
+		zap.String("cause", cause), zap.Int("status", statusOf(answer)), zap.String("host", r.Host),
+		zap.String("method", r.Method), zap.String("tenant", tenant.NameOrNone()), zap.Uint64("version", f.currentVersion()))
+	f.observeLatency("", answer, 0)
+	if statusOf(answer) != http.StatusServiceUnavailable {
+		f.Counters.NotRun.Add(1)
+		f.writeProblem(w, answer)
+		return
+	}
+	answer.RetryAfterMS = unavailableRetryAfterMS
+	if r.Header.Get(messenger.HeaderIdempotencyKey) != "" {
+		answer.Outcome = messenger.OutcomeUnknown
+		f.Counters.Unknown.Add(1)
+	} else {
+		f.Counters.NotRun.Add(1)
+	}
+	f.writeProblem(w, answer)
+}
+
 // retryAfter returns the value of the Retry-After field. HTTP defines whole seconds
 // only, so ms is rounded up unless FractionalRetryAfter is set.
 func (f *Forwarder) retryAfter(ms int64) string {
--- a/logger/events.go
+++ b/logger/events.go
@@ -10,7 +10,7 @@
 }
 
 // callEndKeys are the keys of the events that report how a call ended.
-const callEndKeys = "request-id, route, service, class, priority, nested, version, outcome, cause, status, retry-after-ms, objective-ms, waited-before-ms, limit-ms, took-ms, attempts, sent, target"
+const callEndKeys = "request-id, route, service, class, priority, nested, tenant, version, outcome, cause, status, retry-after-ms, objective-ms, waited-before-ms, limit-ms, took-ms, attempts, sent, target"
 
 // Events returns every event of a daemon, grouped by subject, in the order of
 // docs/LOGS.md.
@@ -48,7 +48,7 @@
 		{"daemon-regained", "a link to a target's daemon was opened, the first after daemon-unreachable", "target"},
 		{"link-silent", "a link with calls in flight was closed because nothing arrived on it", "target, silent"},
 
-		{"request-refused", "a request was refused before it was routed to a target", "request-id, cause, status, host, method, version"},
+		{"request-refused", "a request was refused before it was routed to a target", "request-id, cause, status, host, method, tenant, version"},
 		{"call-refused", "the response to a caller says that its call has not run", callEndKeys},
 		{"call-unknown", "the response to a caller says that its call may have run", callEndKeys},
 		{"call-failed", "a target's server error was returned to the caller", callEndKeys},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,11 +11,12 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/tallier"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Quarantine and Counters.
+// Distribution, TargetViews, Quarantine, Tenants, UnknownKeys and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -30,7 +31,11 @@
 	TargetViews func() []picker.TargetView
 	// Quarantine holds the requests that are not run; nil means that there are none.
 	Quarantine *quarantiner.Table
-	Counters   Counters
+	// Tenants counts the calls of tenants, and UnknownKeys the requests refused for their
+	// API keys; nil means that there are none.
+	Tenants     *tallier.Tallier
+	UnknownKeys *expvar.Int
+	Counters    Counters
 }
 
 // Register adds the API's resources to the router. Resources that may read the
@@ -45,6 +50,7 @@
 	e.GET(ExceptionsPath, a.exceptions, limit)
 	e.GET(AppliedPath, a.applied)
 	e.GET(QuarantinePath, a.quarantine)
+	e.GET(TenantsPath, a.tenants)
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
