--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,9 +13,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/logger"
 	"bambooweir.example/bambooweir/messenger"
+	"bambooweir.example/bambooweir/versioner"
 )
 
 // BenchmarkCall measures a whole call over loopback: caller, entry daemon, call
@@ -90,6 +93,40 @@
 	}
 }
 
+// BenchmarkAuthenticate measures what tenants add to a call at its entry daemon: the check
+// of its key alone, and with the fields that are sent on, which are made in any case.
+func BenchmarkAuthenticate(b *testing.B) {
+	for _, tenants := range []int{0, 74, 100_000} {
+		m := newMesh(b.Context(), b)
+		entries, keys := make([]versioner.Entry, tenants), []string{"none"}
+		for i := range entries {
+			keys = append(keys, fmt.Sprintf("%032d", i))
+			entries[i] = tenantEntry(fmt.Sprintf("tenant-%06d", i), keys[i+1])
+		}
+		snapshot, err := applier.Build(&versioner.Document{Version: 2, Entries: slices.Concat(m.forwarder.Applier.Current().Document.Entries, entries)}, "")
+		if err != nil {
+			b.Fatal(err)
+		}
+		route := snapshot.Route("a", "/lookups", http.MethodPost)
+		h := http.Header{"Bambooweir-Api-Key": {""}, "Bambooweir-Tenant": {"other"}, "Accept": {"*/*"}}
+		for _, part := range []string{"key", "key-and-fields"} {
+			b.Run(fmt.Sprintf("%s/%d", part, tenants), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					h["Bambooweir-Api-Key"][0] = keys[min(1, tenants)+i%max(1, tenants)]
+					tenant, ok := m.forwarder.authenticate(h, snapshot, route)
+					if !ok {
+						b.Fatal("got no tenant, want one")
+					}
+					if part != "key" {
+						_ = m.forwarder.forwardedHeaders(h, snapshot, tenant)
+					}
+				}
+			})
+		}
+	}
+}
+
 // getOK requests url and fails unless the response is 200 with a body of 512 bytes.
 func getOK(url string) error {
 	res, err := http.Get(url)
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -39,6 +39,21 @@
 class = "lookup"
 timeout-ms = 900
 
+[route.menu]
+partner = "magnolia"
+path-prefix = "/menu"
+service = "ledger-view"
+class = "lookup"
+public = true
+
+[tenant.north]
+key-sha256 = ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"]
+priority = 0
+rate-per-s = 12.5
+burst = 40.0
+
+[tenant.south]
+
 [exception.slow]
 service = "ledger-view"
 setting = "lookup.hedge-ms"
@@ -65,6 +80,10 @@
 [exception.d]
 service = "x"
 setting = "eject-ms"
+[tenant.e]
+key-sha256 = ["AB"]
+priority = "high"
+rate-per-s = 1000000001
 `
 	for _, tt := range []struct {
 		name, in string
@@ -86,6 +105,9 @@
 			`f.toml:13:1: route.c.class: must be one of lookup, posting, scan, internal-read, got "lookups"`,
 			`f.toml:16:12: exception.d.reason: is required`,
 			`f.toml:16:12: exception.d.value: is required`,
+			`f.toml:20:1: tenant.e.key-sha256: must be 64 lower-case hexadecimal digits each`,
+			`f.toml:21:1: tenant.e.priority: must be a whole number, got the string "high"`,
+			`f.toml:22:1: tenant.e.rate-per-s: must be from 0 to 1000000000, got 1.000000001e+09`,
 		}},
 		{"values", strings.NewReplacer("fleeet = 1", "", `"5s"`, "5", "= 7", `= "m"`, "classs =", "class =").Replace(broken), []string{
 			`f.toml:1:1: delete: must name entries as kind.name, got "shares"`,
@@ -99,6 +121,9 @@
 			`f.toml:13:1: route.c.class: must be one of lookup, posting, scan, internal-read, got "lookups"`,
 			`f.toml:16:12: exception.d.reason: is required`,
 			`f.toml:16:12: exception.d.value: is required`,
+			`f.toml:20:1: tenant.e.key-sha256: must be 64 lower-case hexadecimal digits each`,
+			`f.toml:21:1: tenant.e.priority: must be a whole number, got the string "high"`,
+			`f.toml:22:1: tenant.e.rate-per-s: must be from 0 to 1000000000, got 1.000000001e+09`,
 		}},
 		{"syntax", "[fleet]\neject-ms = = 1", []string{"f.toml:2:12: "}},
 		{"key twice", "[fleet]\neject-ms = 1\neject-ms = 1", []string{"f.toml:3:1: "}},
