--- a/applier/applier.go
+++ b/applier/applier.go
@@ -63,19 +63,34 @@
 // Build validates a document and returns its snapshot for a daemon in the failure
 // domain. It fails with a *validator.InvalidError.
 func Build(doc *versioner.Document, domain string) (*Snapshot, error) {
-	if err := validator.Check(doc); err != nil {
-		return nil, err
-	}
 	digest, err := doc.Digest()
 	if err != nil {
 		return nil, err
 	}
+	return buildNext(nil, doc, digest, domain)
+}
+
+// buildNext is Build for a document that follows the one of the snapshot before, which may be
+// nil. The new snapshot shares what the documents share, so that a version that changes little
+// costs little, and the calls of a split route go on where they were in its sequence.
+func buildNext(before *Snapshot, doc *versioner.Document, digest versioner.Digest, domain string) (*Snapshot, error) {
+	if before == nil {
+		before = &Snapshot{Document: new(versioner.Document), routes: new(routeIndex)}
+	}
+	if err := validator.CheckNext(before.Document, doc); err != nil {
+		return nil, err
+	}
 	set := newSettings(doc, domain)
 	policies := newPolicies(doc, set)
+	for k, p := range policies {
+		if old := before.policies[k]; old != nil && *old == *p {
+			policies[k] = old
+		}
+	}
 	return &Snapshot{
 		Document: doc, Digest: digest, Domain: domain, settings: set,
-		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies),
-		tenants: newTenantIndex(doc),
+		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies, before.routes),
+		tenants: nextTenantIndex(before, doc),
 	}, nil
 }
 
@@ -115,6 +130,15 @@
 // *ForkedVersionError or a *validator.InvalidError; the snapshot in force then
 // stays in force.
 func (a *Applier) Offer(doc *versioner.Document) (bool, error) {
+	digest, err := doc.Digest()
+	if err != nil {
+		return false, err
+	}
+	return a.OfferDigested(doc, digest)
+}
+
+// OfferDigested is Offer for a document whose digest is known.
+func (a *Applier) OfferDigested(doc *versioner.Document, digest versioner.Digest) (bool, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if current := a.current.Load(); current != nil {
@@ -122,10 +146,10 @@
 			return false, &OlderVersionError{InForce: current.Version(), Offered: doc.Version}
 		}
 		if doc.Version == current.Version() {
-			return false, checkSameContent(current, doc)
+			return false, checkSameContent(current, digest)
 		}
 	}
-	snapshot, err := a.build(doc)
+	snapshot, err := a.build(doc, digest)
 	if err != nil {
 		return false, err
 	}
@@ -140,23 +164,16 @@
 // errBuildPanic means that building the snapshot of a document panicked.
 var errBuildPanic = errors.New("the document could not be put in force because of an internal error")
 
-// build is Build for the daemon's failure domain. A panic is an error: every daemon gets the
-// same document, and it would end them all.
-func (a *Applier) build(doc *versioner.Document) (s *Snapshot, err error) {
+// build returns the next snapshot for the daemon's failure domain. A panic is an error: every
+// daemon gets the same document, and it would end them all.
+func (a *Applier) build(doc *versioner.Document, digest versioner.Digest) (s *Snapshot, err error) {
 	defer recoverer.Recover(nil, "configuration", func() { s, err = nil, errBuildPanic })
-	return Build(doc, a.Domain)
+	return buildNext(a.current.Load(), doc, digest, a.Domain)
 }
 
-// checkSameContent returns a *ForkedVersionError if the document differs from the
-// document of the snapshot, which has the same version.
-func checkSameContent(current *Snapshot, doc *versioner.Document) error {
-	if doc == current.Document {
-		return nil
-	}
-	digest, err := doc.Digest()
-	if err != nil {
-		return err
-	}
+// checkSameContent returns a *ForkedVersionError if the digest of a document differs from that of
+// the snapshot's, which has the same version.
+func checkSameContent(current *Snapshot, digest versioner.Digest) error {
 	if digest != current.Digest {
 		return &ForkedVersionError{Version: current.Version(), InForce: current.Digest, Offered: digest}
 	}
--- a/applier/policy_test.go
+++ b/applier/policy_test.go
@@ -130,7 +130,7 @@
 		// This skips Build, which refuses a document with ambiguous routes: the index
 		// must order them, too.
 		doc := (&versioner.Document{}).With(entries, nil)
-		s := &Snapshot{Document: doc, routes: newRouteIndex(doc, newPolicies(doc, newSettings(doc, "selma-row")))}
+		s := &Snapshot{Document: doc, routes: newRouteIndex(doc, newPolicies(doc, newSettings(doc, "selma-row")), new(routeIndex))}
 		h, p, m := host.Draw(rt, "host"), path.Draw(rt, "path"), method.Draw(rt, "method")
 		got, _, _ := s.Match(h, p, m)
 		if want := matchLinear(s.Document, h, p, m); got != want {
--- a/applier/routes.go
+++ b/applier/routes.go
@@ -34,6 +34,8 @@
 	byHost map[string]*routeNode
 	// anyHost holds the routes that name no host.
 	anyHost routeNode
+	// all holds all routes, sorted by name.
+	all []*Route
 }
 
 // routeNode holds the routes of one path prefix, sorted by name, and the nodes
@@ -44,29 +46,56 @@
 }
 
 // newRouteIndex indexes the routes of a document. The policies must contain those
-// of every route.
-func newRouteIndex(doc *versioner.Document, policies map[policyKey]*Policy) *routeIndex {
-	x := &routeIndex{byHost: make(map[string]*routeNode)}
+// of every route. Routes of the index before are kept if they and their policies are the same.
+func newRouteIndex(doc *versioner.Document, policies map[policyKey]*Policy, before *routeIndex) *routeIndex {
+	x := &routeIndex{byHost: make(map[string]*routeNode), all: make([]*Route, 0, len(before.all))}
+	old := before.all
 	for _, e := range doc.Entries {
 		if e.Route == nil {
 			continue
 		}
-		r := &Route{Name: e.Key.Name, Config: e.Route}
-		parts := make([]*Policy, 0, 1)
-		for _, service := range e.Route.Services() {
-			parts = append(parts, policies[policyKey{service, e.Route.Class, e.Route.Partner}])
+		for len(old) > 0 && old[0].Name < e.Key.Name {
+			old = old[1:]
 		}
-		r.Policy = parts[0]
-		if len(e.Route.Split) > 0 {
-			r.split = newSplitter(e.Route.Split, parts)
+		if len(old) > 0 && old[0].Config == e.Route && old[0].hasPolicies(policies) {
+			x.add(old[0])
+			continue
 		}
-		x.add(r)
+		x.add(newRoute(e.Key.Name, e.Route, policies))
 	}
 	return x
 }
 
+// newRoute returns a route with its policies.
+func newRoute(name string, config *versioner.Route, policies map[policyKey]*Policy) *Route {
+	r := &Route{Name: name, Config: config}
+	parts := make([]*Policy, 0, 1)
+	for _, service := range config.Services() {
+		parts = append(parts, policies[policyKey{service, config.Class, config.Partner}])
+	}
+	r.Policy = parts[0]
+	if len(config.Split) > 0 {
+		r.split = newSplitter(config.Split, parts)
+	}
+	return r
+}
+
+// hasPolicies reports whether the route's policies are those that the map holds for it.
+func (r *Route) hasPolicies(policies map[policyKey]*Policy) bool {
+	if r.split == nil {
+		return policies[policyKey{r.Config.Service, r.Config.Class, r.Config.Partner}] == r.Policy
+	}
+	for i, part := range r.Config.Split {
+		if policies[policyKey{part.Service, r.Config.Class, r.Config.Partner}] != r.split.parts[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // add adds a route under each of its hosts.
 func (x *routeIndex) add(r *Route) {
+	x.all = append(x.all, r)
 	prefix := strings.TrimSuffix(r.Config.PathPrefix, "/")
 	if len(r.Config.Hosts) == 0 {
 		x.anyHost.add(prefix, r)
--- a/applier/tenants.go
+++ b/applier/tenants.go
@@ -54,6 +54,25 @@
 	return x
 }
 
+// nextTenantIndex returns the index of the document's tenants: that of the snapshot before if
+// the documents share all of them.
+func nextTenantIndex(before *Snapshot, doc *versioner.Document) tenantIndex {
+	n := 0
+	for _, e := range doc.Entries {
+		if e.Tenant == nil {
+			continue
+		}
+		n++
+		if old := before.tenants.byName[e.Key.Name]; old == nil || old.Config != e.Tenant {
+			return newTenantIndex(doc)
+		}
+	}
+	if n != len(before.tenants.byName) {
+		return newTenantIndex(doc)
+	}
+	return before.tenants
+}
+
 // HasTenants reports whether the configuration defines tenants, so that calls on routes
 // that are not public need an API key.
 func (s *Snapshot) HasTenants() bool { return len(s.tenants.byName) > 0 }
--- a/spreader/config.go
+++ b/spreader/config.go
@@ -171,7 +171,7 @@
 // wakes the writers of all sessions to push it. The caller holds configMu.
 func (s *Spreader) applyDocument(next digestedDoc, from *session) {
 	v := next.position().Version
-	applied, err := s.Applier.Offer(next.doc)
+	applied, err := s.Applier.OfferDigested(next.doc, next.digest)
 	if err != nil {
 		s.reportRefusal(v, err, from)
 		return
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -35,8 +35,13 @@
 }
 
 // Check returns nil or an *InvalidError with every problem found.
-func Check(doc *versioner.Document) error {
+func Check(doc *versioner.Document) error { return CheckNext(nil, doc) }
+
+// CheckNext is like Check for a document that follows a valid one, which may be nil. It skips
+// the entries that both share, as far as their validity does not depend on others.
+func CheckNext(valid, doc *versioner.Document) error {
 	c := checker{doc: doc, requiresReferences: true}
+	c.compare(valid)
 	var malformed *versioner.InvalidDocumentError
 	if errors.As(doc.CheckInvariants(), &malformed) {
 		c.addProblem(malformed.Key, "entry", "%s", malformed.Message)
@@ -45,8 +50,12 @@
 	c.checkEntries()
 	c.checkShares()
 	c.checkTokens()
-	c.checkTenantKeys()
-	c.checkRoutes()
+	if !c.areShared(versioner.KindTenant) {
+		c.checkTenantKeys()
+	}
+	if !c.areShared(versioner.KindRoute) {
+		c.checkRoutes()
+	}
 	c.checkExceptions()
 	c.checkReservations()
 	return c.result()
@@ -65,7 +74,10 @@
 	doc *versioner.Document
 	// requiresReferences reports whether every referenced entry must exist.
 	requiresReferences bool
-	problems           []Problem
+	// isShared reports for each entry whether it was checked as part of a valid document; nil
+	// means that none was.
+	isShared []bool
+	problems []Problem
 }
 
 // result returns an *InvalidError with the problems found, or nil.
@@ -95,8 +107,10 @@
 		c.addProblem(versioner.Key{}, "tenants", "must be at most %d, got %d", maxTenants, tenants)
 		return
 	}
-	for _, e := range c.doc.Entries {
-		c.checkEntry(e)
+	for i, e := range c.doc.Entries {
+		if c.isShared == nil || !c.isShared[i] {
+			c.checkEntry(e)
+		}
 	}
 }
 
--- a/versioner/decode.go
+++ b/versioner/decode.go
@@ -83,6 +83,13 @@
 	return errA == nil && errB == nil && bytes.Equal(a, b)
 }
 
+// SharesValue reports whether both entries have the same key and share their value, as the
+// entries do that a delta leaves unchanged.
+func (e Entry) SharesValue(other Entry) bool {
+	return e.Key == other.Key && e.Fleet == other.Fleet && e.Partner == other.Partner && e.Class == other.Class &&
+		e.Service == other.Service && e.Route == other.Route && e.Tenant == other.Tenant && e.Exception == other.Exception
+}
+
 // contentOnly returns the entry without its revision, and without the author and
 // time of an exception.
 func (e Entry) contentOnly() Entry {
