Let a soak's faults overlap on one daemon

Freezing ignores a process that has ended already, reloading and stopping did not. Read from the log and the code; not reproduced.

Change: they ignore it as well. No check is touched.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -60,7 +60,7 @@
 	restart := func(s *soak, name string) error { return s.fleet.Restart(name) }
 	freeze := func(s *soak, name string) error { return ignoreEnded(s.fleet.Freeze(name)) }
 	thaw := func(s *soak, name string) error { return ignoreEnded(s.fleet.Thaw(name)) }
-	stop := func(s *soak, name string) error { return s.fleet.Stop(name) }
+	stop := func(s *soak, name string) error { return ignoreEnded(s.fleet.Stop(name)) }
 	reset := func(s *soak, link string) error { return s.onLinks(link, (*faulter.Proxy).Reset) }
 	limit := func(s *soak, name string) error {
 		b := usualBehavior
@@ -68,7 +68,7 @@
 		return s.behave(name, b)
 	}
 	unlimit := func(s *soak, name string) error { return s.behave(name, usualBehavior) }
-	reload := func(s *soak, name string) error { return s.fleet.Reload(name) }
+	reload := func(s *soak, name string) error { return ignoreEnded(s.fleet.Reload(name)) }
 	return []fault{
 		{"kill daemon", daemonNames, kill, restart},
 		{"kill target", targetNames, kill, restart},
@@ -91,7 +91,7 @@
 }
 
 // ignoreEnded returns err unless it says that the process has ended: a deadly call may end a
-// target at any time.
+// target at any time, and another fault that has begun may have killed the process.
 func ignoreEnded(err error) error {
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
