Leave the pauses of its own process out of a link's silence

A link counted as silent by the time since its last message, measured whenever a call asked. A daemon that thaws asks before it has read what its peers sent while it was frozen, so that it refused postings as not-run (target-daemon-silent) and closed links after its own pause. The same for a link that is healthy and quiet: it was probed each 600 ms, and counted as silent from 400 ms on, without a probe.

Change: silence is a decider with the time passed in. Only a check decides, after a probe and 100 ms for the reply. A check that runs over 100 ms late shows that the process did not run; the time since the check before is left out. A quiet link with calls in flight is now probed after each 300 ms.

Ruled out: the same rule for sessions of the spreader. Both ends of a session measure the same time, so that the peer of a daemon that was frozen for that long has ended the session as well; ending it costs a new session and refuses no call.

Result: TestOwnPauseIsNotSilence fails before (503 target-daemon-silent, at both moments of the freeze). With the rule taken out of the decider, it and TestSilence fail (link closed, 5.3 s counted).

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -15,14 +15,6 @@
 )
 
 const (
-	// probeAfter is how long a link with calls in flight may receive nothing before
-	// it is probed. Calls usually take longer than a probe's trip, so silence alone
-	// does not show that the link is dead.
-	probeAfter = 300 * time.Millisecond
-	// silentLimit is how long such a link may receive nothing before it is closed.
-	// Callers wait for a second or two, and TCP retransmits a lost segment after
-	// 200 ms, and then after 400 ms.
-	silentLimit = 900 * time.Millisecond
 	// idleLimit is how long a link without calls is kept open.
 	idleLimit = time.Minute
 	// maxPendingAcks bounds the acknowledgements that wait to be sent with the next
@@ -52,12 +44,10 @@
 	opened    time.Time
 	sequence  atomic.Uint64
 	inFlight  atomic.Int64
-	// lastReceived is when the last message was received, in nanoseconds since opened.
-	// The first call after a time without calls sets it too, so that this time does
-	// not count as silence.
-	lastReceived atomic.Int64
 
 	mu sync.Mutex
+	// silence measures since when nothing has been received.
+	silence silence
 	// waiting holds the channel on which each call in flight gets its answer; it is
 	// closed when the link is lost.
 	waiting map[messenger.CallID]chan *messenger.Answer
@@ -103,7 +93,7 @@
 			l.fail()
 			return
 		}
-		l.lastReceived.Store(int64(time.Since(l.opened)))
+		l.hear()
 		switch m := m.(type) {
 		case *messenger.Answer:
 			if m.Draining {
@@ -118,18 +108,21 @@
 	}
 }
 
+// hear records that a message was received.
+func (l *callLink) hear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silence.hear(time.Since(l.opened))
+}
+
 // isSilent reports whether calls are in flight on the link and it has received
 // nothing for so long that even the reply to a probe is overdue.
 func (l *callLink) isSilent() bool {
-	if l.inFlight.Load() == 0 {
-		return false
-	}
-	return time.Since(l.opened)-time.Duration(l.lastReceived.Load()) > probeAfter+probeReplyWait
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silence.isOverdue && l.inFlight.Load() > 0
 }
 
-// probeReplyWait is how long the reply to a probe usually takes at most.
-const probeReplyWait = 100 * time.Millisecond
-
 // deliver passes an answer to the call that waits for it and queues its
 // acknowledgement, which is sent at once if the peer drains.
 func (l *callLink) deliver(answer *messenger.Answer) {
@@ -225,7 +218,7 @@
 	l.inFlight.Add(1)
 	if !l.isWatching {
 		l.isWatching = true
-		l.lastReceived.Store(int64(time.Since(l.opened)))
+		l.silence.hear(time.Since(l.opened))
 		l.scheduleCheck(probeAfter)
 	}
 	return wait, nil
@@ -256,6 +249,7 @@
 
 // scheduleCheck runs checkSilence after d. The caller holds mu.
 func (l *callLink) scheduleCheck(d time.Duration) {
+	l.silence.schedule(time.Since(l.opened), d)
 	if l.timer == nil {
 		l.timer = time.AfterFunc(d, l.checkSilence)
 		return
@@ -263,12 +257,11 @@
 	l.timer.Reset(d)
 }
 
-// checkSilence probes the link if it has received nothing for probeAfter while calls
-// are in flight, and closes it after silentLimit. If no calls are in flight, it sends
+// checkSilence probes the link if it has been silent for probeAfter while calls are in
+// flight, and closes it after silentLimit. If no calls are in flight, it sends
 // the pending acknowledgements, and closes the link if that is still so idleLimit
 // later.
 func (l *callLink) checkSilence() {
-	silent := time.Since(l.opened) - time.Duration(l.lastReceived.Load())
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -287,20 +280,18 @@
 		l.flushAcks()
 		return
 	}
+	silent, next := l.silence.check(time.Since(l.opened))
+	needsProbe := silent >= probeAfter && !l.silence.isOverdue
+	if silent < silentLimit {
+		l.scheduleCheck(next)
+	}
+	l.mu.Unlock()
 	switch {
 	case silent >= silentLimit:
-		l.mu.Unlock()
 		l.forwarder.Counters.LinksSilent.Add(1)
 		l.forwarder.logger().Warn("link-silent", zap.String("target", l.opening.InstanceID), zap.Duration("silent", silent))
 		l.fail()
-		return
-	case silent >= probeAfter:
-		l.scheduleCheck(silentLimit - silent)
-	default:
-		l.scheduleCheck(probeAfter - silent)
-	}
-	l.mu.Unlock()
-	if silent >= probeAfter {
+	case needsProbe:
 		_ = l.conn.Send(context.Background(), &messenger.Probe{Acks: l.takeAcks()})
 	}
 }
