Take only proven responses of targets for answers

A target answered a long upload at once with 200 and without a length, sent part of its body and reset the connection while the upload was being written. The kernel reports a reset once. If the write gets the error, the read sees an end of the connection, and the part was passed on as complete. Statuses below 100 were skipped like interim responses, so that the request waited until its deadline; those above 599 and other versions of HTTP were passed on. After a HEAD, 204 or 304 that stated a body, the connection was used again, and a body that came late was taken for the response to the next request. An answer with a length that came while its upload went on was held back until the upload was sent or given up, for up to a second.

Change: requester/response.go holds what counts as a response. A body that ends with the connection is whole only if the request was written whole; it waits a second at most for that. Status and version are checked at once. A response that states a body where it has none retires its connection. An early answer is delivered at once; the rest of the upload is sent behind it, or the connection is closed after a second.

--- a/requester/conn.go
+++ b/requester/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +71,31 @@
 	written bool
 }
 
+// errNotSentWhole reports a response whose target did not read the whole request in time.
+var errNotSentWhole = errors.New("the rest of the request could not be sent")
+
+// awaitSent waits until the request has been written whole, for bodySendTimeout at most. It
+// returns an error if that failed.
+func (p *pending) awaitSent() error {
+	select {
+	case <-p.sent:
+		return p.sendErr
+	case <-time.After(bodySendTimeout):
+		return errNotSentWhole
+	}
+}
+
+// isSendingLongBody reports whether a long body is still being written. Shorter ones are
+// written at once.
+func (p *pending) isSendingLongBody() bool {
+	select {
+	case <-p.sent:
+		return false
+	default:
+		return len(p.req.Body) > readBufferBytes
+	}
+}
+
 // result is the outcome of one request.
 type result struct {
 	res *Response
@@ -200,7 +224,7 @@
 			c.close(err)
 			return
 		}
-		res, keep, err := c.readResponse(p.req)
+		res, keep, err := c.readResponse(p)
 		if err != nil {
 			c.requester.Counters.Cut.Add(1)
 			if IsTooLarge(err) {
@@ -218,12 +242,17 @@
 			continue
 		}
 		isClean := stray == 0 && c.br.Buffered() == 0 && c.recordRefusal(p.req, res)
-		if !isClean || keep == 0 || !c.recycle(p, keep) {
-			c.deliverLast(p, res)
+		switch {
+		case isClean && keep > 0 && p.isSendingLongBody():
+			c.release(p, res)
+			go c.finishBody(p, keep)
+		case !isClean || keep == 0 || !c.recycle(p, keep):
+			c.release(p, res)
 			c.close(errRetired)
 			return
+		default:
+			p.done <- result{res: res}
 		}
-		p.done <- result{res: res}
 	}
 }
 
@@ -270,16 +299,20 @@
 	return c.carried
 }
 
+// finishBody sends the rest of the body of p, whose response has been delivered, and then
+// makes the connection available. It closes the connection if the target does not read on:
+// only the rest of that body may be sent on it.
+func (c *conn) finishBody(p *pending, keep time.Duration) {
+	if !c.recycle(p, keep) {
+		c.close(errRetired)
+	}
+}
+
 // recycle makes the connection available for the next request once p, whose response
 // has been read, has been sent whole. The connection may then be idle for keep. It
 // returns false if the connection cannot be used again.
 func (c *conn) recycle(p *pending, keep time.Duration) bool {
-	select {
-	case <-p.sent:
-	case <-time.After(bodySendTimeout):
-		return false
-	}
-	if p.sendErr != nil {
+	if p.awaitSent() != nil {
 		return false
 	}
 	now := time.Now()
@@ -295,8 +328,8 @@
 	return c.requester.putIdle(c)
 }
 
-// deliverLast delivers the last response of the connection.
-func (c *conn) deliverLast(p *pending, res *Response) {
+// release delivers the response to p, after which the connection carries no request.
+func (c *conn) release(p *pending, res *Response) {
 	c.mu.Lock()
 	if c.pending == p {
 		c.pending = nil
@@ -340,55 +373,4 @@
 	}
 }
 
-// readResponse reads one complete response and skips interim ones. It also returns
-// how long the connection may be idle afterwards, which is 0 if the connection can't
-// carry another request.
-func (c *conn) readResponse(req *Request) (*Response, time.Duration, error) {
-	c.head.limit(c.requester.maxHeadBytes())
-	defer c.head.unlimit()
-	for {
-		// Interim responses have no body, so those that are skipped need no Close.
-		res, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
-		if err != nil {
-			return nil, 0, err
-		}
-		if res.StatusCode == http.StatusSwitchingProtocols {
-			return nil, 0, errSwitched
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		c.head.unlimit()
-		body, err := c.requester.readBody(req, res)
-		if err != nil {
-			// Close would read the rest of the body, which may have no end. The
-			// connection is closed instead.
-			return nil, 0, err
-		}
-		_ = res.Body.Close()
-		keep := defaultIdleTimeout
-		if stated, ok := keepAliveTimeout(res.Header); ok {
-			keep = max(0, stated-idleTimeoutMargin)
-		}
-		if res.Close {
-			keep = 0
-		}
-		return &Response{Status: res.StatusCode, Header: res.Header, Body: body, Carried: c.carriedBefore()}, keep, nil
-	}
-}
-
 var errPanic = errors.New("handling the response failed")
-
-var errSwitched = errors.New("the target switched to another protocol")
-
-// keepAliveTimeout returns how long the target keeps an idle connection open, as the
-// Keep-Alive field states it, and whether a valid time is stated.
-func keepAliveTimeout(h http.Header) (time.Duration, bool) {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
-			seconds, err := strconv.Atoi(text)
-			return time.Duration(seconds) * time.Second, err == nil && seconds >= 0
-		}
-	}
-	return 0, false
-}
--- a/requester/endless_test.go
+++ b/requester/endless_test.go
@@ -143,13 +143,20 @@
 }
 
 // FuzzResponse feeds arbitrary bytes as a response. Whatever they are, the request must
-// end, and a response that is accepted must carry the request's ID.
+// end, and a response that is accepted must carry the request's ID and a final status.
 func FuzzResponse(f *testing.F) {
 	for _, text := range endless {
 		f.Add([]byte(text[0] + strings.Repeat(text[1], 3)))
 	}
 	f.Add([]byte(responseText("1", "ok")))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + responseText("1", "ok")))
+	for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 042 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/2.0 200 OK", "HTTP/1.0 200 OK"} {
+		f.Add([]byte(line + "\r\n" + idField + ": 1\r\nContent-Length: 2\r\n\r\nok"))
+	}
+	for _, fields := range []string{"", "Content-Length: 9\r\n", "Content-Length: 2\r\nContent-Length: 3\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "Transfer-Encoding: gzip\r\n"} {
+		f.Add([]byte("HTTP/1.1 200 OK\r\n" + idField + ": 1\r\n" + fields + "\r\nok"))
+		f.Add([]byte("HTTP/1.1 204 No Content\r\n" + idField + ": 1\r\n" + fields + "\r\nok"))
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		near, far := net.Pipe()
 		r := &Requester{IDField: idField, MaxHeadBytes: 2048, MaxBufferedBytes: 1 << 20}
@@ -164,6 +171,9 @@
 		if err == nil && res.Header.Get(idField) != "1" {
 			t.Errorf("accepted a response with ID %q, want 1", res.Header.Get(idField))
 		}
+		if err == nil && (res.Status < 200 || res.Status > 599) {
+			t.Errorf("accepted a response with status %d, want a final one", res.Status)
+		}
 	})
 }
 
