--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -241,7 +241,7 @@
 		x.setLost(lost)
 	}
 	took := time.Since(began)
-	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
+	if answer.IsDamaged() {
 		f.Counters.Damaged.Add(1)
 		answer = messenger.Unknown(call.ID, causeDamaged)
 	}
--- a/forwarder/keyed.go
+++ b/forwarder/keyed.go
@@ -91,7 +91,7 @@
 		})
 	}
 	answer := f.callTarget(ctx, call, owner, x.deadline)
-	if answer.Outcome == messenger.OutcomeAnswered && !answer.IsWhole() {
+	if answer.IsDamaged() {
 		f.Counters.Damaged.Add(1)
 		return messenger.Unknown(call.ID, causeDamaged)
 	}
--- a/forwarder/reattach.go
+++ b/forwarder/reattach.go
@@ -49,7 +49,7 @@
 	if err == nil {
 		f.learn(answer)
 	}
-	if err != nil || answer.Outcome != messenger.OutcomeAnswered || !answer.IsWhole() {
+	if err != nil || answer.Outcome != messenger.OutcomeAnswered || answer.IsDamaged() {
 		return x.finalAnswer(last)
 	}
 	f.notices.observe(lost.target.InstanceID, answer)
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -337,3 +337,17 @@
 	}
 	return false
 }
+
+// TestBodilessResponseStatesNoLength guards against a caller that waits for the body of a 204,
+// since a target stated a length in it.
+func TestBodilessResponseStatesNoLength(t *testing.T) {
+	_, c := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "5")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	send(t, c, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	got, err := io.ReadAll(c)
+	if err != nil || strings.Contains(string(got), "Content-Length") {
+		t.Errorf("got %q, error %v, want no Content-Length", got, err)
+	}
+}
--- a/listener/request.go
+++ b/listener/request.go
@@ -320,6 +320,10 @@
 	r.header.Del("Connection")
 	mayHaveBody := r.status >= 200 && r.status != http.StatusNoContent && r.status != http.StatusNotModified
 	isHead := req != nil && req.Method == http.MethodHead
+	if r.status == http.StatusNoContent {
+		// Some callers would wait for a body of the length that the handler states.
+		r.header.Del("Content-Length")
+	}
 	if mayHaveBody && !isHead {
 		r.header["Content-Length"] = []string{strconv.Itoa(len(r.body))}
 	}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -211,6 +212,15 @@
 // IsWhole reports whether the body matches BodyDigest.
 func (a *Answer) IsWhole() bool { return Digest(a.Body) == a.BodyDigest }
 
+// IsDamaged reports whether the answer to a Call claims to hold a target's response, but
+// holds none: its body was changed, or its status is not that of a final response.
+func (a *Answer) IsDamaged() bool {
+	return a.Outcome == OutcomeAnswered && (!a.IsWhole() || a.Status < http.StatusOK || a.Status > maxStatus)
+}
+
+// maxStatus is the highest status that HTTP defines (RFC 9110, section 15).
+const maxStatus = 599
+
 // IsWhole reports whether the body matches BodyDigest.
 func (c *Call) IsWhole() bool { return Digest(c.Body) == c.BodyDigest }
 
