Give the soak tenants whose keys are taken away

Cause: the soak played no tenants, so that faults during a change of keys were not tried.

The checker compares what targets were told with the keys (tenants-told-truly). Once the fleet has settled, the keys taken away last get 401 at all daemons, and those in force are served (revoked-refused).

The new rows of the checker's test fail without the check.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -51,6 +51,9 @@
 	Path       string
 	// Key is the idempotency key; if it is "", the call has none.
 	Key string
+	// APIKey is the caller's API key, and Tenant the tenant that holds it; if APIKey is "",
+	// the call has none. A call with one claims to be of another tenant.
+	APIKey, Tenant string
 	// Content is the start of the request body; "" means ID. A call that repeats
 	// another with the same key has the Content of the first call and an ID that
 	// starts with it.
@@ -102,6 +105,10 @@
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
 	}
+	if call.APIKey != "" {
+		req.Header.Set(messenger.HeaderNames{}.WithDefaults().APIKey, call.APIKey)
+		req.Header.Set(messenger.HeaderNames{}.WithDefaults().Tenant, "claimed-"+call.Tenant)
+	}
 	res, err := c.HTTP.Do(req)
 	if err != nil {
 		result.Outcome, result.Cause = failureOutcome(err), err.Error()
--- a/checker/calls.go
+++ b/checker/calls.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// checkTenants checks what targets were told about the callers of calls with API keys.
+func (c *checkRun) checkTenants() {
+	calls := make(map[string]caller.Call)
+	for _, result := range c.records.Results {
+		if result.Call.APIKey != "" {
+			calls[result.Call.ID] = result.Call
+		}
+	}
+	for _, t := range c.records.Targets {
+		for _, run := range t.Runs {
+			call, ok := calls[run.CallID]
+			switch {
+			case !ok:
+			case run.APIKey != "":
+				c.addViolation(TenantsToldTruly, run.CallID, "target %s was told the API key", t.Name)
+			case call.Tenant == "":
+				c.addViolation(TenantsToldTruly, run.CallID, "ran, but no tenant holds its key")
+			case run.Tenant != call.Tenant:
+				c.addViolation(TenantsToldTruly, run.CallID, "target %s was told the tenant %q, want %q", t.Name, run.Tenant, call.Tenant)
+			}
+		}
+	}
+}
+
 // checkDrains looks for runs that began later than DrainGracePeriod after the
 // drain of their target.
 func (c *checkRun) checkDrains() {
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -47,6 +47,9 @@
 	// ChangesToldTruly: the outcome that an operator receives agrees with the
 	// accepted versions.
 	ChangesToldTruly Invariant = "changes-told-truly"
+	// TenantsToldTruly: a target that runs a call with an API key is told the tenant that
+	// holds the key, and is never told the key. Calls whose key no tenant holds don't run.
+	TenantsToldTruly Invariant = "tenants-told-truly"
 )
 
 // Invariants returns the names of all invariants.
@@ -54,7 +57,7 @@
 	return []Invariant{
 		VersionsOnlyRise, VersionsWhole, ReferencesClosed, RunsAtMostOnce, NotRunIsTrue,
 		AnswersWhole, AnswersOwn, DrainedGetsNoWork, StopsCutNothing,
-		ChangesToldTruly,
+		ChangesToldTruly, TenantsToldTruly,
 	}
 }
 
@@ -122,6 +125,7 @@
 	c.checkChanges()
 	c.checkCalls()
 	c.checkKeys()
+	c.checkTenants()
 	c.checkDrains()
 	c.checkStops()
 	return c.violations
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -20,7 +20,7 @@
 	doc := new(versioner.Document).With([]versioner.Entry{service, route}, nil)
 	digest, _ := doc.Digest()
 	newPosting := func(id string, outcome caller.Outcome) caller.Result {
-		return caller.Result{Call: caller.Call{ID: id, Method: http.MethodPost}, Outcome: outcome, IDMatches: true, BodyComplete: true}
+		return caller.Result{Call: caller.Call{ID: id, Method: http.MethodPost, APIKey: "secret", Tenant: "north"}, Outcome: outcome, IDMatches: true, BodyComplete: true}
 	}
 	return &Records{
 		Applied: map[string][]applier.Applied{
@@ -30,7 +30,7 @@
 		Accepted:  map[versioner.Version]versioner.Digest{1: digest},
 		Documents: []*versioner.Document{doc},
 		Targets: []Target{{Name: "t1", Drained: start, Runs: []faketarget.Run{
-			{CallID: "answered", IdempotencyKey: "k1", Begun: start.Add(DrainGracePeriod)},
+			{CallID: "answered", IdempotencyKey: "k1", Tenant: "north", Begun: start.Add(DrainGracePeriod)},
 		}}},
 		Results: []caller.Result{newPosting("answered", caller.Answered), newPosting("refused", caller.NotRun)},
 		Stops:   []Stop{{Daemon: "d1", At: start}},
@@ -76,6 +76,10 @@
 		{"posting runs twice", func(r *Records) { addRun(r, faketarget.Run{CallID: "answered"}) }, RunsAtMostOnce},
 		{"two calls with one key run", func(r *Records) { addRun(r, faketarget.Run{CallID: "again", IdempotencyKey: "k1"}) }, RunsAtMostOnce},
 		{"refused call runs", func(r *Records) { addRun(r, faketarget.Run{CallID: "refused"}) }, NotRunIsTrue},
+		{"target is told the key", func(r *Records) { r.Targets[0].Runs[0].APIKey = "secret" }, TenantsToldTruly},
+		{"target is told another tenant", func(r *Records) { r.Targets[0].Runs[0].Tenant = "north,south" }, TenantsToldTruly},
+		{"target is told no tenant", func(r *Records) { r.Targets[0].Runs[0].Tenant = "" }, TenantsToldTruly},
+		{"call with an unknown key runs", func(r *Records) { r.Results[0].Call.Tenant = "" }, TenantsToldTruly},
 		{"answer is incomplete", func(r *Records) { r.Results[0].BodyComplete = false }, AnswersWhole},
 		{"answer belongs to another call", func(r *Records) { r.Results[0].IDMatches = false }, AnswersOwn},
 		{"answer without a run", func(r *Records) { r.Targets[0].Runs = nil }, AnswersOwn},
--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -29,11 +29,14 @@
 
 // Run is the record of one call that the target ran.
 type Run struct {
-	CallID         string    `json:"call-id,omitempty"`
-	IdempotencyKey string    `json:"idempotency-key,omitempty"`
-	Method         string    `json:"method"`
-	Path           string    `json:"path"`
-	Begun          time.Time `json:"begun"`
+	CallID         string `json:"call-id,omitempty"`
+	IdempotencyKey string `json:"idempotency-key,omitempty"`
+	// Tenant and APIKey hold all values of these header fields, separated by commas.
+	Tenant string    `json:"tenant,omitempty"`
+	APIKey string    `json:"api-key,omitempty"`
+	Method string    `json:"method"`
+	Path   string    `json:"path"`
+	Begun  time.Time `json:"begun"`
 	// Finished is zero while the call is in flight.
 	Finished time.Time `json:"finished,omitzero"`
 }
@@ -169,7 +172,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight++
+	names := messenger.HeaderNames{}.WithDefaults()
 	run := Run{
+		Tenant: strings.Join(r.Header.Values(names.Tenant), ","), APIKey: strings.Join(r.Header.Values(names.APIKey), ","),
 		CallID: r.Header.Get(CallIDHeader), IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Method: r.Method, Path: r.URL.Path, Begun: time.Now(),
 	}
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -71,7 +71,7 @@
 	for {
 		result := s.caller.Apply(ctx, caller.Change{
 			ID: "first", Entry: first.Name, URL: first.OperatorURL,
-			Author: "ada", Reason: "the first version", Edits: configuration,
+			Author: "ada", Reason: "the first version", Edits: configuration + steadyTenantEdits() + rotatingEdits(0),
 		})
 		if result.Outcome == caller.Accepted {
 			break
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -47,6 +47,7 @@
 // until it is answered.
 func (s *soak) drawCall(random *rand.Rand, n int) (caller.Call, []string) {
 	call := caller.Call{Method: http.MethodGet, Path: "/shares/7", BodyBytes: random.IntN(maxBodyBytes)}
+	call.APIKey, call.Tenant = s.keyOfCall(n)
 	daemons := s.fleet.Daemons()
 	call.Entry = daemons[random.IntN(len(daemons))].Name
 	var repeats []string
@@ -98,6 +99,9 @@
 		return caller.Result{Call: call, Outcome: caller.Unreachable}
 	}
 	call.URL = d.CallerURL
+	if call.APIKey == "" {
+		call.APIKey, call.Tenant = steadyKey, steadyTenant
+	}
 	result := s.caller.Do(ctx, call)
 	s.recorder.AddResults(result)
 	if result.Cause == executor.CauseQuarantined && call.Path != deadlyPath {
@@ -125,8 +129,8 @@
 	}
 }
 
-// applyOnce submits a change and records its result.
-func (s *soak) applyOnce(ctx context.Context, change caller.Change) {
+// applyOnce submits a change, records its result and returns its outcome.
+func (s *soak) applyOnce(ctx context.Context, change caller.Change) caller.ChangeOutcome {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	result := s.caller.Apply(ctx, change)
@@ -134,6 +138,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.Changes[result.Outcome]++
+	return result.Outcome
 }
 
 // drawEdits returns a random edit file for one of a few entries, so that
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -72,6 +72,8 @@
 	result Result
 	// claimed holds the names of the processes and links that running faults hit.
 	claimed map[string]bool
+	// rotations is the number of keys that the rotating tenant was given after its first.
+	rotations int
 }
 
 // Run performs a soak run and writes each fault to log.
@@ -95,9 +97,10 @@
 	defer end()
 	// Each goroutine draws from its own random generator. What it draws depends only
 	// on the seed, not on the timing of the others.
-	s.wg.Add(2)
+	s.wg.Add(3)
 	go s.makeCalls(ctx, activeCtx, s.newRand(1))
 	go s.makeChanges(ctx, activeCtx, s.newRand(2))
+	go s.rotateKeys(ctx, activeCtx)
 	var injectors errgroup.Group
 	for n := range uint64(maxConcurrentFaults) {
 		injectors.Go(func() error { return s.injectFaults(ctx, activeCtx, s.newRand(3+n)) })
@@ -126,6 +129,7 @@
 	if err := s.checkDeadlyStopped(ctx); err != nil {
 		return nil, err
 	}
+	unconverged = append(unconverged, s.checkRevocation(ctx)...)
 	for _, t := range s.fleet.Targets() {
 		if err := s.recorder.AddJournal(t.Name, s.fleet.JournalPath(t.Name)); err != nil {
 			return nil, err
