--- a/applier/tenants.go
+++ b/applier/tenants.go
@@ -34,14 +34,18 @@
 
 // newTenantIndex indexes the tenants of a document.
 func newTenantIndex(doc *versioner.Document) tenantIndex {
-	var x tenantIndex
+	tenants, keys := 0, 0
+	for _, e := range doc.Entries {
+		if e.Tenant != nil {
+			tenants++
+			keys += len(e.Tenant.KeySHA256)
+		}
+	}
+	x := tenantIndex{byKey: make(map[[sha256.Size]byte]*Tenant, keys), byName: make(map[string]*Tenant, tenants)}
 	for _, e := range doc.Entries {
 		if e.Tenant == nil {
 			continue
 		}
-		if x.byName == nil {
-			x = tenantIndex{byKey: make(map[[sha256.Size]byte]*Tenant), byName: make(map[string]*Tenant)}
-		}
 		t := &Tenant{Name: e.Key.Name, Config: e.Tenant}
 		x.byName[t.Name] = t
 		for _, key := range e.Tenant.KeySHA256 {
--- a/validator/entries.go
+++ b/validator/entries.go
@@ -148,8 +148,15 @@
 
 // isSHA256 reports whether the text is a SHA-256 in lower-case hexadecimal.
 func isSHA256(text string) bool {
-	b, err := hex.DecodeString(text)
-	return err == nil && len(b) == sha256.Size && strings.ToLower(text) == text
+	if len(text) != hex.EncodedLen(sha256.Size) {
+		return false
+	}
+	for i := range len(text) {
+		if c := text[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
 }
 
 // checkDestination checks that a route has either a service or a valid split over
--- a/validator/relations.go
+++ b/validator/relations.go
@@ -41,7 +41,13 @@
 // checkTenantKeys checks that no two tenants have a key in common, so that a key identifies
 // one tenant.
 func (c *checker) checkTenantKeys() {
-	owners := make(map[string]string)
+	count := 0
+	for _, e := range c.doc.Entries {
+		if e.Tenant != nil {
+			count += len(e.Tenant.KeySHA256)
+		}
+	}
+	owners := make(map[string]string, count)
 	for _, e := range c.doc.Entries {
 		if e.Tenant == nil {
 			continue
