--- a/applier/applier.go
+++ b/applier/applier.go
@@ -30,7 +30,8 @@
 	policies map[policyKey]*Policy
 	shares   []Share
 	routes   *routeIndex
-	tenants  tenantIndex
+	// tenants may be that of other snapshots too.
+	tenants *tenantIndex
 }
 
 // Version returns the snapshot's version.
@@ -80,6 +81,10 @@
 	if err := validator.CheckNext(before.Document, doc); err != nil {
 		return nil, err
 	}
+	tenants := before.tenants
+	if tenants == nil || !doc.SharesTenants(before.Document) {
+		tenants = newTenantIndex(doc)
+	}
 	set := newSettings(doc, domain)
 	policies := newPolicies(doc, set)
 	for k, p := range policies {
@@ -90,7 +95,7 @@
 	return &Snapshot{
 		Document: doc, Digest: digest, Domain: domain, settings: set,
 		policies: policies, shares: newShares(doc), routes: newRouteIndex(doc, policies, before.routes),
-		tenants: nextTenantIndex(before, doc),
+		tenants: tenants,
 	}, nil
 }
 
--- a/applier/tenants.go
+++ b/applier/tenants.go
@@ -24,7 +24,7 @@
 	return t.Name
 }
 
-// tenantIndex finds tenants by API key and by name.
+// tenantIndex finds tenants by API key and by name. It is never changed once it is built.
 type tenantIndex struct {
 	// byKey maps the SHA-256 of an API key to its tenant. A lookup by digest says nothing
 	// about other keys by the time that it takes.
@@ -33,15 +33,19 @@
 }
 
 // newTenantIndex indexes the tenants of a document.
-func newTenantIndex(doc *versioner.Document) tenantIndex {
-	var x tenantIndex
+func newTenantIndex(doc *versioner.Document) *tenantIndex {
+	tenants, keys := 0, 0
+	for _, e := range doc.Entries {
+		if e.Tenant != nil {
+			tenants++
+			keys += len(e.Tenant.KeySHA256)
+		}
+	}
+	x := &tenantIndex{byKey: make(map[[sha256.Size]byte]*Tenant, keys), byName: make(map[string]*Tenant, tenants)}
 	for _, e := range doc.Entries {
 		if e.Tenant == nil {
 			continue
 		}
-		if x.byName == nil {
-			x = tenantIndex{byKey: make(map[[sha256.Size]byte]*Tenant), byName: make(map[string]*Tenant)}
-		}
 		t := &Tenant{Name: e.Key.Name, Config: e.Tenant}
 		x.byName[t.Name] = t
 		for _, key := range e.Tenant.KeySHA256 {
@@ -54,25 +58,6 @@
 	return x
 }
 
-// nextTenantIndex returns the index of the document's tenants: that of the snapshot before if
-// the documents share all of them.
-func nextTenantIndex(before *Snapshot, doc *versioner.Document) tenantIndex {
-	n := 0
-	for _, e := range doc.Entries {
-		if e.Tenant == nil {
-			continue
-		}
-		n++
-		if old := before.tenants.byName[e.Key.Name]; old == nil || old.Config != e.Tenant {
-			return newTenantIndex(doc)
-		}
-	}
-	if n != len(before.tenants.byName) {
-		return newTenantIndex(doc)
-	}
-	return before.tenants
-}
-
 // HasTenants reports whether the configuration defines tenants, so that calls on routes
 // that are not public need an API key.
 func (s *Snapshot) HasTenants() bool { return len(s.tenants.byName) > 0 }
