Hold calls of tenants to their quotas on the call path

The forwarder asks the quoter before the first attempt of a call with the key of a tenant that has a quota, and answers 429 quota-exceeded (or 503 quota-unknown if no home can be reached) with a Retry-After. Asks go over the call links as QuotaAsk (kind 43). Tenants without a rate, calls without a key and configurations without tenants are served as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/spreader"
 	"bambooweir.example/bambooweir/storer"
 	"bambooweir.example/bambooweir/tracker"
@@ -47,7 +48,9 @@
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
 	// quarantine holds the requests under which targets have ended.
-	quarantine   *quarantiner.Table
+	quarantine *quarantiner.Table
+	// quoter holds the calls of tenants to their quotas.
+	quoter       *quoter.Quoter
 	callerServer *listener.Server
 	operatorAPI  *operator.API
 	// metrics and histograms are the values that the metrics endpoint serves.
@@ -101,6 +104,8 @@
 		InstanceID: cfg.InstanceID, RunLocal: d.executor.Run, Service: func() string { return d.cfg.Load().TargetService },
 		Quarantine: d.quarantine,
 	}
+	d.quoter = d.newQuoter(cfg)
+	d.forwarder.Quota, d.executor.Quota = d.quoter, d.quoter
 	d.forwarder.OnLargeBody = d.executor.BodyPacer.Charge
 	d.executor.TrialHolder = d.forwarder.TrialHolder
 	bodies := newBodyBudget(cfg)
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -86,6 +86,10 @@
 		d.executor.KeyCoordinator.Run(serving)
 		return nil
 	})
+	g.Go(func() error {
+		d.observeQuotaMembers(serving)
+		return nil
+	})
 	g.Go(func() error {
 		defer end()
 		select {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,6 +26,7 @@
 	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
+	m.Set("quoter", publisher.Counters(&d.quoter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
 	m.Set("tracker", publisher.Counters(&d.table.Counters))
 	m.Set("spreader", publisher.Counters(&d.spreader.Counters))
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"bambooweir.example/bambooweir/loader"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/retrier"
 )
 
@@ -21,6 +22,7 @@
 var reloadableSettings = map[string]bool{
 	"log-level": true, "target-service": true, "memory-mb": true,
 	"retry-budget-ratio": true, "retry-budget-window-s": true, "retry-budget-allowance": true,
+	"quota-window-s": true, "quota-over-ratio": true, "quota-slack": true,
 }
 
 // Reload applies the changed settings that can change while the daemon runs, and
@@ -42,8 +44,8 @@
 	d.log.Info("settings-reloaded", zap.Strings("applied", applied), zap.Strings("need-restart", kept))
 }
 
-// applySettings passes on the settings that the Go runtime and the retrier do not
-// read from cfg themselves.
+// applySettings passes on the settings that the Go runtime, the retrier and the quoter do
+// not read from cfg themselves.
 func (d *Daemon) applySettings(cfg *loader.Daemon) {
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(math.Round(cfg.MemoryMB * goMemoryFraction * (1 << 20))))
@@ -53,6 +55,11 @@
 		Window:    time.Duration(cfg.RetryBudgetWindowS * float64(time.Second)),
 		Allowance: cfg.RetryBudgetAllowance,
 	})
+	d.quoter.SetBounds(quoter.Bounds{
+		Window:    time.Duration(cfg.QuotaWindowS * float64(time.Second)),
+		OverRatio: cfg.QuotaOverRatio,
+		Slack:     cfg.QuotaSlack,
+	})
 }
 
 // fleetSize returns the number of daemons that this daemon knows and that are not
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/requester"
 )
 
@@ -154,6 +155,8 @@
 	// Quarantine holds the requests under which targets have ended; nil runs them like all
 	// others.
 	Quarantine *quarantiner.Table
+	// Quota replies to other daemons' requests for grants of tenants; nil replies nothing.
+	Quota *quoter.Quoter
 	// TrialHolder returns the instance at whose target the request, which is on trial, runs,
 	// and for how long the targets of the service have been the same. If it is nil, that is
 	// always this one.
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -101,6 +101,8 @@
 		x.goSafely("key-query", func() { x.answerQuery(ctx, l, m) })
 	case *messenger.KeyHandover:
 		x.goSafely("key-handover", func() { x.receiveHandover(ctx, l, m) })
+	case *messenger.QuotaAsk:
+		x.goSafely("quota-ask", func() { x.send(ctx, l, x.answerQuotaAsk(ctx, m)) })
 	case *messenger.Probe:
 		x.Calls.Acknowledge(m.Acks)
 		go func() { _ = l.conn.Send(ctx, &messenger.ProbeReply{Draining: x.isDraining()}) }()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/versioner"
 )
@@ -71,6 +72,8 @@
 	// Quarantine holds the requests under which targets have ended; nil treats them like all
 	// others.
 	Quarantine *quarantiner.Table
+	// Quota decides whether calls of tenants with a quota may run; nil admits all.
+	Quota *quoter.Quoter
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
@@ -158,7 +161,7 @@
 	x.version = snapshot.Version()
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	answer := f.dispatch(ctx, x)
+	answer := f.dispatchWithinQuota(ctx, x, tenant)
 	f.logCall(r.Context(), x, answer)
 	f.writeAnswer(w, r, answer)
 }
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -17,7 +17,12 @@
 	causeNoRoute         = "no-route"
 	// causeUnknownKey means that no tenant holds the API key of a request on a route that
 	// needs one.
-	causeUnknownKey     = "unknown-api-key"
+	causeUnknownKey = "unknown-api-key"
+	// causeOverQuota means that the tenant is over its quota, causeQuotaUnknown that no daemon
+	// that knows its use of the quota can be reached.
+	causeOverQuota    = "quota-exceeded"
+	causeQuotaUnknown = "quota-unknown"
+
 	causeNoTarget       = "no-target"
 	causeUnreachable    = "target-daemon-unreachable"
 	causeSilent         = "target-daemon-silent"
@@ -58,6 +63,7 @@
 var statusByCause = map[string]int{
 	causeNoRoute:           http.StatusNotFound,
 	causeUnknownKey:        http.StatusUnauthorized,
+	causeOverQuota:         http.StatusTooManyRequests,
 	causeBodyTooLarge:      http.StatusRequestEntityTooLarge,
 	causeBodyCutShort:      http.StatusBadRequest,
 	causeBadDeadline:       http.StatusBadRequest,
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -52,6 +52,9 @@
 	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
+	QuotaWindowS         float64 `toml:"quota-window-s"`
+	QuotaOverRatio       float64 `toml:"quota-over-ratio"`
+	QuotaSlack           float64 `toml:"quota-slack"`
 	MemoryMB             float64 `toml:"memory-mb"`
 	LinkMbps             float64 `toml:"link-mbps"`
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -48,6 +48,8 @@
 		{"daemon-regained", "a link to a target's daemon was opened, the first after daemon-unreachable", "target"},
 		{"link-silent", "a link with calls in flight was closed because nothing arrived on it", "target, silent"},
 
+		{"quota-home-taken-over", "this daemon became the home of a tenant, which keeps the tenant's quota; from is the home before, replied whether that stopped, level the calls that may be admitted at once", "tenant, from, replied, level"},
+		{"quota-home-unreachable", "no home of a tenant replies, so this daemon admits calls of the tenant from its own share only", "tenant, own-rate-per-s"},
 		{"request-refused", "a request was refused before it was routed to a target", "request-id, cause, status, host, method, version"},
 		{"call-refused", "the response to a caller says that its call has not run", callEndKeys},
 		{"call-unknown", "the response to a caller says that its call may have run", callEndKeys},
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 )
 
 // CallID identifies one attempt of a call. It is unique across daemons and time.
@@ -128,7 +129,7 @@
 }
 
 // Answer is the final message about a call. It also answers Cancel, Reserve,
-// Reattach, KeyQuery and KeyHandover.
+// Reattach, KeyQuery, KeyHandover and QuotaAsk.
 type Answer struct {
 	ID      CallID   `cbor:"1,keyasint"`
 	Outcome Outcome  `cbor:"2,keyasint"`
@@ -173,6 +174,8 @@
 	// Suspicions is what the target's daemon knows to be held against the call's request, if
 	// it refused the call for that or the target ended under it.
 	Suspicions []quarantiner.Record `cbor:"21,keyasint,omitempty"`
+	// Quota is set in the answer to a QuotaAsk.
+	Quota *quoter.Reply `cbor:"22,keyasint,omitempty"`
 }
 
 // Reserve asks for a time at which the body of a call may be sent over the
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -50,6 +50,7 @@
 	KindKeyQuery    Kind = 40
 	KindKeyHandover Kind = 41
 	KindReserve     Kind = 42
+	KindQuotaAsk    Kind = 43
 )
 
 // Message is a message of the protocol between daemons.
@@ -192,6 +193,8 @@
 		return new(KeyQuery)
 	case KindKeyHandover:
 		return new(KeyHandover)
+	case KindQuotaAsk:
+		return new(QuotaAsk)
 	default:
 		return nil
 	}
