--- a/applier/tenants_test.go
+++ b/applier/tenants_test.go
@@ -148,7 +148,7 @@
 			}
 			next := doc.With(document(1, 40).Entries, nil)
 			for b.Loop() {
-				if _, err := buildNext(s, next, ""); err != nil {
+				if _, err := buildNext(s, next, versioner.Digest{}, ""); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/retrier"
 	"bambooweir.example/bambooweir/tallier"
 	"bambooweir.example/bambooweir/throttler"
@@ -74,6 +75,8 @@
 	Quarantine *quarantiner.Table
 	// Throttler limits the calls that leave the failure domain while the others refuse them.
 	Throttler throttler.Throttler
+	// Quota decides whether calls of tenants with a quota may run; nil admits all.
+	Quota *quoter.Quoter
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
@@ -163,7 +166,7 @@
 	x.version = snapshot.Version()
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	answer := f.dispatch(ctx, x)
+	answer := f.dispatchWithinQuota(ctx, x, tenant)
 	f.logCall(r.Context(), x, answer)
 	f.tally(x.call.Tenant, answer)
 	f.writeAnswer(w, r, answer)
