Let the soak wait until the last rotation was read from the store

Cause: the check of keys that were taken away waited for the newest version that the recorder knew, which reads the store itself and may not have read the last rotation yet: a daemon that had not put it in force would have been reported. Found by reading.

Change: it waits for the version that the change created.

--- a/soaker/load.go
+++ b/soaker/load.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// applyOnce submits a change, records its result and returns its outcome.
-func (s *soak) applyOnce(ctx context.Context, change caller.Change) caller.ChangeOutcome {
+// applyOnce submits a change, records its result and returns it.
+func (s *soak) applyOnce(ctx context.Context, change caller.Change) caller.ChangeResult {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	result := s.caller.Apply(ctx, change)
@@ -138,7 +138,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.Changes[result.Outcome]++
-	return result.Outcome
+	return result
 }
 
 // drawEdits returns a random edit file for one of a few entries, so that
--- a/soaker/tenants.go
+++ b/soaker/tenants.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// rotateOnce gives the rotating tenant another key and returns the outcome of the change.
-func (s *soak) rotateOnce(ctx context.Context) caller.ChangeOutcome {
+// rotateOnce gives the rotating tenant another key and returns the result of the change.
+func (s *soak) rotateOnce(ctx context.Context) caller.ChangeResult {
 	s.mu.Lock()
 	s.rotations++
 	n := s.rotations
@@ -85,10 +85,14 @@
 // tries the keys that it had before, the present one and the steady one at all daemons. It
 // returns the daemons that don't put the last version in force.
 func (s *soak) checkRevocation(ctx context.Context) []checker.Violation {
-	for s.rotateOnce(ctx) != caller.Accepted {
+	result := s.rotateOnce(ctx)
+	for result.Outcome != caller.Accepted || s.recorder.NewestVersion() < result.Version {
 		if sleeper.Sleep(ctx, pollInterval) != nil {
 			return nil
 		}
+		if result.Outcome != caller.Accepted {
+			result = s.rotateOnce(ctx)
+		}
 	}
 	unconverged := s.waitConverged(ctx)
 	if len(unconverged) > 0 {
