List the quotas of tenants as a daemon sees them

Operators could not see which daemon keeps a tenant's quota and what is left of it.

go test ./quoter ./cmd ./operator ./daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -125,6 +125,7 @@
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store), TargetViews: d.forwarder.Picker.Targets,
 		Distribution: d.distributionStatus, Quarantine: d.quarantine,
+		Quotas: d.quoter.Views,
 	}
 	if store, ok := store.(*platform.Store); ok {
 		store.OnRestore = d.handleRestore
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,11 +11,12 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Quarantine and Counters.
+// Distribution, TargetViews, Quarantine, Quotas and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -30,7 +31,9 @@
 	TargetViews func() []picker.TargetView
 	// Quarantine holds the requests that are not run; nil means that there are none.
 	Quarantine *quarantiner.Table
-	Counters   Counters
+	// Quotas returns the quotas of tenants as the daemon sees them; it may be nil.
+	Quotas   func() []quoter.View
+	Counters Counters
 }
 
 // Register adds the API's resources to the router. Resources that may read the
@@ -45,6 +48,7 @@
 	e.GET(ExceptionsPath, a.exceptions, limit)
 	e.GET(AppliedPath, a.applied)
 	e.GET(QuarantinePath, a.quarantine)
+	e.GET(QuotasPath, a.quotas)
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
--- a/quoter/home.go
+++ b/quoter/home.go
@@ -24,6 +24,8 @@
 // home is the state of a tenant whose home is this daemon.
 type home struct {
 	bucket bucket
+	// granted counts grants.
+	granted uint64
 	// rivals are the other instances that may be the tenant's home, of rivalsOf.
 	rivals   []string
 	rivalsOf *Members
@@ -157,6 +159,7 @@
 	if refused := ask.Need - reply.Granted; refused > 0 {
 		reply.RetryAfterMS = retryAfter(h.bucket.refuse(refused, rate)).Milliseconds()
 	}
+	h.granted += uint64(reply.Granted)
 	q.Counters.Granted.Add(int64(reply.Granted))
 	return reply
 }
--- a/quoter/stash.go
+++ b/quoter/stash.go
@@ -47,6 +47,8 @@
 	usesOwn   bool
 	order     []string
 	orderedOf *Members
+	// admitted, overLimit and unreachable count calls.
+	admitted, overLimit, unreachable uint64
 }
 
 // Permit allows one call.
@@ -76,6 +78,7 @@
 	}
 	if now.Before(s.pausedUntil) {
 		wait := s.returnAt.Sub(now)
+		s.overLimit++
 		q.mu.Unlock()
 		q.Counters.OverLimit.Add(1)
 		return Permit{}, &RefusedError{Tenant: tenant, IsOver: true, RetryAfter: wait}
@@ -153,6 +156,7 @@
 		return false
 	}
 	s.left--
+	s.admitted++
 	return true
 }
 
@@ -222,6 +226,11 @@
 // refuse refuses the n calls that have waited longest. With a rate, each is told to come
 // back when there is a grant for it after those before it.
 func (s *stash) refuse(n int, refusal *RefusedError, rate float64) {
+	if refusal.IsOver {
+		s.overLimit += uint64(n)
+	} else {
+		s.unreachable += uint64(n)
+	}
 	for i, c := range s.waiting[:n] {
 		r := *refusal
 		if rate > 0 {
@@ -313,6 +322,7 @@
 			break
 		}
 		q.Counters.Fallback.Add(1)
+		s.admitted++
 		// The permit can't be returned: the share is not a grant.
 		s.admit(time.Time{})
 	}
