--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -51,6 +51,7 @@
 		new(exceptionsCommand).command(),
 		new(quarantineCommand).command(),
 		new(tenantsCommand).command(),
+		new(quotasCommand).command(),
 		new(checkCommand).command(),
 		new(statusCommand).command(),
 		new(versionCommand).command(),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,6 +127,7 @@
 		Acceptor: newAcceptor(cfg, store), TargetViews: d.forwarder.Picker.Targets,
 		Distribution: d.distributionStatus, Quarantine: d.quarantine,
 		Tenants: &d.forwarder.Tenants, UnknownKeys: &d.forwarder.Counters.UnknownKeys,
+		Quotas: d.quoter.Views,
 	}
 	if store, ok := store.(*platform.Store); ok {
 		store.OnRestore = d.handleRestore
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,12 +11,13 @@
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
+	"bambooweir.example/bambooweir/quoter"
 	"bambooweir.example/bambooweir/tallier"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Quarantine, Tenants, UnknownKeys and Counters.
+// Distribution, TargetViews, Quarantine, Tenants, UnknownKeys, Quotas and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -35,7 +36,9 @@
 	// API keys; nil means that there are none.
 	Tenants     *tallier.Tallier
 	UnknownKeys *expvar.Int
-	Counters    Counters
+	// Quotas returns the quotas of tenants as the daemon sees them; it may be nil.
+	Quotas   func() []quoter.View
+	Counters Counters
 }
 
 // Register adds the API's resources to the router. Resources that may read the
@@ -51,6 +54,7 @@
 	e.GET(AppliedPath, a.applied)
 	e.GET(QuarantinePath, a.quarantine)
 	e.GET(TenantsPath, a.tenants)
+	e.GET(QuotasPath, a.quotas)
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
