Let parts of the program share state over the tree's sessions

Cause: each kind of state that daemons share (departures, quarantined requests) has its own message, cursor and code in spreader, so that roll-outs and quotas would each add files there.

Change: spreader.Part is the one interface by which a part says what a session's peer lacks and takes in what it sent; control kind 18 carries the part's name and bytes. A part adds a package and one line of wiring. Nothing is sent while there is no part, or it has nothing to send. Quarantine records and departures keep their messages; splitting spreader further is left.

--- a/messenger/control.go
+++ b/messenger/control.go
@@ -217,6 +217,13 @@
 	Slot string `cbor:"1,keyasint"`
 }
 
+// PartUpdate carries state that a part of the program shares with the same part of the peer.
+type PartUpdate struct {
+	// Part is the name of the part, which alone reads Payload.
+	Part    string `cbor:"1,keyasint"`
+	Payload []byte `cbor:"2,keyasint"`
+}
+
 // Kind implements Message.
 func (*Hello) Kind() Kind { return KindHello }
 
@@ -264,3 +271,6 @@
 
 // Kind implements Message.
 func (*Appoint) Kind() Kind { return KindAppoint }
+
+// Kind implements Message.
+func (*PartUpdate) Kind() Kind { return KindPartUpdate }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -38,6 +38,7 @@
 	KindAppoint         Kind = 16
 	// KindCompressed marks a message that wraps another, compressed one.
 	KindCompressed Kind = 17
+	KindPartUpdate Kind = 18
 
 	KindCall        Kind = 32
 	KindAnswer      Kind = 33
@@ -170,6 +171,8 @@
 		return new(Reports)
 	case KindAppoint:
 		return new(Appoint)
+	case KindPartUpdate:
+		return new(PartUpdate)
 	case KindCall:
 		return new(Call)
 	case KindAnswer:
--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -111,6 +111,7 @@
 		External: f.external, Quarantine: new(quarantiner.Table),
 	}}
 	m.Quarantine.OnChange = m.SpreadSuspicions
+	m.Parts = []Part{&notePart{spread: m.SpreadParts, peers: make(map[tracker.Source]byte)}}
 	f.run(m, l)
 	return m
 }
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -156,6 +156,7 @@
 	sess.link.Close()
 	<-written
 	s.removeSession(sess)
+	s.forgetSession(sess)
 	return err
 }
 
@@ -239,6 +240,8 @@
 		s.handlePath(sess, m.Nodes)
 	case *messenger.Appoint:
 		s.handleAppointment(sess, m.Slot)
+	case *messenger.PartUpdate:
+		s.handlePartUpdate(sess, m)
 	}
 }
 
@@ -361,8 +364,8 @@
 	return max(time.Millisecond, s.minPingInterval()-time.Since(sess.lastPing))
 }
 
-// push sends what the peer lacks: requests to quarantine, the configuration, records and
-// reports. It reports whether it sent any.
+// push sends what the peer lacks: requests to quarantine, the configuration, records,
+// reports, and the state of the parts. It reports whether it sent any.
 func (s *Spreader) push(ctx context.Context, sess *session) (bool, error) {
 	sent := false
 	for _, next := range []func(*session) messenger.Message{s.suspicionsMessage, s.configurationMessage, s.membersMessage, s.reportsMessage} {
@@ -375,5 +378,11 @@
 			return sent, err
 		}
 	}
+	for _, m := range s.partMessages(sess) {
+		sent = true
+		if err := s.send(ctx, sess.link, m); err != nil {
+			return sent, err
+		}
+	}
 	return sent, nil
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -30,7 +30,7 @@
 
 // Spreader distributes configuration and membership on one daemon. The exported
 // fields must be set before the first method is called; Settings, External,
-// Quarantine and HTTP may stay zero.
+// Quarantine, Parts and HTTP may stay zero.
 type Spreader struct {
 	InstanceID  string
 	Domain      string
@@ -46,6 +46,8 @@
 	// Quarantine, if not nil, is the table of requests under which targets have ended that
 	// is shared with the peers.
 	Quarantine *quarantiner.Table
+	// Parts share their state with the peers.
+	Parts []Part
 	// HTTP is the client that opens links. Nil means the default client.
 	HTTP     *http.Client
 	Counters Counters
