Keep the version of a target's software, and watch keys by prefix

Cause: roll-outs need to know which targets have which version, which targets announce and the daemon dropped; and their orders lie under one key for each service, while a client of the store watched single keys only.

Records of daemons without a version stay as they were.

--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -46,6 +46,9 @@
 	// ColdMS is the time for which the target will still be slow after its
 	// start, in milliseconds.
 	ColdMS int `json:"cold-ms,omitempty"`
+	// Version is the version of the target's software. It is optional; a roll-out finds the
+	// targets of its version by it.
+	Version string `json:"version,omitempty"`
 }
 
 // InvalidError reports an announcement that is malformed or has a field out of
@@ -146,6 +149,9 @@
 	if len(a.RunID) > maxNameLength {
 		return &InvalidError{"run-id", fmt.Sprintf("must have at most %d bytes", maxNameLength)}
 	}
+	if len(a.Version) > maxNameLength {
+		return &InvalidError{"version", fmt.Sprintf("must have at most %d bytes", maxNameLength)}
+	}
 	if a.ColdMS < 0 || a.ColdMS > maxColdMS {
 		return &InvalidError{"cold-ms", fmt.Sprintf("must be 0 to %d, got %d", maxColdMS, a.ColdMS)}
 	}
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -235,6 +235,7 @@
 	next.HandedOver = a.handedOver
 	next.Slots = a.current.Slots
 	next.ColdMS = a.coldMS
+	next.Version = a.current.Version
 	announced := a.current.state()
 	next.TargetLeaving = a.isLeaving() || announced == tracker.StateDraining || announced == tracker.StateGone
 	if next.TargetLeaving {
--- a/fakestorer/fakestorer.go
+++ b/fakestorer/fakestorer.go
@@ -96,7 +96,7 @@
 	return s.restores + 1
 }
 
-var _ storer.Client = (*Store)(nil)
+var _ storer.PrefixWatcher = (*Store)(nil)
 
 // Counts returns the number of calls received so far.
 func (s *Store) Counts() Counts {
@@ -182,6 +182,23 @@
 	return s.list(prefix, ""), nil
 }
 
+// ListAt implements storer.PrefixWatcher.
+func (s *Store) ListAt(_ context.Context, prefix string) ([]storer.Item, storer.Revision, error) {
+	s.lock()
+	defer s.mu.Unlock()
+	s.counts.Reads++
+	return s.list(prefix, ""), s.revision, nil
+}
+
+// AwaitChange implements storer.PrefixWatcher.
+func (s *Store) AwaitChange(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) (storer.Revision, error) {
+	events, at, err := s.Changes(ctx, prefix, after, wait)
+	if err == nil && len(events) == 0 {
+		err = &storer.NotFoundError{Key: prefix}
+	}
+	return at, err
+}
+
 // ListStale implements storer.Client. The items are not stale.
 func (s *Store) ListStale(_ context.Context, prefix string) ([]storer.Item, error) {
 	s.lock()
--- a/fakestorer/faultinjector.go
+++ b/fakestorer/faultinjector.go
@@ -121,6 +121,24 @@
 	return callWithFault(ctx, fi, "list", false, func(ctx context.Context) ([]storer.Item, error) { return fi.Client.List(ctx, prefix) })
 }
 
+// ListAt implements storer.PrefixWatcher. Client must be one.
+func (fi *FaultInjector) ListAt(ctx context.Context, prefix string) ([]storer.Item, storer.Revision, error) {
+	var at storer.Revision
+	items, err := callWithFault(ctx, fi, "list", false, func(ctx context.Context) ([]storer.Item, error) {
+		items, revision, err := fi.Client.(storer.PrefixWatcher).ListAt(ctx, prefix)
+		at = revision
+		return items, err
+	})
+	return items, at, err
+}
+
+// AwaitChange implements storer.PrefixWatcher. Client must be one.
+func (fi *FaultInjector) AwaitChange(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) (storer.Revision, error) {
+	return callWithFault(ctx, fi, "watch", false, func(ctx context.Context) (storer.Revision, error) {
+		return fi.Client.(storer.PrefixWatcher).AwaitChange(ctx, prefix, after, wait)
+	})
+}
+
 // ListStale implements storer.Client.
 func (fi *FaultInjector) ListStale(ctx context.Context, prefix string) ([]storer.Item, error) {
 	return callWithFault(ctx, fi, "list", false, func(ctx context.Context) ([]storer.Item, error) { return fi.Client.ListStale(ctx, prefix) })
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -92,6 +92,19 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
+// PrefixWatcher is a Client that also watches all keys with a prefix by one call.
+type PrefixWatcher interface {
+	Client
+	// ListAt is like List and also returns the revision of the service at which the items
+	// were read, or an earlier one.
+	ListAt(ctx context.Context, prefix string) ([]Item, Revision, error)
+	// AwaitChange waits until a key with the prefix has changed after the revision, and
+	// returns the revision of the service then, from which the next call continues. When wait
+	// has passed without a change it returns the revision with a *NotFoundError. It fails with
+	// a *CompactedError if it can't know whether there was one.
+	AwaitChange(ctx context.Context, prefix string, after Revision, wait time.Duration) (Revision, error)
+}
+
 // Condition is a revision that a key must have for a transaction to take effect.
 type Condition struct {
 	Key string
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -86,6 +86,8 @@
 	// LinkKbps is the bandwidth of the instance's network link in kilobits per
 	// second, or 0 if it is not known.
 	LinkKbps int `cbor:"24,keyasint,omitempty" json:"link-kbps,omitempty"`
+	// Version is the version of the target's software, as it announced it, or "".
+	Version string `cbor:"26,keyasint,omitempty" json:"version,omitempty"`
 }
 
 // Newer reports whether r replaces other.
--- a/tracker/validate.go
+++ b/tracker/validate.go
@@ -42,6 +42,7 @@
 		{"epoch", r.Epoch <= maxEpoch},
 		{"slots", r.Slots >= 0 && r.Slots <= maxSlots},
 		{"cold-ms", r.ColdMS >= 0 && r.ColdMS <= maxColdMS},
+		{"version", len(r.Version) <= maxNameLength},
 		{"link-kbps", r.LinkKbps >= 0 && r.LinkKbps <= maxLinkKbps},
 	} {
 		if !f.ok {
