Move services to new versions in stages, and back

Cause: an operator's order to move a service to a version was ignored.

Change: canarier holds the deciders (an exact share of each daemon's own calls, the stages, a sequential test against the old version by route), spreads directives to all daemons and evidence back to the leader, and decides while it holds a leased key that exists only beside an undecided order. The picker chooses by version without a lock or allocation; the daemons of targets count answers and refuse calls for a version that was rolled back.

Ruled out: entry daemons as witnesses (as many reporters as daemons), a coordinator that grants exposure, a table by daemon; see docs/design/rollouts.md.

Tests, and what they failed on: TestOrders/while_the_store_is_away found a leader that forgot its orders when a read of them failed; "invalid, for the version that serves" found a state that would have barred the serving version. Changed code fails them: a stage entered without the write, the stored stage not resumed, a sum that is never reset, an expired share that still applies, a barred version that is ordered again.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -52,9 +53,33 @@
 	if err := printFleet(c, &status); err != nil {
 		return err
 	}
+	if err := printRollouts(c, &status); err != nil {
+		return err
+	}
 	return s.printTargets(c, &status)
 }
 
+// printRollouts prints a table of the roll-outs, or nothing if there are none. The answers are
+// known to the leader only.
+func printRollouts(c *cobra.Command, status *operator.Status) error {
+	if len(status.Rollouts) == 0 {
+		return nil
+	}
+	fmt.Fprintln(c.OutOrStdout())
+	rows := [][]string{{"ROLL-OUT", "VERSION", "STATE", "STAGE", "SHARE", "REASON", "NEW TARGETS", "OLD TARGETS", "FAILED", "BARRED"}}
+	for _, r := range status.Rollouts {
+		failed := ""
+		if r.IsLeader {
+			failed = fmt.Sprintf("%d of %d", r.Failures, r.Answers)
+		}
+		rows = append(rows, []string{
+			r.Service, r.Version, r.State, r.Stage, fmt.Sprintf("%g%%", r.SharePercent), orDash(r.Reason),
+			fmt.Sprint(r.NewTargets), fmt.Sprint(r.OldTargets), orDash(failed), orDash(strings.Join(r.Barred, ", ")),
+		})
+	}
+	return printTable(c, rows)
+}
+
 // printDaemon prints which version is in force on the daemon and the daemon's place in
 // the distribution tree.
 func printDaemon(w io.Writer, status *operator.Status) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/canarier"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/limiter"
@@ -47,9 +48,12 @@
 	executor  *executor.Executor
 	forwarder *forwarder.Forwarder
 	// quarantine holds the requests under which targets have ended.
-	quarantine   *quarantiner.Table
-	callerServer *listener.Server
-	operatorAPI  *operator.API
+	quarantine *quarantiner.Table
+	rollouts   *canarier.Part
+	// rolloutLeader is nil if the daemon follows no roll-outs.
+	rolloutLeader *canarier.Leader
+	callerServer  *listener.Server
+	operatorAPI   *operator.API
 	// metrics and histograms are the values that the metrics endpoint serves.
 	metrics    *expvar.Map
 	histograms *metrics.Set
@@ -110,6 +114,7 @@
 	if cfg.Platform {
 		d.configurePlatform()
 	}
+	d.configureRollouts(store)
 	d.executor.Requester.IDField = d.executor.Headers.WithDefaults().RequestID
 	d.applySettings(cfg)
 	d.executor.KeyCoordinator.Peers = d.table
@@ -125,6 +130,9 @@
 		store.OnRestore = d.handleRestore
 	}
 	d.operatorAPI.Acceptor.Known = d.spreader.Known
+	if d.rolloutLeader != nil {
+		d.operatorAPI.Rollouts = d.rolloutLeader.Views
+	}
 	d.publishMetrics()
 	return d
 }
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -82,6 +82,12 @@
 		d.announcer.Run(serving)
 		return nil
 	})
+	if d.rolloutLeader != nil {
+		g.Go(func() error {
+			d.rolloutLeader.Run(serving)
+			return nil
+		})
+	}
 	g.Go(func() error {
 		d.executor.KeyCoordinator.Run(serving)
 		return nil
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,7 @@
 	m := new(expvar.Map).Init()
 	m.Set("forwarder", publisher.Counters(&d.forwarder.Counters))
 	m.Set("quarantine", publisher.Counters(&d.quarantine.Counters))
+	m.Set("rollouts", publisher.Counters(&d.rollouts.Counters))
 	m.Set("requests-quarantined", expvar.Func(func() any { return len(d.quarantine.Quarantined()) }))
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -91,7 +91,7 @@
 
 // packageByMapName maps the name of a counter map to its package, where the two
 // differ.
-var packageByMapName = map[string]string{"store": "platform", "key-table": "fencer", "quarantine": "quarantiner"}
+var packageByMapName = map[string]string{"store": "platform", "key-table": "fencer", "quarantine": "quarantiner", "rollouts": "canarier"}
 
 // metricsRows returns the rows of the table in docs/METRICS.md.
 func metricsRows(t *testing.T) []string {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -41,13 +41,15 @@
 	CauseUnmarkedRefusal = "refusal-unmarked"
 	// CauseOtherService means that the target belongs to another service.
 	CauseOtherService = "other-service"
-	CauseTooLarge     = "answer-too-large"
-	CauseMalformed    = "malformed-request"
-	CauseMethod       = "method-not-forwarded"
-	CauseDamaged      = "body-damaged"
-	CauseDeadline     = "deadline-passed"
-	CauseCancelled    = "cancelled"
-	CauseDraining     = "draining"
+	// CauseVersionBarred means that the version of the target's software was rolled back.
+	CauseVersionBarred = "version-rolled-back"
+	CauseTooLarge      = "answer-too-large"
+	CauseMalformed     = "malformed-request"
+	CauseMethod        = "method-not-forwarded"
+	CauseDamaged       = "body-damaged"
+	CauseDeadline      = "deadline-passed"
+	CauseCancelled     = "cancelled"
+	CauseDraining      = "draining"
 	// CauseStopping means that this daemon stops, and the call might not end before its process.
 	CauseStopping    = "target-daemon-stops"
 	CauseTableFull   = "call-table-full"
@@ -119,6 +121,11 @@
 	// Service returns the service of the target. If it is nil, calls for other
 	// services are not refused and keys are not handed over.
 	Service func() string
+	// IsBarred reports whether the target's version gets no calls; nil means that it gets them.
+	IsBarred func() bool
+	// Observe, unless nil, is called when the target has run a call, or was running it when its
+	// time ended: failed says that it gave a server error or no answer.
+	Observe func(call *messenger.Call, failed bool, took time.Duration)
 	// Load returns the target's load and the run time of calls like this one; if it
 	// is nil, answers carry no load.
 	Load func(call *messenger.Call) Load
@@ -258,6 +265,9 @@
 		// The entry daemon's view is outdated: it knows an earlier target at this daemon.
 		return messenger.NotRun(id, CauseOtherService)
 	}
+	if x.isBarred() {
+		return messenger.NotRun(id, CauseVersionBarred)
+	}
 	if !r.call.IsWhole() {
 		return messenger.NotRun(id, CauseDamaged)
 	}
@@ -281,6 +291,9 @@
 		// The target began to drain while the call was waiting.
 		return messenger.NotRun(id, CauseDraining)
 	}
+	if x.isBarred() {
+		return messenger.NotRun(id, CauseVersionBarred)
+	}
 	if refusal := x.refuseSuspect(r); refusal != nil {
 		// A target ended under the request while the call was waiting.
 		return refusal
--- a/executor/target.go
+++ b/executor/target.go
@@ -87,6 +87,10 @@
 			x.Requester.Reset()
 		}
 		answer := messenger.Unknown(id, failureCause(ctx, lossCause(err)))
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			// A call that its caller gave up shows nothing.
+			x.observe(r.call, true, time.Since(began))
+		}
 		x.logger().Info("target-gave-no-answer", zap.String("request-id", r.call.RequestID), zap.String("cause", answer.Cause),
 			zap.Stringer("request-digest", r.contentDigest()), zap.Duration("ran", time.Since(began)), zap.Error(err))
 		if ctx.Err() == nil {
@@ -103,10 +107,23 @@
 		x.observeNotice(run, res.Header)
 	}
 	answer := x.answerFromResponse(r.call, req, res, time.Since(began))
+	if answer.Outcome != messenger.OutcomeNotRun {
+		x.observe(r.call, answer.Outcome != messenger.OutcomeAnswered || answer.Status >= http.StatusInternalServerError, time.Since(began))
+	}
 	x.reportCompleted(r, answer)
 	return markSent(answer)
 }
 
+// observe calls Observe unless it is nil.
+func (x *Executor) observe(call *messenger.Call, failed bool, took time.Duration) {
+	if x.Observe != nil {
+		x.Observe(call, failed, took)
+	}
+}
+
+// isBarred reports whether the target's version gets no calls.
+func (x *Executor) isBarred() bool { return x.IsBarred != nil && x.IsBarred() }
+
 // markSent marks the answer as that of a call that was sent to the target.
 func markSent(answer *messenger.Answer) *messenger.Answer {
 	answer.Sent = true
--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -204,6 +204,13 @@
 	return x.maxTargets > 0 && x.sent >= x.maxTargets
 }
 
+// isFirstAttempt reports whether no target was chosen for the call yet.
+func (x *exchange) isFirstAttempt() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.attempts == 0
+}
+
 // triedTargets returns the targets that attempts have been made at.
 func (x *exchange) triedTargets() picker.Tried {
 	x.mu.Lock()
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -25,6 +25,7 @@
 	executor.CauseOtherService:   true,
 	executor.CauseSuspected:      true,
 	executor.CauseStopping:       true,
+	executor.CauseVersionBarred:  true,
 }
 
 // overloadCauses holds the causes of refusals for lack of capacity.
@@ -83,9 +84,9 @@
 		r.Outcome = picker.Draining
 	case answer.Cause == causeCongested || answer.Cause == executor.CauseLinkCrowded:
 		r.Outcome = picker.Congested
-	case answer.Cause == causeSilent || answer.Cause == executor.CauseStopping:
-		// The silence may be short, and a daemon that stops takes shorter calls, so the target
-		// does not count as unreachable.
+	case answer.Cause == causeSilent || answer.Cause == executor.CauseStopping || answer.Cause == executor.CauseVersionBarred:
+		// The silence may be short, a daemon that stops takes shorter calls, and one whose target's
+		// version is barred answers, so the target does not count as unreachable.
 		r.Outcome = picker.Overloaded
 	case notBegunCauses[answer.Cause]:
 		r.Outcome = picker.Unreachable
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,9 @@
 	// Quarantine holds the requests under which targets have ended; nil treats them like all
 	// others.
 	Quarantine *quarantiner.Table
+	// Versions returns between which targets of a service a call is balanced, isFirst for one
+	// that was not sent to a target before; nil means between all.
+	Versions func(service string, isFirst bool) picker.Versions
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -43,6 +43,9 @@
 // is none, or the call's request is quarantined.
 func (f *Forwarder) pick(x *exchange) (picker.Choice, *messenger.Answer) {
 	need := picker.Need{Objective: time.Duration(x.call.ObjectiveMS) * time.Millisecond, Bytes: len(x.call.Body)}
+	if f.Versions != nil {
+		need.Versions = f.Versions(x.policy.Service, x.isFirstAttempt())
+	}
 	s := f.judge(x)
 	if s != nil && s.verdict.Status == quarantiner.StatusQuarantined {
 		f.Quarantine.Counters.Refused.Add(1)
@@ -80,7 +83,11 @@
 // TrialHolder returns the instance at whose target a request on trial runs, and for how long
 // the targets of the service have been the same, as far as this daemon knows.
 func (f *Forwarder) TrialHolder(service string, request quarantiner.Digest) (instanceID string, settled time.Duration) {
-	return f.Picker.TrialHolder(service, trialRank(request))
+	versions := picker.Versions{}
+	if f.Versions != nil {
+		versions = f.Versions(service, false)
+	}
+	return f.Picker.TrialHolder(service, versions, trialRank(request))
 }
 
 // staysAtTarget reports whether the call may not be sent to another target, although this one
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -52,6 +52,9 @@
 	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
+	ExposureShare        float64 `toml:"exposure-share"`
+	ExposureAllowance    float64 `toml:"exposure-allowance"`
+	RollbackMS           int     `toml:"rollback-ms"`
 	MemoryMB             float64 `toml:"memory-mb"`
 	LinkMbps             float64 `toml:"link-mbps"`
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -69,5 +69,14 @@
 		{"quarantine-malformed", "the store's record of quarantined requests can't be read; the next one replaces it", "error"},
 		{"request-cleared", "a target has run the request to its end, after others had ended while they ran it", "request-digest, service, crashes"},
 		{"target-crashed", "a run of the target ended, without having said that it leaves, while it was running calls", "run-id, epoch, interrupted, request-digests"},
+
+		{"rollout-leader-begun", "this daemon decides the roll-outs from now on", "term"},
+		{"rollout-leader-ended", "this daemon no longer decides the roll-outs, because none is left, or it lost the leader's key", ""},
+		{"rollout-begun", "the leader took up an order; elapsed is the time since the order was first seen", "service, version, duration, stage, elapsed"},
+		{"rollout-stage", "the leader began another stage; the answers are those that it knows of", "service, version, stage, elapsed, new-targets, old-targets, answers, failures, old-answers"},
+		{"rollout-halted", "the leader found that the new version is to get no more calls, and why", "service, version, reason, route, elapsed, answers, failures, old-answers"},
+		{"rollout-ended", "an order ended; the store holds its state", "service, version, state, reason, elapsed"},
+		{"rollout-directive", "a daemon learned of another stage or state of a roll-out", "service, version, state, stage, share, canaries, reason"},
+		{"rollout-malformed", "a state of a roll-out in the store can't be read or written", "key, error"},
 	}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,13 +9,14 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/canarier"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Quarantine and Counters.
+// Distribution, TargetViews, Rollouts, Quarantine and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -28,6 +29,8 @@
 	// TargetViews returns whether and why the daemon uses each target, for the status.
 	// It may be nil; the status then has none.
 	TargetViews func() []picker.TargetView
+	// Rollouts describes the roll-outs for the status; it may be nil.
+	Rollouts func() []canarier.View
 	// Quarantine holds the requests that are not run; nil means that there are none.
 	Quarantine *quarantiner.Table
 	Counters   Counters
--- a/operator/status.go
+++ b/operator/status.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v4"
 
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/canarier"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -35,6 +36,8 @@
 	Targets []tracker.Record `json:"targets"`
 	// TargetViews states for each target whether this daemon uses it, and why.
 	TargetViews []picker.TargetView `json:"choices,omitempty"`
+	// Rollouts holds the orders that this daemon knows, the newest of each service.
+	Rollouts []canarier.View `json:"rollouts,omitempty"`
 }
 
 // Role is a daemon's role in the distribution of the configuration.
@@ -98,6 +101,9 @@
 	if a.TargetViews != nil {
 		status.TargetViews = a.TargetViews()
 	}
+	if a.Rollouts != nil {
+		status.Rollouts = a.Rollouts()
+	}
 	return c.JSON(http.StatusOK, status)
 }
 
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -48,6 +48,8 @@
 	Objective time.Duration
 	// Bytes is the size of the request's body.
 	Bytes int
+	// Versions limits the targets by the version of their software.
+	Versions Versions
 }
 
 const (
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -193,6 +193,31 @@
 func (p *Picker) Pick(policy *applier.Policy, need Need, tried Tried) (Choice, bool) {
 	now := p.now()
 	v := p.view(policy.Service, now)
+	if need.Versions.UseNew && need.Versions.Split != nil {
+		if c, ok := p.pickFrom(v.splitBy(need.Versions.Split).new, policy, need, tried, now); ok {
+			return c, true
+		}
+	}
+	others := v
+	if need.Versions.Split != nil {
+		others = v.splitBy(need.Versions.Split).old
+	}
+	if c, ok := p.pickFrom(others, policy, need, tried, now); ok {
+		return c, true
+	}
+	t := p.lastResort(v.allowed(need.Versions).all, &tried)
+	if t == nil {
+		p.Counters.None.Add(1)
+		return Choice{}, false
+	}
+	c := p.newChoice(t, policy, ReasonLastResort, now)
+	c.need = need
+	return c, true
+}
+
+// pickFrom chooses a target among those of the view that may get the call. It returns false if
+// there is none.
+func (p *Picker) pickFrom(v *view, policy *applier.Policy, need Need, tried Tried, now instant) (Choice, bool) {
 	if need.Objective > 0 {
 		if t, expected, reason := p.pickByEstimate(v, policy, need, &tried, now); t != nil {
 			c := p.newChoice(t, policy, reason, now)
@@ -214,11 +239,6 @@
 		t, probe = p.bestOfSample(v.all, policy, &tried, now)
 	}
 	if t == nil {
-		reason = ReasonLastResort
-		t = p.lastResort(v.all, &tried)
-	}
-	if t == nil {
-		p.Counters.None.Add(1)
 		return Choice{}, false
 	}
 	if probe {
--- a/picker/service.go
+++ b/picker/service.go
@@ -28,6 +28,8 @@
 	// local holds the targets in this daemon's failure domain, all those of
 	// every domain.
 	local, all []*target
+	// lastSplit holds the parts of the view under the split that was asked for last.
+	lastSplit atomic.Pointer[splitView]
 }
 
 // isBuiltFrom reports whether the view was built from this slice of records. The
--- a/picker/trial.go
+++ b/picker/trial.go
@@ -14,7 +14,7 @@
 // The load of the targets does not count: the target's daemon makes the call wait.
 func (p *Picker) PickForTrial(policy *applier.Policy, need Need, tried Tried, rank func(instanceID string) uint64) (c Choice, accepting int, ok bool) {
 	now := p.now()
-	best, accepting := p.view(policy.Service, now).bestForTrial(&tried, rank)
+	best, accepting := p.view(policy.Service, now).allowed(need.Versions).bestForTrial(&tried, rank)
 	if best == nil {
 		p.Counters.None.Add(1)
 		return Choice{}, accepting, false
@@ -26,8 +26,8 @@
 
 // TrialHolder returns the instance whose target tries a suspected request with the rank, ""
 // if no target accepts calls, and for how long the targets of the service have been the same.
-func (p *Picker) TrialHolder(service string, rank func(instanceID string) uint64) (instanceID string, settled time.Duration) {
-	best, _ := p.view(service, p.now()).bestForTrial(new(Tried), rank)
+func (p *Picker) TrialHolder(service string, versions Versions, rank func(instanceID string) uint64) (instanceID string, settled time.Duration) {
+	best, _ := p.view(service, p.now()).allowed(versions).bestForTrial(new(Tried), rank)
 	if best == nil {
 		return "", 0
 	}
