Send the state of parts before the records of targets

Cause: a daemon that joined learned of a new version's targets a moment before it learned that they get no calls.

Change: a session sends the parts' state first. Evidence of a decided order is dropped at once, target-state names the version, and a daemon that knows of no order checks nothing else per call.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -248,7 +248,7 @@
 	}
 	a.record = next
 	a.logger().Info("target-state", zap.String("run-id", a.current.RunID), zap.Uint64("epoch", next.Epoch),
-		zap.String("service", next.Service), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
+		zap.String("service", next.Service), zap.String("version", next.Version), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
 		zap.Int("slots", next.Slots), zap.Uint64("sequence", a.current.Sequence), zap.Bool("vanished", a.vanished))
 	a.OnChange(next)
 }
--- a/canarier/part.go
+++ b/canarier/part.go
@@ -114,6 +114,9 @@
 	return (*rules)[service]
 }
 
+// IsIdle reports whether this daemon knows of no order.
+func (p *Part) IsIdle() bool { return p.rules.Load() == nil }
+
 // IsBarred reports whether a version of a service gets no calls.
 func (p *Part) IsBarred(service, version string) bool {
 	r := p.rule(service)
@@ -259,6 +262,9 @@
 		p.sources = make(map[string]tracker.Source)
 	}
 	p.sources[d.Service] = from
+	if d.State.IsFinal() {
+		maps.DeleteFunc(p.pending, func(key evidenceKey, _ *Counts) bool { return key.service == d.Service })
+	}
 	if isChange {
 		p.Counters.Directives.Add(1)
 		p.logger().Info("rollout-directive", zap.String("service", d.Service), zap.String("version", d.Version),
--- a/canarier/stage_test.go
+++ b/canarier/stage_test.go
@@ -165,3 +165,13 @@
 		}
 	}
 }
+
+// BenchmarkVersions measures the check of a call while its service has an order.
+func BenchmarkVersions(b *testing.B) {
+	p := &Part{OnChange: func() {}}
+	p.Publish(Directive{Service: testService, Version: "v2", Revision: 1, State: StateRunning, Share: 400, TTLMS: 1 << 30})
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Versions(testService, true)
+	}
+}
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -25,6 +25,9 @@
 	d.forwarder.Versions = d.rollouts.Versions
 	d.executor.Observe = d.observeAnswer
 	d.executor.IsBarred = func() bool {
+		if d.rollouts.IsIdle() {
+			return false
+		}
 		current := d.announcer.Current()
 		isBarred := d.rollouts.IsBarred(current.Service, current.Version)
 		if isBarred {
--- a/logger/events.go
+++ b/logger/events.go
@@ -40,7 +40,7 @@
 		{"parent-lost", "the session with the parent ended", "parent, by-choice"},
 
 		{"departure-recalled", "this daemon read from the store that a run of its target is leaving or has left; the run gets no new calls", "epoch"},
-		{"target-state", "this daemon's target changed its state, disappeared or came back", "run-id, epoch, service, state, address, slots, sequence, vanished"},
+		{"target-state", "this daemon's target changed its state, disappeared or came back", "run-id, epoch, service, version, state, address, slots, sequence, vanished"},
 		{"target-marked-gone", "a daemon did not come back in time; its target is marked as gone", "target, service"},
 		{"target-ejected", "a target gets no calls for a while", "target, service, failures, failing, length"},
 		{"target-readmitted", "an ejected target answered and gets calls again", "target, service"},
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -364,21 +364,23 @@
 	return max(time.Millisecond, s.minPingInterval()-time.Since(sess.lastPing))
 }
 
-// push sends what the peer lacks: requests to quarantine, the configuration, records,
-// reports, and the state of the parts. It reports whether it sent any.
+// push sends what the peer lacks: the state of the parts, requests to quarantine, the
+// configuration, records and reports. It reports whether it sent any.
 func (s *Spreader) push(ctx context.Context, sess *session) (bool, error) {
 	sent := false
-	for _, next := range []func(*session) messenger.Message{s.suspicionsMessage, s.configurationMessage, s.membersMessage, s.reportsMessage} {
-		m := next(sess)
-		if m == nil {
-			continue
-		}
+	// The state of the parts comes before the records: a peer that learns of targets must know
+	// already if they get no calls.
+	for _, m := range s.partMessages(sess) {
 		sent = true
 		if err := s.send(ctx, sess.link, m); err != nil {
 			return sent, err
 		}
 	}
-	for _, m := range s.partMessages(sess) {
+	for _, next := range []func(*session) messenger.Message{s.suspicionsMessage, s.configurationMessage, s.membersMessage, s.reportsMessage} {
+		m := next(sess)
+		if m == nil {
+			continue
+		}
 		sent = true
 		if err := s.send(ctx, sess.link, m); err != nil {
 			return sent, err
