--- a/canarier/part.go
+++ b/canarier/part.go
@@ -50,13 +50,6 @@
 	Evidence   []Evidence  `cbor:"2,keyasint,omitempty"`
 }
 
-// evidenceKey identifies the counts of one side of a comparison.
-type evidenceKey struct {
-	service, route string
-	revision       uint64
-	isNew          bool
-}
-
 // Part spreads directives to all daemons, and evidence from the daemons of targets back along
 // the way on which the newest directive came, towards the leader. It also decides which of this
 // daemon's calls may go to a new version. It implements spreader.Part. OnChange must be set.
@@ -160,79 +153,6 @@
 	return r != nil && r.directive.State == StateRunning
 }
 
-// Observe counts an answer of this daemon's target, which has the version, if the service has
-// an order that is not decided yet.
-func (p *Part) Observe(service, version, route string, failed, isWarm bool, took time.Duration) {
-	r := p.rule(service)
-	if r == nil || r.directive.State != StateRunning {
-		return
-	}
-	key := evidenceKey{service: service, route: route, revision: r.directive.Revision, isNew: version == r.directive.Version}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c := p.counts(key); c != nil {
-		c.Observe(failed, isWarm, took)
-	}
-	p.schedule(evidenceInterval)
-}
-
-// schedule makes the pending evidence be sent within d. The caller holds mu.
-func (p *Part) schedule(d time.Duration) {
-	dueAt := time.Now().Add(d)
-	switch {
-	case p.timer == nil:
-		p.timer = time.AfterFunc(d, p.sendEvidence)
-	case dueAt.Before(p.dueAt):
-		p.timer.Reset(d)
-	default:
-		return
-	}
-	p.dueAt = dueAt
-}
-
-// counts returns the pending counts of a key, or nil if there are too many. The caller holds mu.
-func (p *Part) counts(key evidenceKey) *Counts {
-	c := p.pending[key]
-	if c == nil && len(p.pending) < maxEvidence {
-		if p.pending == nil {
-			p.pending = make(map[evidenceKey]*Counts)
-		}
-		c = new(Counts)
-		p.pending[key] = c
-	}
-	return c
-}
-
-// sendEvidence sends the pending evidence.
-func (p *Part) sendEvidence() {
-	p.mu.Lock()
-	p.timer, p.isDue = nil, true
-	p.judgeOwn()
-	p.mu.Unlock()
-	p.OnChange()
-}
-
-// judgeOwn passes pending evidence of services for which this daemon decided to judge, or
-// drops it if this daemon does not lead any more. The caller holds mu.
-func (p *Part) judgeOwn() {
-	for key, c := range p.pending {
-		if p.sources[key.service] != 0 {
-			continue
-		}
-		if p.judge != nil {
-			p.judge(&Evidence{Service: key.service, Revision: key.revision, Route: key.route, IsNew: key.isNew, Counts: *c})
-		}
-		delete(p.pending, key)
-	}
-}
-
-// Lead sets the function that takes in evidence while this daemon leads, nil for none.
-func (p *Part) Lead(judge func(*Evidence)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.judge = judge
-}
-
 // merge takes in a directive from a session, or from this daemon if that is 0, and reports
 // whether it is newer than the known one. The caller holds mu.
 func (p *Part) merge(d Directive, from tracker.Source) bool {
@@ -258,6 +178,16 @@
 	}
 	next[d.Service] = newRule(d, time.Now(), old, p.HasAllowance)
 	p.rules.Store(&next)
+	p.setSource(d, from)
+	if isChange {
+		p.logChange(d)
+	}
+	return true
+}
+
+// setSource records where the newest directive of a service came from, and drops the evidence
+// that a decided order needs no more. The caller holds mu.
+func (p *Part) setSource(d Directive, from tracker.Source) {
 	if p.sources == nil {
 		p.sources = make(map[string]tracker.Source)
 	}
@@ -265,13 +195,14 @@
 	if d.State.IsFinal() {
 		maps.DeleteFunc(p.pending, func(key evidenceKey, _ *Counts) bool { return key.service == d.Service })
 	}
-	if isChange {
-		p.Counters.Directives.Add(1)
-		p.logger().Info("rollout-directive", zap.String("service", d.Service), zap.String("version", d.Version),
-			zap.Stringer("state", d.State), zap.Stringer("stage", d.Stage), zap.Float64("share", float64(d.Share)/shareUnit),
-			zap.Int("canaries", d.Canaries), zap.String("reason", d.Reason))
-	}
-	return true
+}
+
+// logChange counts and logs a change of a stage or state.
+func (p *Part) logChange(d Directive) {
+	p.Counters.Directives.Add(1)
+	p.logger().Info("rollout-directive", zap.String("service", d.Service), zap.String("version", d.Version),
+		zap.Stringer("state", d.State), zap.Stringer("stage", d.Stage), zap.Float64("share", float64(d.Share)/shareUnit),
+		zap.Int("canaries", d.Canaries), zap.String("reason", d.Reason))
 }
 
 // Next implements spreader.Part.
@@ -301,20 +232,6 @@
 	return payload
 }
 
-// takeEvidence removes and returns the pending evidence that goes to a peer. The caller holds
-// mu.
-func (p *Part) takeEvidence(peer tracker.Source) []Evidence {
-	var taken []Evidence
-	for key, c := range p.pending {
-		if p.sources[key.service] == peer {
-			taken = append(taken, Evidence{Service: key.service, Revision: key.revision, Route: key.route, IsNew: key.isNew, Counts: *c})
-			delete(p.pending, key)
-		}
-	}
-	p.isDue = len(p.pending) > 0
-	return taken
-}
-
 // setPeer records that the peer has a directive. The caller holds mu.
 func (p *Part) setPeer(peer tracker.Source, d Directive) {
 	if p.peers == nil {
