--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -235,6 +235,7 @@
 	next.HandedOver = a.handedOver
 	next.Slots = a.current.Slots
 	next.ColdMS = a.coldMS
+	next.Version = a.current.Version
 	announced := a.current.state()
 	next.TargetLeaving = a.isLeaving() || announced == tracker.StateDraining || announced == tracker.StateGone
 	if next.TargetLeaving {
@@ -247,7 +248,7 @@
 	}
 	a.record = next
 	a.logger().Info("target-state", zap.String("run-id", a.current.RunID), zap.Uint64("epoch", next.Epoch),
-		zap.String("service", next.Service), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
+		zap.String("service", next.Service), zap.String("version", next.Version), zap.String("state", next.State.String()), zap.String("address", a.current.Address),
 		zap.Int("slots", next.Slots), zap.Uint64("sequence", a.current.Sequence), zap.Bool("vanished", a.vanished))
 	a.OnChange(next)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/authorizer"
+	"bambooweir.example/bambooweir/canarier"
 	"bambooweir.example/bambooweir/executor"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/limiter"
@@ -50,9 +51,12 @@
 	// quarantine holds the requests under which targets have ended.
 	quarantine *quarantiner.Table
 	// quoter holds the calls of tenants to their quotas.
-	quoter       *quoter.Quoter
-	callerServer *listener.Server
-	operatorAPI  *operator.API
+	quoter   *quoter.Quoter
+	rollouts *canarier.Part
+	// rolloutLeader is nil if the daemon follows no roll-outs.
+	rolloutLeader *canarier.Leader
+	callerServer  *listener.Server
+	operatorAPI   *operator.API
 	// metrics and histograms are the values that the metrics endpoint serves.
 	metrics    *expvar.Map
 	histograms *metrics.Set
@@ -116,6 +120,7 @@
 	if cfg.Platform {
 		d.configurePlatform()
 	}
+	d.configureRollouts(store)
 	d.executor.Requester.IDField = d.executor.Headers.WithDefaults().RequestID
 	d.applySettings(cfg)
 	d.executor.KeyCoordinator.Peers = d.table
@@ -133,6 +138,9 @@
 		store.OnRestore = d.handleRestore
 	}
 	d.operatorAPI.Acceptor.Known = d.spreader.Known
+	if d.rolloutLeader != nil {
+		d.operatorAPI.Rollouts = d.rolloutLeader.Views
+	}
 	d.publishMetrics()
 	return d
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -77,6 +77,9 @@
 	Throttler throttler.Throttler
 	// Quota decides whether calls of tenants with a quota may run; nil admits all.
 	Quota *quoter.Quoter
+	// Versions returns between which targets of a service a call is balanced, isFirst for one
+	// that was not sent to a target before; nil means between all.
+	Versions func(service string, isFirst bool) picker.Versions
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -56,6 +56,9 @@
 	QuotaWindowS         float64 `toml:"quota-window-s"`
 	QuotaOverRatio       float64 `toml:"quota-over-ratio"`
 	QuotaSlack           float64 `toml:"quota-slack"`
+	ExposureShare        float64 `toml:"exposure-share"`
+	ExposureAllowance    float64 `toml:"exposure-allowance"`
+	RollbackMS           int     `toml:"rollback-ms"`
 	MemoryMB             float64 `toml:"memory-mb"`
 	LinkMbps             float64 `toml:"link-mbps"`
 }
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -50,6 +50,8 @@
 	Bytes int
 	// IsLocal restricts the choice to targets of the local failure domain.
 	IsLocal bool
+	// Versions limits the targets by the version of their software.
+	Versions Versions
 }
 
 const (
