Explain where a request would go now, without sending it

An operator could see how a daemon uses each target, but not where a given request would go, which share of a route's calls a target gets, or what would refuse the request.

Change: bambooweir where HOST PATH asks a daemon (POST /v1/where): route, tenant with its quota, priority, time limit, and for each service of the route its targets with odds, expected latency, load, age of the report, and why a target is left out. The daemon decides in the order of ServeHTTP. The odds are counted from choices of the picker itself with counters and random numbers of their own. The API key comes from an environment variable, goes in the body, and is neither printed nor logged. A refusal has exit status 5, a daemon that can't be reached 1.

Ruled out: a formula for the odds (it would have to follow each change of the picker), and a copy of the targets' state (each new field). Left out: the owner of an Idempotency-Key, quarantined requests, what is left of a quota, versions of a roll-out.

Result: TestExplainAgreesWithPick compares odds within 5 points with 20,000 choices, and expected latencies; it fails if Explain draws one target instead of two, takes all targets for local, or leaves its draws in flight. TestExplainAgreesWithServeHTTP compares cause and status of seven requests in three states; it fails if Explain forgets the stop.

--- a/applier/routes.go
+++ b/applier/routes.go
@@ -27,6 +27,24 @@
 	return r.split.next()
 }
 
+// RouteShare is a service of a route and its share of the route's calls.
+type RouteShare struct {
+	Policy  *Policy
+	Percent float64
+}
+
+// Shares returns the services of the route with their shares. It advances no split.
+func (r *Route) Shares() []RouteShare {
+	if r.split == nil {
+		return []RouteShare{{Policy: r.Policy, Percent: 100}}
+	}
+	var shares []RouteShare
+	for i, p := range r.split.parts {
+		shares = append(shares, RouteShare{Policy: p, Percent: 100 * float64(r.split.weights[i]) / float64(max(1, r.split.sum))})
+	}
+	return shares
+}
+
 // routeIndex finds routes by host, and then by path prefix in a tree of path
 // segments.
 type routeIndex struct {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -50,6 +50,7 @@
 		new(historyCommand).command(),
 		new(exceptionsCommand).command(),
 		new(quarantineCommand).command(),
+		new(whereCommand).command(),
 		new(checkCommand).command(),
 		new(statusCommand).command(),
 		new(versionCommand).command(),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -119,7 +119,7 @@
 	d.operatorAPI = &operator.API{
 		InstanceID: cfg.InstanceID, Domain: cfg.FailureDomain, Applier: d.applier, Table: d.table,
 		Acceptor: newAcceptor(cfg, store), TargetViews: d.forwarder.Picker.Targets,
-		Distribution: d.distributionStatus, Quarantine: d.quarantine,
+		Distribution: d.distributionStatus, Quarantine: d.quarantine, Explain: d.forwarder.Explain,
 	}
 	if store, ok := store.(*platform.Store); ok {
 		store.OnRestore = d.handleRestore
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,13 +9,14 @@
 
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
+	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/tracker"
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Quarantine and Counters.
+// Distribution, TargetViews, Quarantine, Explain and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -30,7 +31,10 @@
 	TargetViews func() []picker.TargetView
 	// Quarantine holds the requests that are not run; nil means that there are none.
 	Quarantine *quarantiner.Table
-	Counters   Counters
+	// Explain says where a request would go now. It may be nil; the resource then does not
+	// exist.
+	Explain  func(forwarder.Query) *forwarder.Explanation
+	Counters Counters
 }
 
 // Register adds the API's resources to the router. Resources that may read the
@@ -45,6 +49,9 @@
 	e.GET(ExceptionsPath, a.exceptions, limit)
 	e.GET(AppliedPath, a.applied)
 	e.GET(QuarantinePath, a.quarantine)
+	if a.Explain != nil {
+		e.POST(WherePath, a.where, limit)
+	}
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
