Leave the pauses of its own process out of a target's missed heartbeats

A daemon that thaws checks the age of its target's newest heartbeat before it has read those that came meanwhile, and marked the target as gone for the whole fleet until the next one.

Change: the check is a decider with the time passed in. One that comes over an interval (an eighth of the timeout) late shows that the process did not run; the time since the check before is left out. Calls that can't reach the target still mark it at once.

A target that stays silent is marked after the timeout as before.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -98,6 +98,7 @@
 	daemonLeft     bool
 	// announcedAt is when the newest announcement arrived.
 	announcedAt time.Time
+	silence     silence
 	// coldMS is the ColdMS of the first announcement of the current run.
 	coldMS int
 	// endedRuns holds the runs that have departed or been replaced. Their late
@@ -176,6 +177,7 @@
 	}
 	a.Counters.Announced.Add(1)
 	a.announcedAt = time.Now()
+	a.silence.hear()
 	wasLeaving := a.isLeaving()
 	if in.run() == (run{}) {
 		// Runs without an identity can't be told apart; this one may be new.
--- a/announcer/check.go
+++ b/announcer/check.go
@@ -75,14 +75,20 @@
 		case <-a.checkNowChan():
 			unreachable = true
 		}
-		a.mu.Lock()
-		isSilent := time.Since(a.announcedAt) > a.HeartbeatTimeout
-		// The call may have failed before the target announced that it is back.
-		unreachable = unreachable && a.announcedAt.UnixNano() <= a.unreachableAt.Load()
-		if a.current.Address != "" && (unreachable || isSilent) {
-			a.setVanishedLocked(true)
-		}
-		a.mu.Unlock()
+		a.checkHeartbeat(time.Now(), unreachable)
+	}
+}
+
+// checkHeartbeat marks the target as gone if it has announced nothing for HeartbeatTimeout, or
+// if a call could not reach it.
+func (a *Announcer) checkHeartbeat(now time.Time, unreachable bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isSilent := a.silence.check(now, a.announcedAt, a.HeartbeatTimeout/timeoutTicks) > a.HeartbeatTimeout
+	// The call may have failed before the target announced that it is back.
+	unreachable = unreachable && a.announcedAt.UnixNano() <= a.unreachableAt.Load()
+	if a.current.Address != "" && (unreachable || isSilent) {
+		a.setVanishedLocked(true)
 	}
 }
 
