--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -52,6 +52,7 @@
 		new(quarantineCommand).command(),
 		new(tenantsCommand).command(),
 		new(quotasCommand).command(),
+		new(whereCommand).command(),
 		new(checkCommand).command(),
 		new(statusCommand).command(),
 		new(versionCommand).command(),
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,6 +10,7 @@
 	"bambooweir.example/bambooweir/acceptor"
 	"bambooweir.example/bambooweir/applier"
 	"bambooweir.example/bambooweir/canarier"
+	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/picker"
 	"bambooweir.example/bambooweir/quarantiner"
 	"bambooweir.example/bambooweir/quoter"
@@ -18,7 +19,7 @@
 )
 
 // API serves the operators' API of one daemon. All fields must be set, except
-// Distribution, TargetViews, Rollouts, Quarantine, Tenants, UnknownKeys, Quotas and Counters.
+// Distribution, TargetViews, Rollouts, Quarantine, Tenants, UnknownKeys, Quotas, Explain and Counters.
 type API struct {
 	InstanceID string
 	Domain     string
@@ -40,7 +41,10 @@
 	Tenants     *tallier.Tallier
 	UnknownKeys *expvar.Int
 	// Quotas returns the quotas of tenants as the daemon sees them; it may be nil.
-	Quotas   func() []quoter.View
+	Quotas func() []quoter.View
+	// Explain says where a request would go now. It may be nil; the resource then does not
+	// exist.
+	Explain  func(forwarder.Query) *forwarder.Explanation
 	Counters Counters
 }
 
@@ -58,6 +62,9 @@
 	e.GET(QuarantinePath, a.quarantine)
 	e.GET(TenantsPath, a.tenants)
 	e.GET(QuotasPath, a.quotas)
+	if a.Explain != nil {
+		e.POST(WherePath, a.where, limit)
+	}
 	e.GET(HealthPath, a.health)
 	e.GET(ReadinessPath, a.readiness)
 	e.GET(MetricsPath, echo.WrapHandler(expvar.Handler()))
