Let requests wait until the home of their tenant is known

Cause: after a power failure of all daemons no home of a tenant is known for 1.5 s, and each request was refused (quota-unknown), to come back once, 300 ms later, to another refusal.

Change: such requests wait as those do that arrive before the first configuration: for a third of their time, and for 2 s after the first of them. A home that stays unknown makes no further request wait.

Result: TestRequestsWaitForTheHomeOfTheirTenant fails without the wait (503 at once).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -105,7 +105,9 @@
 	budgetSnapshot atomic.Pointer[applier.Snapshot]
 	waits          waitEstimator
 	startup        startup
-	notices        noticeTable
+	// homeless is the time in which no home of tenants is known.
+	homeless startup
+	notices  noticeTable
 	// stopping is set by Drain.
 	stopping atomic.Bool
 	// stopEnd is when the process ends at the latest, nil before a planned stop.
--- a/forwarder/quota_test.go
+++ b/forwarder/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -87,3 +88,52 @@
 		}
 	})
 }
+
+// Requests that arrive before the home of their tenant is known must wait for it, as they wait
+// for the first configuration; one that is unknown for longer than that must not make each
+// request wait.
+func TestRequestsWaitForTheHomeOfTheirTenant(t *testing.T) {
+	runInMesh(t, threeTargets, func(t *testing.T, m *mesh) {
+		// The share of one daemon in the small quota is less than a call.
+		large, small := quoter.Limit{RatePerS: 100, Burst: 100}, quoter.Limit{RatePerS: 0.01, Burst: 1}
+		doc := new(versioner.Document).With(meshEntries(), nil)
+		for key, limit := range map[string]quoter.Limit{"large": large, "small": small} {
+			doc = doc.With([]versioner.Entry{{
+				Key:    versioner.Key{Kind: versioner.KindTenant, Name: key},
+				Tenant: &versioner.Tenant{KeySHA256: []string{versioner.HashKey(key)}, RatePerS: limit.RatePerS, Burst: limit.Burst},
+			}}, nil)
+		}
+		if _, err := m.forwarder.Applier.Offer(doc); err != nil {
+			t.Fatal(err)
+		}
+		call := func(key string) (callerResponse, time.Duration) {
+			start := time.Now()
+			got := m.call(m.ctx, "/lookups", "1", messenger.HeaderNames{}.WithDefaults().APIKey, key)
+			return got, time.Since(start)
+		}
+		// A daemon that knows no other is the home of no tenant for its first ten seconds.
+		m.forwarder.Quota = m.newQuoter("entry", large)
+		members := &quoter.Members{Ready: []string{"entry"}}
+		m.forwarder.Quota.Members = func() *quoter.Members { return members }
+		m.forwarder.Quota.SetBounds(quoter.Bounds{Slack: 20})
+		m.forwarder.Quota.ObserveMembers()
+		time.Sleep(9 * time.Second)
+		got, waited := call("large")
+		wantResponse(t, got, "200")
+		if waited < 900*time.Millisecond || waited > startupWait {
+			t.Errorf("wait for a home that is known a second later: got %v", waited)
+		}
+		m.forwarder.Quota = m.newQuoter("entry", small)
+		m.forwarder.Quota.Send = func(context.Context, string, quoter.Ask) (quoter.Reply, error) {
+			return quoter.Reply{}, errors.New("cut off")
+		}
+		got, waited = call("small")
+		wantResponse(t, got, "503", "quota-unknown")
+		if waited < startupWait {
+			t.Errorf("first call without a home: got refused after %v, want %v at least", waited, startupWait)
+		}
+		if got, waited = call("small"); got.status != 503 || waited > startupWait/2 {
+			t.Errorf("later call without a home: got %d after %v, want 503 at once", got.status, waited)
+		}
+	})
+}
--- a/forwarder/startup.go
+++ b/forwarder/startup.go
@@ -28,22 +28,29 @@
 	maxStartupWaiting = 1024
 )
 
-// startup is the time in which a daemon waits for its first configuration. The zero value
-// begins it with the first request.
+// startup is the time in which requests wait for something that a daemon lacks after its start:
+// its first configuration, or the homes of tenants. The zero value begins it with the first
+// request.
 type startup struct {
-	// began is when the first request found no configuration, in nanoseconds of Unix time.
+	// began is when the first request found it missing, in nanoseconds of Unix time, or 0.
 	began   atomic.Int64
 	waiting atomic.Int64
 }
 
+// end ends the time: the daemon lacks nothing now.
+func (s *startup) end() {
+	if s.began.Load() != 0 {
+		s.began.Store(0)
+	}
+}
+
 // timeLeft returns how long a request that arrived at a time may wait, given the time that
-// its caller states in milliseconds, or "" for none.
-func (s *startup) timeLeft(statedMS string, arrived, now time.Time) time.Duration {
+// its caller states, or 0 for none.
+func (s *startup) timeLeft(stated time.Duration, arrived, now time.Time) time.Duration {
 	s.began.CompareAndSwap(0, now.UnixNano())
 	left := time.Unix(0, s.began.Load()).Add(startupWait).Sub(now)
-	if ms, err := strconv.Atoi(statedMS); err == nil {
-		stated := time.Duration(float64(ms) * startupWaitShare * float64(time.Millisecond))
-		left = min(left, stated-now.Sub(arrived))
+	if stated > 0 {
+		left = min(left, time.Duration(float64(stated)*startupWaitShare)-now.Sub(arrived))
 	}
 	return left
 }
@@ -51,7 +58,8 @@
 // awaitConfiguration waits for the first configuration and returns it, or nil if the request
 // is to be refused.
 func (f *Forwarder) awaitConfiguration(r *http.Request) *applier.Snapshot {
-	left := f.startup.timeLeft(r.Header.Get(f.Headers.WithDefaults().Deadline), listener.Arrival(r.Context()), time.Now())
+	statedMS, _ := strconv.Atoi(r.Header.Get(f.Headers.WithDefaults().Deadline))
+	left := f.startup.timeLeft(time.Duration(statedMS)*time.Millisecond, listener.Arrival(r.Context()), time.Now())
 	defer f.startup.waiting.Add(-1)
 	if f.startup.waiting.Add(1) > maxStartupWaiting || left <= 0 {
 		return nil
