Give nested calls the priority of less urgent parents

Cause: a nested call has the priority of its own route and goes before others of it.

Change: with the setting inherit-priority a nested call has its parent's priority if that is less urgent than its route's, and the priority of the parent's tenant.

--- a/forwarder/parent_test.go
+++ b/forwarder/parent_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"bambooweir.example/bambooweir/messenger"
 	"bambooweir.example/bambooweir/retrier"
 )
 
@@ -27,3 +28,35 @@
 		})
 	}
 }
+
+// A nested call must not go before callers that are more urgent than its parent, and must keep
+// the priority of its route if that is less urgent already.
+func TestNestedCallInheritsPriority(t *testing.T) {
+	first, second := 0, 1
+	for _, tt := range []struct {
+		name               string
+		route, parent      int
+		tenant, wantTenant *int
+		want               int
+		parentID           string
+		isOff              bool
+	}{
+		{"less urgent parent", 1, 2, &first, &first, 2, "parent", false},
+		{"more urgent parent", 1, 0, &second, &second, 1, "parent", false},
+		{"parent without a tenant", 1, 2, nil, nil, 2, "parent", false},
+		{"no parent", 1, 2, &first, nil, 1, "", false},
+		{"switched off", 1, 2, &first, nil, 1, "parent", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &Forwarder{FindPriority: func(string) (int, *int) { return tt.parent, tt.tenant }}
+			if tt.isOff {
+				f.FindPriority = nil
+			}
+			call := messenger.Call{Priority: tt.route}
+			f.inheritPriority(&call, tt.parentID)
+			if call.Priority != tt.want || call.TenantPriority != tt.wantTenant {
+				t.Errorf("got priority %d, tenant's %v, want %d, %v", call.Priority, call.TenantPriority, tt.want, tt.wantTenant)
+			}
+		})
+	}
+}
