Let nested calls of less urgent requests wait their turn

Change: such calls keep the priority of their route and may wait until their deadline, but go after callers of that priority instead of before them. The setting is nested-by-parent.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -26,7 +26,7 @@
 	d.forwarder.Headers = headers
 	d.forwarder.FractionalRetryAfter = true
 	d.forwarder.FindRunning = d.executor.FindRunning
-	if d.cfg.Load().InheritPriority {
+	if d.cfg.Load().NestedByParent {
 		d.forwarder.FindPriority = d.executor.FindPriority
 	}
 	d.executor.Headers = headers
--- a/executor/running.go
+++ b/executor/running.go
@@ -11,18 +11,15 @@
 	runs int
 	// isRetry is set if one of the runs is a retry or belongs to one.
 	isRetry bool
-	// priority and tenantPriority are those of the request's call.
-	priority       int
-	tenantPriority *int
+	// priority is that of the request's route.
+	priority int
 }
 
-// FindPriority returns the priorities of the route and of the tenant of a request that the target
-// is running; nil means that the tenant has none.
-func (x *Executor) FindPriority(requestID string) (priority int, tenantPriority *int) {
+// FindPriority returns the priority of the route of a request that the target is running.
+func (x *Executor) FindPriority(requestID string) int {
 	x.requestsMu.Lock()
 	defer x.requestsMu.Unlock()
-	r := x.requests[requestID]
-	return r.priority, r.tenantPriority
+	return x.requests[requestID].priority
 }
 
 // FindRunning reports whether the target is running the request with an ID, and
@@ -47,10 +44,7 @@
 		x.requests = make(map[string]runningRequest)
 	}
 	r := x.requests[id]
-	x.requests[id] = runningRequest{
-		runs: r.runs + 1, isRetry: r.isRetry || isRetry(call),
-		priority: call.Priority, tenantPriority: call.TenantPriority,
-	}
+	x.requests[id] = runningRequest{runs: r.runs + 1, isRetry: r.isRetry || isRetry(call), priority: call.Priority}
 	return func() {
 		x.requestsMu.Lock()
 		defer x.requestsMu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,9 +67,9 @@
 	// with the given ID, and whether that run is a retry or belongs to one; nil means
 	// that it never is.
 	FindRunning func(requestID string) (isRunning, isRetry bool)
-	// FindPriority returns the priorities of the route and of the tenant of a request that
-	// FindRunning finds; with nil, nested requests have the priorities of their own routes.
-	FindPriority func(requestID string) (priority int, tenantPriority *int)
+	// FindPriority returns the priority of a request that FindRunning finds; with nil, all nested
+	// requests go before others of their priority.
+	FindPriority func(requestID string) int
 	// OnLargeBody is called with the size of each body of at least picker.LargeBytes
 	// that a caller has sent; it may be nil.
 	OnLargeBody func(n int)
@@ -234,7 +234,7 @@
 	if tenant != nil {
 		x.call.Tenant, x.call.TenantPriority = tenant.Name, tenant.Config.Priority
 	}
-	f.inheritPriority(&x.call, parent)
+	x.call.IsOfLessUrgent = f.isOfLessUrgent(parent, route.Priority)
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
 	}
--- a/forwarder/parent.go
+++ b/forwarder/parent.go
@@ -1,7 +1,5 @@
 package forwarder
 
-import "bambooweir.example/bambooweir/messenger"
-
 // minNestedPrefix is the minimum length of a running request's ID for findParent to
 // compare it with a prefix of another ID: shorter IDs may match by accident.
 const minNestedPrefix = 8
@@ -22,18 +20,8 @@
 	return "", false
 }
 
-// inheritPriority gives a nested call the priority of its parent, if that is less urgent, and
-// that of the parent's tenant. It is designed for a service that runs calls of its own callers
-// and calls that others make while they serve less urgent callers: without it the nested calls,
-// of which one caller causes several, take the room of the more urgent callers. They wait
-// instead, so that the service that makes them takes fewer requests.
-func (f *Forwarder) inheritPriority(call *messenger.Call, parent string) {
-	if f.FindPriority == nil || parent == "" {
-		return
-	}
-	priority, tenantPriority := f.FindPriority(parent)
-	call.Priority = max(call.Priority, priority)
-	if call.TenantPriority == nil {
-		call.TenantPriority = tenantPriority
-	}
+// isOfLessUrgent reports whether a nested call on a route of the given priority is made for a
+// request that is less urgent.
+func (f *Forwarder) isOfLessUrgent(parent string, priority int) bool {
+	return f.FindPriority != nil && parent != "" && f.FindPriority(parent) > priority
 }
