Play invalid answers from end to end, and forward resets in the proxy

Change: the proxy resets both sides when either fails, and ends the write in progress to learn whether it failed. The fake target writes raw statuses and resets uploads.

--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -54,6 +54,11 @@
 	RepeatRefusals bool `json:"repeat-refusals"`
 	// FailPercent is the percentage of calls that run and are answered with 500.
 	FailPercent int `json:"fail-percent"`
+	// RawStatus answers calls, once they have run, with this text in place of a status.
+	RawStatus string `json:"raw-status"`
+	// ResetUploads answers each call at once, without a length and before its body is read,
+	// and then resets the connection.
+	ResetUploads bool `json:"reset-uploads"`
 	// CutAnswers aborts the connection after half of the bytes of each answer.
 	CutAnswers bool `json:"cut-answers"`
 	// CrashOnCall ends the process when a call has begun and was recorded.
@@ -126,11 +131,15 @@
 	if t.serveControl(w, r) {
 		return
 	}
+	b := t.currentBehavior()
+	if b.ResetUploads {
+		t.answerAndReset(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	b := t.currentBehavior()
 	b.nameNotice(w.Header())
 	if rand.IntN(100) < b.ShedPercent {
 		w.Header().Set("Retry-After", "1")
@@ -155,6 +164,10 @@
 		case <-time.After(time.Duration(b.DelayMS) * time.Millisecond):
 		}
 	}
+	if b.RawStatus != "" {
+		writeRaw(w, r, b.RawStatus, "Content-Length: 2\r\n\r\nok", false)
+		return
+	}
 	t.writeAnswer(w, r, b, body)
 }
 
--- a/faulter/faulter.go
+++ b/faulter/faulter.go
@@ -7,6 +7,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -104,12 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		for _, nc := range []net.Conn{c.client, c.server} {
-			if tcp, ok := nc.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-		}
-		c.close()
+		c.reset()
 	}
 }
 
@@ -162,12 +159,12 @@
 		return
 	}
 	defer server.Close()
-	c := &conn{proxy: p, client: client, server: server, done: make(chan struct{})}
+	c := &conn{proxy: p, client: &side{Conn: client}, server: &side{Conn: server}, done: make(chan struct{})}
 	if !p.addConn(c) {
 		return
 	}
-	go c.forward(Upstream, client, server)
-	go c.forward(Downstream, server, client)
+	go c.forward(Upstream, c.client, c.server)
+	go c.forward(Downstream, c.server, c.client)
 	<-c.done
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -196,7 +193,7 @@
 // conn is one connection through the proxy.
 type conn struct {
 	proxy          *Proxy
-	client, server net.Conn
+	client, server *side
 	// silenced is set by Proxy.SilenceOpenConns and never cleared.
 	silenced atomic.Bool
 	// dropAnswer is set once a request was forwarded whose answer is to be
@@ -215,17 +212,32 @@
 	})
 }
 
-// forward copies from src to dst, subject to the fault, and closes both sides when
-// either fails or ends.
-func (c *conn) forward(d Direction, src, dst net.Conn) {
-	defer c.close()
+// reset is like close, but resets both sides.
+func (c *conn) reset() {
+	c.once.Do(func() {
+		close(c.done)
+		c.client.reset()
+		c.server.reset()
+	})
+}
+
+// forward copies from src to dst, subject to the fault. It closes both sides when either
+// ends, and resets both when either fails.
+func (c *conn) forward(d Direction, src, dst *side) {
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(buf)
 		if !c.applyFault(d, buf[:n]) {
+			c.close()
 			return
 		}
-		if _, werr := dst.Write(buf[:n]); werr != nil || err != nil {
+		_, werr := dst.Write(buf[:n])
+		switch {
+		case werr != nil || err != nil && (!errors.Is(err, io.EOF) || src.hasFailed()):
+			c.reset()
+			return
+		case err != nil:
+			c.close()
 			return
 		}
 	}
--- a/faulter/faulter_test.go
+++ b/faulter/faulter_test.go
@@ -144,3 +144,48 @@
 		t.Errorf("new connection: got %q, %v", got, err)
 	}
 }
+
+// TestResetIsForwarded guards against a server's reset that reaches the client as the end of
+// a complete answer, also while the client is still sending.
+func TestResetIsForwarded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, c, 1000)
+			_, _ = io.WriteString(c, "part")
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	p, err := Listen("127.0.0.1:0", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for _, size := range []int{1000, 100_000, 4_000_000} {
+		for range 50 {
+			c, err := net.Dial("tcp", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write(make([]byte, size))
+				written <- err
+			}()
+			_, err = io.Copy(io.Discard, c)
+			if writeErr := <-written; err == nil && writeErr == nil {
+				t.Errorf("%d bytes: got an end and no error, want a reset", size)
+			}
+			_ = c.Close()
+		}
+	}
+}
