Keep a verdict whose leader ends before the store has it

Cause: a leader that found a version to be bad while the store was away, and then ended, left only held daemons behind; its successor began at the stored stage and tried the version once more.

Change: the directive that holds the version carries the reason; a successor that has it from its peers ends the order without another call.

Measured: TestVerdictSurvivesItsLeader failed before (no reason told), and fails where the successor ignores the reason; go test -race -count=3 ./canarier passes.

--- a/canarier/canarier.go
+++ b/canarier/canarier.go
@@ -95,7 +95,8 @@
 	Canaries int `cbor:"9,keyasint,omitempty"`
 	// TTLMS is how long after its arrival the share applies, in milliseconds. Then the new
 	// version gets no calls until another directive arrives.
-	TTLMS  int64    `cbor:"10,keyasint,omitempty"`
+	TTLMS int64 `cbor:"10,keyasint,omitempty"`
+	// Reason says why the order ended, or is about to end once the store knows.
 	Reason string   `cbor:"11,keyasint,omitempty"`
 	Barred []string `cbor:"12,keyasint,omitempty"`
 }
--- a/canarier/leader_test.go
+++ b/canarier/leader_test.go
@@ -45,10 +45,13 @@
 	faults *fakestorer.FaultInjector
 	stop   context.CancelFunc
 	done   chan struct{}
+	// isKilled is set by kill.
+	isKilled bool
 }
 
 // kill ends the daemon without a word to the store.
 func (r *relay) kill() {
+	r.isKilled = true
 	r.faults.Set(fakestorer.Fault{IsDown: true})
 	r.stop()
 	<-r.done
@@ -273,6 +276,37 @@
 	}
 }
 
+// TestVerdictSurvivesItsLeader kills a leader that has found the version to be bad and told the
+// daemons, but not the store. It guards against a successor that tries the version once more.
+func TestVerdictSurvivesItsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, func(n int) bool { return n%2 == 0 })
+		f.addTargets("v2")
+		f.order(Order{Service: testService, Version: "v2", Duration: testDuration})
+		f.playUntil(time.Minute, func() bool { return f.exposed > 0 })
+		f.setFault(fakestorer.Fault{IsDown: true})
+		if !f.playUntil(time.Minute, func() bool {
+			d, _ := f.entry.Known(testService)
+			return d.Reason != ""
+		}) {
+			t.Fatal("got no verdict, want one while the store is away")
+		}
+		exposed := f.exposed
+		f.killLeader()
+		for _, r := range f.relays {
+			if !r.isKilled {
+				r.faults.Set(fakestorer.Fault{})
+			}
+		}
+		if !f.playUntil(time.Minute, func() bool { return f.isOver("v2") }) {
+			t.Fatalf("got status %+v, want a final one", f.status(testService))
+		}
+		if st := f.status(testService); st.State != StateRolledBack || st.Reason != ReasonFailures || f.exposed != exposed {
+			t.Errorf("got status %+v and %d more calls at the version, want it rolled back and none", st, f.exposed-exposed)
+		}
+	})
+}
+
 // addNewTargetsOnce adds the targets of the new version.
 func (f *fleet) addNewTargetsOnce() {
 	if f.table.LiveCount() == targetsAVersion {
--- a/canarier/round.go
+++ b/canarier/round.go
@@ -113,6 +113,9 @@
 		return st.State, st.Reason
 	case slices.Contains(barred, o.Version):
 		return StateRolledBack, ReasonBarred
+	case known.State == StateRunning && known.Revision == o.Revision && known.Reason != "":
+		// A former leader has found the version to be bad, but could not write it.
+		return StateRolledBack, known.Reason
 	case known.State == StateCompleted && known.Version == o.Version:
 		// The restored store has lost what was decided.
 		return StateCompleted, ""
@@ -175,13 +178,13 @@
 	share, canaries := Exposure(stage, l.ExposureShare, room)
 	d := Directive{
 		Service: r.order.Service, Version: r.order.Version, Revision: r.order.Revision, Term: l.term, State: StateRunning,
-		Stage: stage, Share: share, Canaries: canaries, TTLMS: l.directiveTTL().Milliseconds(), Barred: r.status.Barred, Sequence: r.announced.Sequence,
+		Stage: stage, Share: share, Canaries: canaries, TTLMS: l.directiveTTL().Milliseconds(), Barred: r.status.Barred, Sequence: r.announced.Sequence, Reason: r.status.Reason,
 	}
 	if stage == StageAll {
 		d.TTLMS = movedTTL.Milliseconds()
 	}
 	last := &r.announced
-	if last.Stage == d.Stage && last.Share == d.Share && last.Canaries == d.Canaries && time.Since(r.sentAt) < l.directiveTTL()/refreshesPerTTL {
+	if last.Stage == d.Stage && last.Share == d.Share && last.Canaries == d.Canaries && last.Reason == d.Reason && time.Since(r.sentAt) < l.directiveTTL()/refreshesPerTTL {
 		return
 	}
 	d.Sequence++
