--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -37,7 +37,7 @@
 func (d *Daemon) admit(ctx context.Context, call *messenger.Call) (func(), *messenger.Answer) {
 	request := limiter.Request{
 		Class: call.Class, Partner: cmp.Or(call.CallingPartner, call.Partner), Priority: call.Priority, TenantPriority: call.TenantPriority,
-		Tenant: call.Tenant, Objective: loader.Milliseconds(int(call.ObjectiveMS)), IsNested: call.IsNested, IsOfLessUrgent: call.IsOfLessUrgent,
+		Tenant: call.Tenant, Objective: loader.Milliseconds(int(call.ObjectiveMS)), IsNested: call.IsNested,
 		Waited: loader.Milliseconds(int(call.WaitedMS)), MayGoElsewhere: call.ID.Attempt() == 0 && !call.IsKeyed(),
 	}
 	slot, err := d.limiter.Admit(ctx, request)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -26,9 +26,6 @@
 	d.forwarder.Headers = headers
 	d.forwarder.FractionalRetryAfter = true
 	d.forwarder.FindRunning = d.executor.FindRunning
-	if d.cfg.Load().NestedByParent {
-		d.forwarder.FindPriority = d.executor.FindPriority
-	}
 	d.executor.Headers = headers
 	d.executor.EchoesID = true
 	d.executor.PromisesNotRun = platform.PromisesNotRun
--- a/executor/running.go
+++ b/executor/running.go
@@ -11,15 +11,6 @@
 	runs int
 	// isRetry is set if one of the runs is a retry or belongs to one.
 	isRetry bool
-	// priority is that of the request's route.
-	priority int
-}
-
-// FindPriority returns the priority of the route of a request that the target is running.
-func (x *Executor) FindPriority(requestID string) int {
-	x.requestsMu.Lock()
-	defer x.requestsMu.Unlock()
-	return x.requests[requestID].priority
 }
 
 // FindRunning reports whether the target is running the request with an ID, and
@@ -44,7 +35,7 @@
 		x.requests = make(map[string]runningRequest)
 	}
 	r := x.requests[id]
-	x.requests[id] = runningRequest{runs: r.runs + 1, isRetry: r.isRetry || isRetry(call), priority: call.Priority}
+	x.requests[id] = runningRequest{runs: r.runs + 1, isRetry: r.isRetry || isRetry(call)}
 	return func() {
 		x.requestsMu.Lock()
 		defer x.requestsMu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,9 +67,6 @@
 	// with the given ID, and whether that run is a retry or belongs to one; nil means
 	// that it never is.
 	FindRunning func(requestID string) (isRunning, isRetry bool)
-	// FindPriority returns the priority of a request that FindRunning finds; with nil, all nested
-	// requests go before others of their priority.
-	FindPriority func(requestID string) int
 	// OnLargeBody is called with the size of each body of at least picker.LargeBytes
 	// that a caller has sent; it may be nil.
 	OnLargeBody func(n int)
@@ -213,7 +210,7 @@
 	if f.OnLargeBody != nil && len(body) >= picker.LargeBytes {
 		f.OnLargeBody(len(body))
 	}
-	parent, isRetry := f.findParent(r.Header.Get(names.RequestID))
+	isNested, isRetry := f.findParent(r.Header.Get(names.RequestID))
 	if isRetry {
 		// The target does not copy the mark to the calls that it makes.
 		r.Header.Set(retrier.AttemptHeader, attemptRetry)
@@ -225,7 +222,7 @@
 		Body: body, BodyDigest: messenger.Digest(body),
 		IdempotencyKey: key, Idempotent: policy.Idempotent,
 		RequestID: r.Header.Get(names.RequestID), Priority: route.Priority, ObjectiveMS: int64(route.ObjectiveMS),
-		IsNested: parent != "", IsForAnyHost: len(route.Hosts) == 0,
+		IsNested: isNested, IsForAnyHost: len(route.Hosts) == 0,
 	}
 	if statedMS := r.Header.Get(names.Deadline); statedMS != "" && !x.call.IsNested {
 		remaining, _ := strconv.ParseInt(statedMS, 10, 64)
@@ -234,7 +231,6 @@
 	if tenant != nil {
 		x.call.Tenant, x.call.TenantPriority = tenant.Name, tenant.Config.Priority
 	}
-	x.call.IsOfLessUrgent = f.isOfLessUrgent(parent, route.Priority)
 	if partner := r.Header.Get(messenger.HeaderPartner); s.HasPartner(partner) {
 		x.call.CallingPartner = partner
 	}
@@ -247,6 +243,26 @@
 // attemptRetry is the value of retrier.AttemptHeader on calls that this daemon marks.
 const attemptRetry = "retry"
 
+// minNestedPrefix is the minimum length of a running request's ID for findParent to
+// compare it with a prefix of another ID: shorter IDs may match by accident.
+const minNestedPrefix = 8
+
+// findParent reports whether the target of this instance makes the request while it
+// runs another one, and whether that one is a retry or belongs to one. It recognises
+// nested requests by their IDs, which targets form by appending to the ID of the request
+// that they run. A nested request with any other ID is handled as one that is not nested.
+func (f *Forwarder) findParent(requestID string) (isNested, isRetry bool) {
+	if f.FindRunning == nil {
+		return false, false
+	}
+	for n := len(requestID) - 1; n >= minNestedPrefix; n-- {
+		if isNested, isRetry = f.FindRunning(requestID[:n]); isNested {
+			return true, isRetry
+		}
+	}
+	return false, false
+}
+
 // callTimeout returns the time that the call may take: the timeout of its route or
 // else of its policy, or the time left that the caller states if that is shorter.
 // It returns false if the stated time is malformed.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -118,14 +118,46 @@
 	Waited time.Duration
 	// MayGoElsewhere is set if the call has been to no other target and may be sent to one.
 	MayGoElsewhere bool
-	// IsNested is set if a target makes the call while it runs another one, IsOfLessUrgent if
-	// that one has a lower priority.
-	IsNested, IsOfLessUrgent bool
+	// IsNested is set if a target makes the call while it runs another one.
+	IsNested bool
 }
 
 // level returns the call's priority level.
 func (r Request) level() int { return min(max(r.Priority, 0), priorityCount-1) }
 
+// precedence returns the call's precedence among waiting calls.
+func (r Request) precedence() precedence {
+	p := precedence{rank: r.level(), level: r.level()}
+	if r.TenantPriority != nil {
+		p.rank = max(*r.TenantPriority, 0)
+	}
+	return p
+}
+
+// precedence orders waiting calls: first by rank, then by level.
+type precedence struct {
+	// rank is the tenant's priority, or else the level.
+	rank int
+	// level is the priority level. Run times are measured by level: how long a call runs
+	// depends on what it asks for and not on its tenant.
+	level int
+}
+
+// goesBefore reports whether a call with precedence p goes before one with other.
+func (p precedence) goesBefore(other precedence) bool {
+	if p.rank != other.rank {
+		return p.rank < other.rank
+	}
+	return p.level < other.level
+}
+
+// counted returns the precedence by which a running call is counted: ranks from the last level
+// on are not told apart.
+func (p precedence) counted() precedence {
+	p.rank = min(p.rank, priorityCount-1)
+	return p
+}
+
 // Slot is the right to run one call. Release must be called once.
 type Slot struct {
 	limiter  *Limiter
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -48,8 +48,6 @@
 	expires time.Time
 	// isNested is set if a target makes the call while it runs another one.
 	isNested bool
-	// turn orders calls of equal precedence.
-	turn turn
 	// isOverShare is set if the call's tenant has lately used more than its share of the target.
 	isOverShare bool
 	// isLate is set if the answer will miss its objective even without waiting.
@@ -67,12 +65,29 @@
 	err  error
 }
 
+// goesBefore reports whether w gets a slot before other.
+func (w *waiter) goesBefore(other *waiter) bool {
+	if w.order != other.order {
+		return w.order.goesBefore(other.order)
+	}
+	if w.isNested != other.isNested {
+		// The parent of a nested call occupies a slot elsewhere until it returns.
+		return w.isNested
+	}
+	if w.isOverShare != other.isOverShare {
+		return other.isOverShare
+	}
+	if w.isLate != other.isLate {
+		return other.isLate
+	}
+	return w.expires.Before(other.expires)
+}
+
 // enqueue adds a call to the queue of its partner and class, or refuses it at once
 // if it cannot be expected to get a slot in time. The caller holds mu.
 func (l *Limiter) enqueue(ctx context.Context, a *account, c class, r Request, now time.Time) (*waiter, error) {
 	w := &waiter{
 		account: a, class: c, request: r, order: r.precedence(), objective: r.Objective, isNested: r.IsNested,
-		turn:        r.turn(),
 		isOverShare: l.tenants.isOverShare(r.Tenant, l.runs.ofClass[c], now), result: make(chan admitResult, 1),
 	}
 	maxLength := l.limits.queueLength[c]
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -99,9 +99,6 @@
 	// TenantPriority takes precedence over Priority in the order of waiting calls; nil
 	// means that the tenant has none.
 	TenantPriority *int `cbor:"28,keyasint,omitempty"`
-	// IsOfLessUrgent reports that the call is nested, and that the request for which it is made
-	// has a lower priority.
-	IsOfLessUrgent bool `cbor:"29,keyasint,omitempty"`
 }
 
 // IsKeyed reports whether the call must run at the owner of its idempotency key.
