Choose targets by the room that old news leaves

Cause: a daemon hears of a target's load by answers to its own calls, once in a second or so, while the load changes within a run time. A reported load counted for a second all the same, and every daemon chose the target with the earliest expected answer.

Change: a report loses its effect within two run times of the target and then gives way to the mean of other daemons' calls; what is uncertain since counts as variance. A call goes to the earliest target that surely has a free slot, and is otherwise drawn at random by room, by the objective that is left and by speed. A target that fails more often than others is never sure: one that answers with errors at once always has free slots. A call that was refused leaves its failure domain sooner. Counters of drawn choices, of choices without room and of refusals beside room, and a gauge of the spread of load show it to operators. The messages stay as they are.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,7 @@
 	m.Set("executor", publisher.Counters(&d.executor.Counters))
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
 	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
+	m.Set("load-spread-percent", expvar.Func(func() any { return d.forwarder.Picker.LoadSpreadPercent() }))
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("announcer", publisher.Counters(&d.announcer.Counters))
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -82,6 +82,7 @@
 	"bambooweir_panics":               "Panics that ended the handling of one request, message or response, over all daemons of the process.",
 	"bambooweir_calls_running":        "Calls that this daemon's target is running.",
 	"bambooweir_calls_waiting":        "Calls that wait for a slot at the target.",
+	"bambooweir_load_spread_percent":  "Standard deviation of the mean loads that the targets of a service reported, in percent of their mean; of the service in which it is largest.",
 	"bambooweir_slots":                "Number of calls that the target runs at a time.",
 	"bambooweir_log_lines_lost":       "Log lines that were not written: the reader was too slow, or the log could not be written.",
 	"bambooweir_target_rate_limit":    "Calls per second that the target takes from all daemons, as it says on its answers; -1 if it names no limit.",
--- /dev/null
+++ b/picker/candidate_test.go
@@ -0,0 +1,72 @@
+package picker
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// countPicks returns how many of n picks chose each target.
+func (p *Picker) countPicks(n int) map[string]int {
+	picks := make(map[string]int)
+	for range n {
+		c, _ := p.Pick(estimatePolicy(), Need{Objective: testObjective}, Tried{})
+		c.target.inFlight.Add(-1)
+		picks[c.Record.InstanceID]++
+	}
+	return picks
+}
+
+// A target that answers with errors at once has free slots when all others are busy. Were it
+// chosen for them, most calls would fail.
+func TestIdleFailingTargetGetsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newEstimateFixture()
+		p.reportLoad("near-1", loadReport{run: 50 * time.Millisecond, failureShare: 0.5})
+		p.reportLoad("near-2", loadReport{running: 11, run: 100 * time.Millisecond})
+		p.reportLoad("far", loadReport{running: 11, run: 100 * time.Millisecond})
+		time.Sleep(loadFadeTime) // the reports say only what the mean loads are
+		if got := p.countPicks(1000)["near-1"]; got > 100 {
+			t.Errorf("calls to the failing target: got %d of 1000, want at most 100", got)
+		}
+	})
+}
+
+// While no target surely has room, all daemons know about the same. Were the target with the most
+// expected room chosen each time, it would get the calls of all daemons at once.
+func TestUncertainRoomSharesCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newEstimateFixture()
+		p.reportLoad("near-1", loadReport{running: 10, run: 200 * time.Millisecond})
+		p.reportLoad("near-2", loadReport{running: 11, run: 200 * time.Millisecond})
+		p.reportLoad("far", loadReport{running: 12, waiting: 12, run: 200 * time.Millisecond})
+		time.Sleep(loadFadeTime)
+		got := p.countPicks(1000)
+		if got["near-1"] <= got["near-2"] || got["near-2"] < 250 {
+			t.Errorf("calls: got %v, want more to near-1 than to near-2, and at least 250 to near-2", got)
+		}
+	})
+}
+
+// A refusal by a full target while another one has free slots shows that load is uneven.
+func TestRefusalBesideRoomIsCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		runningElse int
+		want        int64
+	}{{"others idle", 2, 1}, {"others full", 12, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newEstimateFixture()
+				for _, id := range []string{"near-1", "near-2", "far"} {
+					p.reportLoad(id, loadReport{running: tt.runningElse, run: 100 * time.Millisecond})
+				}
+				c, _ := p.Pick(estimatePolicy(), Need{Objective: testObjective}, Tried{})
+				c.Done(Result{Outcome: Overloaded, HasLoad: true, Running: 12, Slots: 12, Run: 100 * time.Millisecond})
+				if got := p.Counters.RefusedBesideRoom.Value(); got != tt.want {
+					t.Errorf("refusals beside room: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -11,8 +11,8 @@
 // designed for services with barely enough slots: targets differ in speed by a
 // factor of three, a slow target that is half idle still answers in time, and
 // traffic between failure domains costs money. A call therefore stays in the
-// local failure domain while it is expected to meet its objective there, and
-// otherwise goes to the target anywhere with the earliest expected answer.
+// local failure domain while it is expected to find room and to meet its objective
+// there, and otherwise goes to the candidate of all domains.
 
 // LargeBytes is the body size from which carrying the body to another failure
 // domain costs more than a late answer is likely to.
@@ -78,38 +78,41 @@
 	// unknownRunShare is the part of the objective that is assumed as run time
 	// while no target of the service has reported one.
 	unknownRunShare = 0.35
-	// jitterShare is the largest random increase of an estimate, as a share of
-	// it, so that daemons with the same information do not all choose the same
-	// target.
-	jitterShare = 0.15
 )
 
-// pickByEstimate returns the target with the earliest expected answer, its
-// expected latency and the reason, or nil when no eligible target is left
-// untried. A call stays in the local failure domain while a target there is
-// expected to answer within localObjectiveShare of its objective.
-func (p *Picker) pickByEstimate(v *view, policy *applier.Policy, need Need, tried *Tried, now instant) (*target, time.Duration, Reason) {
-	e := p.estimator(v, policy, need, now)
-	local, localTime, probe := e.earliest(p, v.local, tried)
-	if probe {
-		return local, 0, ReasonProbe
+// pickByEstimate returns the candidate for a call and the reason, or no target when no eligible
+// one is left untried. A call stays in the local failure domain while the candidate there is
+// expected to have room and to answer within localObjectiveShare of the objective. A call
+// that was refused stays only if the candidate there surely has room.
+func (p *Picker) pickByEstimate(e *estimator, v *view, tried *Tried) (candidate, Reason) {
+	local := e.choose(p, v.local, tried)
+	if local.isProbe {
+		return local, ReasonProbe
 	}
-	share := localObjectiveShare(float64(need.Bytes) + p.service(policy.Service).answerBytes[e.class].value())
-	if local != nil && localTime <= time.Duration(share*float64(need.Objective)) {
-		return local, localTime, ReasonLocal
+	room := local.room.positive()
+	hasRoom := room >= minLocalRoom && (tried.n == 0 || local.isSure)
+	if hasRoom && local.expected <= e.localLimit(p) {
+		return local, ReasonLocal
 	}
-	anywhere, anyTime, probe := e.earliest(p, v.all, tried)
+	anywhere := e.choose(p, v.all, tried)
 	switch {
-	case anywhere == nil:
-		return nil, 0, ReasonNone
-	case probe:
-		return anywhere, 0, ReasonProbe
-	case local == nil:
-		return anywhere, anyTime, ReasonRemote
-	case float64(anyTime) < maxRemoteShare*float64(localTime):
-		return anywhere, anyTime, ReasonExpected
+	case anywhere.target == nil:
+		return anywhere, ReasonNone
+	case anywhere.isProbe:
+		return anywhere, ReasonProbe
+	case local.target == nil:
+		return anywhere, ReasonRemote
+	case !hasRoom && anywhere.room.positive() > room, anywhere.isSure && anywhere.expected < maxRemoteShare*local.expected:
+		return anywhere, ReasonExpected
 	}
-	return local, localTime, ReasonLocal
+	return local, ReasonLocal
+}
+
+// localLimit returns the latency within which the local failure domain must be expected to
+// answer, in nanoseconds.
+func (e *estimator) localLimit(p *Picker) float64 {
+	size := float64(e.need.Bytes) + p.service(e.policy.Service).answerBytes[e.class].value()
+	return localObjectiveShare(size) * float64(e.need.Objective)
 }
 
 // localObjectiveShare returns the part of the objective within which the local
@@ -181,36 +184,9 @@
 	return e
 }
 
-// earliest returns the target of the set with the earliest expected answer and
-// its expected latency, and reports whether the call is a probe. It compares the
-// estimates after a random increase of up to jitterShare.
-func (e *estimator) earliest(p *Picker, set []*target, tried *Tried) (*target, time.Duration, bool) {
-	var best *target
-	var bestTime, bestJittered float64
-	for _, t := range set {
-		if tried.has(t) {
-			continue
-		}
-		switch t.eligibility(e.policy, e.now) {
-		case ineligible:
-			continue
-		case eligibleForProbe:
-			if t.claimProbe() {
-				return t, 0, true
-			}
-			continue
-		}
-		expected := e.expectedLatency(t)
-		jittered := expected * (1 + jitterShare*p.randFloat())
-		if best == nil || jittered < bestJittered {
-			best, bestTime, bestJittered = t, expected, jittered
-		}
-	}
-	return best, time.Duration(bestTime), false
-}
-
-// expectedLatency estimates the time to an answer of the target, in nanoseconds.
-func (e *estimator) expectedLatency(t *target) float64 {
+// expectedLatency estimates the time to an answer of the target, in nanoseconds, and how many
+// of its slots are free.
+func (e *estimator) expectedLatency(t *target) (float64, forecast) {
 	run := e.expectedRun(t)
 	record := t.record.Load()
 	if t.reported.meanRuns[e.class].Load() == 0 {
@@ -218,17 +194,28 @@
 			run *= coldFactor
 		}
 	}
-	slots := t.slots(e.policy)
-	load := t.load(slots, e.meanLoadShare, e.now) + 1
-	if full := load / float64(slots); full > 1 {
-		run *= full * (1 + fullSlowdown)
-	} else if full > nearFullShare {
-		run *= 1 + fullSlowdown*(full-nearFullShare)/(1-nearFullShare)
+	slots := float64(t.slots(e.policy))
+	room := e.forecast(t, slots, run)
+	load := slots - room.free + 1
+	if load > slots {
+		run *= load / slots * (1 + fullSlowdown)
+	} else if load > nearFullShare*slots {
+		run *= 1 + fullSlowdown*(load/slots-nearFullShare)/(1-nearFullShare)
 	}
-	if success := (1 - t.failureShare.value()) / max(e.meanSuccess, minWeight); success < 1 {
+	if success := e.relativeSuccess(t); success < 1 {
 		run /= max(minWeight, success*success)
 	}
-	return run + e.transit(t) + e.turn(t)
+	return run + e.transit(t) + e.turn(t), room
+}
+
+// relativeSuccess returns the target's share of successful calls over the mean of the service, at
+// most 1.
+func (e *estimator) relativeSuccess(t *target) float64 {
+	success := 1 - t.failureShare.value()
+	if success >= e.meanSuccess {
+		return 1
+	}
+	return success / max(e.meanSuccess, minWeight)
 }
 
 // turn returns the time that a call is expected to wait under the target's rate limit: as
--- a/picker/fleet_test.go
+++ b/picker/fleet_test.go
@@ -30,6 +30,11 @@
 	// slowFrom, unless 0, is when every sixth target becomes slower by slowFactor.
 	slowFrom   time.Duration
 	slowFactor float64
+	// swing is the share by which the demand of the domains varies, in turn.
+	swing float64
+	// admits makes the targets' daemons refuse calls that can't be in time. A refused call
+	// goes to up to three other targets.
+	admits bool
 }
 
 // fleetResult is what the callers of a simulated fleet got.
@@ -39,6 +44,7 @@
 	// busiest target to the mean.
 	late, crossed, busiest float64
 	mean, p99              time.Duration
+	admission              admissionResult // set if the daemons admit calls
 }
 
 // fleetTarget is a target with the queue of its daemon.
@@ -49,6 +55,8 @@
 	calls   int
 	speed   float64
 	meanRun float64 // moving average, as the limiter reports it
+	// admission replaces slots, waiting and meanRun unless it is nil.
+	admission *admittingTarget
 }
 
 // serve runs a call and returns the result that the entry daemon observes.
@@ -93,6 +101,9 @@
 				speed := speeds[i%len(speeds)]
 				capacity += float64(l.slots) * speed
 				targets[id] = &fleetTarget{slots: make(chan struct{}, l.slots), speed: speed}
+				if l.admits {
+					targets[id].admission = newAdmittingTarget(l.slots)
+				}
 				records = append(records, tracker.Record{
 					InstanceID: id, Incarnation: 1, Sequence: 1, Service: "ledger-view", Domain: fmt.Sprint("d", d),
 					State: tracker.StateReady, Slots: l.slots,
@@ -126,17 +137,34 @@
 		start := time.Now()
 		policy := estimatePolicy()
 		policy.Slots = l.slots
+		watcher := &admissionWatcher{targets: targets}
+		if l.admits {
+			wg.Go(func() { watcher.watch(l.length) })
+		}
 		for time.Since(start) < l.length {
 			time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 			p := pickers[rng.IntN(len(pickers))]
 			if rng.Float64() < l.uneven {
 				p = pickers[rng.IntN(l.entries)]
 			}
+			for l.swing > 0 {
+				d := rng.IntN(l.domains)
+				turn := time.Since(start).Seconds()/13 + float64(d)/float64(l.domains)
+				if rng.Float64()*(1+l.swing) < 1+l.swing*math.Sin(2*math.Pi*turn) {
+					p = pickers[d*l.entries+rng.IntN(l.entries)]
+					break
+				}
+			}
 			work := time.Duration(float64(l.work) * math.Exp(0.3*rng.NormFloat64()))
 			wg.Go(func() {
 				began := time.Now()
-				c, _ := p.Pick(policy, Need{Objective: l.objective}, Tried{})
-				c.Done(targets[c.Record.InstanceID].serve(work))
+				var c Choice
+				if l.admits {
+					c = watcher.call(p, policy, l.objective, work)
+				} else {
+					c, _ = p.Pick(policy, Need{Objective: l.objective}, Tried{})
+					c.Done(targets[c.Record.InstanceID].serve(work))
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				took = append(took, time.Since(began))
@@ -162,6 +190,7 @@
 			calls: n, late: float64(late) / float64(n), crossed: float64(crossed) / float64(n),
 			busiest: float64(most) * float64(len(targets)) / float64(n),
 			mean:    sum / time.Duration(n), p99: took[n*99/100],
+			admission: watcher.summary(n),
 		}
 	})
 	return result
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -117,6 +117,9 @@
 	case Abandoned:
 		c.observeLowerBound(now)
 	case Overloaded:
+		if c.byEstimate && c.hasRoomElsewhere(now) {
+			c.picker.Counters.RefusedBesideRoom.Add(1)
+		}
 		// A target that refuses calls counts as having all slots in use. As with a
 		// reported load, this fades over loadFadeTime.
 		full := int64(t.slots(c.policy))
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -194,11 +194,12 @@
 	now := p.now()
 	v := p.view(policy.Service, now)
 	if need.Objective > 0 {
-		if t, expected, reason := p.pickByEstimate(v, policy, need, &tried, now); t != nil {
-			c := p.newChoice(t, policy, reason, now)
-			c.byEstimate, c.ExpectedLatency, c.need = true, expected, need
-			e := p.estimator(v, policy, need, now)
-			c.congestion = time.Duration(e.congestion(t))
+		e := p.estimator(v, policy, need, now)
+		if x, reason := p.pickByEstimate(&e, v, &tried); x.target != nil {
+			p.Counters.countCandidate(x)
+			c := p.newChoice(x.target, policy, reason, now)
+			c.byEstimate, c.ExpectedLatency, c.need = true, time.Duration(x.expected), need
+			c.congestion = time.Duration(e.congestion(x.target))
 			return c, true
 		}
 	}
@@ -247,7 +248,7 @@
 	load, slots := 0.0, 0.0
 	for _, t := range local {
 		if t.isUsable(now) {
-			load += t.load(t.slots(policy), 0, now)
+			load += t.load(t.slots(policy), now)
 			slots += float64(policy.Slots) * t.weight(policy, now)
 		}
 	}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -274,12 +274,14 @@
 
 func TestPickAllocatesNothing(t *testing.T) {
 	f := newBenchmarkFixture()
-	got := testing.AllocsPerRun(1000, func() {
-		c, _ := f.Pick(f.policy, Need{}, Tried{})
-		c.Done(Result{Outcome: Answered, HasLoad: true, Running: 3})
-	})
-	if got != 0 {
-		t.Errorf("allocations per pick: got %v, want 0", got)
+	for _, need := range []Need{{}, {Objective: testObjective}} {
+		got := testing.AllocsPerRun(1000, func() {
+			c, _ := f.Pick(f.policy, need, Tried{})
+			c.Done(Result{Outcome: Answered, HasLoad: true, Running: 3})
+		})
+		if got != 0 {
+			t.Errorf("allocations per pick with objective %v: got %v, want 0", need.Objective, got)
+		}
 	}
 }
 
@@ -292,6 +294,16 @@
 	}
 }
 
+func BenchmarkPickByEstimate38(b *testing.B) {
+	f := newBenchmarkFixture()
+	need := Need{Objective: testObjective}
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := f.Pick(f.policy, need, Tried{})
+		c.Done(Result{Outcome: Answered, HasLoad: true, Running: 3, Slots: 12, Run: 150 * time.Millisecond})
+	}
+}
+
 func BenchmarkPick38Parallel(b *testing.B) {
 	f := newBenchmarkFixture()
 	b.ReportAllocs()
--- a/picker/status.go
+++ b/picker/status.go
@@ -15,6 +15,10 @@
 	// Local, SpillOver, Remote, Probe, Expected, Trial and LastResort count choices by
 	// reason, None the calls for which there was no target.
 	Local, SpillOver, Remote, Probe, Expected, Trial, LastResort, None expvar.Int
+	// Drawn counts choices by chance, because the load of no target was known well enough, Full
+	// those for which no target was expected to have room, RefusedBesideRoom the attempts that a
+	// target refused for lack of capacity while another one surely had a free slot.
+	Drawn, Full, RefusedBesideRoom expvar.Int
 	// Ejections and Readmissions count targets, Capped the ejections that the
 	// largest share of ejected targets forbade.
 	Ejections, Readmissions, Capped expvar.Int
@@ -107,7 +111,7 @@
 
 // describe fills in what this daemon observed of the target.
 func (t *target) describe(v *TargetView, now instant) {
-	v.InFlight, v.Load = t.inFlight.Load(), t.load(int(t.reported.slots.Load()), 0, now)
+	v.InFlight, v.Load = t.inFlight.Load(), t.load(int(t.reported.slots.Load()), now)
 	v.FailurePercent, v.Ejections = int(100*t.failureShare.value()), t.ejections.Load()
 	ms := func(c int) float64 { return t.latencies[c].mean.value() / float64(time.Millisecond) }
 	v.LatencyMS = ClassLatencies{InternalRead: ms(0), Lookup: ms(1), Posting: ms(2), Scan: ms(3)}
--- a/picker/target.go
+++ b/picker/target.go
@@ -80,6 +80,8 @@
 	turn atomic.Int64
 	// meanShare is the moving average of the reported loads, as a share of the slots.
 	meanShare average
+	// meanOthers is the moving average of otherCalls, as a share of the slots.
+	meanOthers average
 	// hasMean is set once a load was reported.
 	hasMean atomic.Bool
 	// meanRuns holds the mean run time of each class at the target, 0 if
@@ -142,6 +144,7 @@
 		weight = 1
 	}
 	l.meanShare.add(float64(calls)/float64(slots), weight)
+	l.meanOthers.add(float64(otherCalls)/float64(slots), weight)
 }
 
 // classCount is the number of call classes.
@@ -235,24 +238,18 @@
 	return max(minWeight, weight)
 }
 
-// load estimates the number of calls that the target runs: those of this daemon,
-// plus those of others. These are the ones last reported, which fade to the target's
-// mean load over loadFadeTime; a target that has reported none, or none for some seconds, has
-// unknownShare of its slots in use.
-//
-// It is designed for fleets in which each daemon calls a target less than once in
-// loadFadeTime. Were unknown load taken for none, all daemons would choose the same few
-// fast targets.
-func (t *target) load(slots int, unknownShare float64, now instant) float64 {
-	share, recent := unknownShare, 0.0
+// load estimates the number of calls that the target runs: those of this daemon, plus
+// those of others. These are the ones last reported, which fade to the target's mean load over
+// loadFadeTime, and some seconds later to none: a target that was full once would otherwise
+// never get another call. Calls with an objective use a forecast instead.
+func (t *target) load(slots int, now instant) float64 {
+	share, recent := 0.0, 0.0
 	if at := instant(t.reported.at.Load()); at != 0 {
 		age := now.sub(at)
 		recent = max(0, 1-float64(age)/float64(loadFadeTime))
 		if t.reported.hasMean.Load() {
-			// A target that was full once would otherwise never get another call.
 			faded := min(1, max(0, float64(age)/float64(latencyFadeTime)-1))
-			mean := t.reported.meanShare.value()
-			share = mean + (unknownShare-mean)*faded
+			share = t.reported.meanShare.value() * (1 - faded)
 		}
 	}
 	return float64(t.inFlight.Load()) + recent*float64(t.reported.otherCalls.Load()) + (1-recent)*share*float64(slots)
@@ -263,7 +260,7 @@
 func (t *target) isBetter(other *target, policy *applier.Policy, now instant) bool {
 	c := classIndex(policy)
 	mine, theirs := &t.latencies[c], &other.latencies[c]
-	load, otherLoad := t.load(t.slots(policy), 0, now), other.load(other.slots(policy), 0, now)
+	load, otherLoad := t.load(t.slots(policy), now), other.load(other.slots(policy), now)
 	return (load+1)*mine.slowdownVersus(theirs, now) < (otherLoad+1)*theirs.slowdownVersus(mine, now)
 }
 
