Draw a target only when the earliest one lacks room

Cause: the target that surely had room was preferred, also when it was the slowest of the service and a fast one would have answered much earlier.

Change: the estimate includes the wait that the uncertain number of other calls makes likely. The earliest target is chosen while it is expected to have a free slot, and only else a target is drawn.

--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -90,7 +90,7 @@
 		return local, ReasonProbe
 	}
 	room := local.room.positive()
-	hasRoom := room >= minLocalRoom && (tried.n == 0 || local.isSure)
+	hasRoom := room >= minLocalRoom && (tried.n == 0 || local.room.isSure())
 	if hasRoom && local.expected <= e.localLimit(p) {
 		return local, ReasonLocal
 	}
@@ -102,7 +102,7 @@
 		return anywhere, ReasonProbe
 	case local.target == nil:
 		return anywhere, ReasonRemote
-	case !hasRoom && anywhere.room.positive() > room, anywhere.isSure && anywhere.expected < maxRemoteShare*local.expected:
+	case !hasRoom && anywhere.room.positive() > room, anywhere.room.isSure() && anywhere.expected < maxRemoteShare*local.expected:
 		return anywhere, ReasonExpected
 	}
 	return local, ReasonLocal
@@ -196,16 +196,16 @@
 	}
 	slots := float64(t.slots(e.policy))
 	room := e.forecast(t, slots, run)
-	load := slots - room.free + 1
-	if load > slots {
-		run *= load / slots * (1 + fullSlowdown)
+	wait := room.queue() / slots * run
+	if load := slots - room.free + 1; load > slots {
+		run *= 1 + fullSlowdown
 	} else if load > nearFullShare*slots {
 		run *= 1 + fullSlowdown*(load/slots-nearFullShare)/(1-nearFullShare)
 	}
 	if success := e.relativeSuccess(t); success < 1 {
 		run /= max(minWeight, success*success)
 	}
-	return run + e.transit(t) + e.turn(t), room
+	return wait + run + e.transit(t) + e.turn(t), room
 }
 
 // relativeSuccess returns the target's share of successful calls over the mean of the service, at
--- a/picker/room.go
+++ b/picker/room.go
@@ -37,6 +37,15 @@
 // It approximates the mean of the positive part of a normal distribution.
 func (f forecast) positive() float64 { return (f.free + math.Sqrt(f.free*f.free+f.variance)) / 2 }
 
+// queue returns the expected number of calls that wait once a further one has come.
+func (f forecast) queue() float64 {
+	spare := f.free - 1
+	if spare >= 0 && spare*spare >= 4*f.variance {
+		return 0 // almost certainly none, at two standard deviations
+	}
+	return forecast{free: -spare, variance: f.variance}.positive()
+}
+
 // forecast returns the forecast for a target with the given number of slots and run time. The
 // calls of this daemon are known. Those of others are the ones last reported, and approach
 // their mean with the age of the report; arrivals and departures in between make them uncertain.
--- a/picker/status.go
+++ b/picker/status.go
@@ -15,9 +15,10 @@
 	// Local, SpillOver, Remote, Probe, Expected, Trial and LastResort count choices by
 	// reason, None the calls for which there was no target.
 	Local, SpillOver, Remote, Probe, Expected, Trial, LastResort, None expvar.Int
-	// Drawn counts choices by chance, because the load of no target was known well enough, Full
-	// those for which no target was expected to have room, RefusedBesideRoom the attempts that a
-	// target refused for lack of capacity while another one surely had a free slot.
+	// Drawn counts choices by chance, because the target with the earliest expected answer was
+	// not expected to have a free slot, Full those for which no target could be drawn either,
+	// RefusedBesideRoom the attempts that a target refused for lack of capacity while another
+	// one surely had a free slot.
 	Drawn, Full, RefusedBesideRoom expvar.Int
 	// Ejections and Readmissions count targets, Capped the ejections that the
 	// largest share of ejected targets forbade.
