Choose once where a service has one failure domain

Cause: a call for which the local failure domain had no room looked at all targets again, also if these were the same, and so drew twice.

Change: the local candidate stands if there are no other targets.

--- a/picker/candidate_test.go
+++ b/picker/candidate_test.go
@@ -48,6 +48,29 @@
 	})
 }
 
+// A refusal shows that a failure domain is short of room. A call that stays in it by news as old as
+// that of its first attempt is refused several times and then fails.
+func TestRefusedCallLeavesUncertainDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newEstimateFixture()
+		p.reportLoad("near-1", loadReport{running: 10, run: 80 * time.Millisecond})
+		p.reportLoad("near-2", loadReport{running: 10, run: 80 * time.Millisecond})
+		p.reportLoad("far", loadReport{running: 2, run: 80 * time.Millisecond})
+		time.Sleep(loadFadeTime)
+		first, _ := p.Pick(estimatePolicy(), Need{Objective: testObjective}, Tried{})
+		if got := first.Record.Domain; got != "mobile-bay" {
+			t.Errorf("first attempt: got domain %s, want mobile-bay", got)
+		}
+		first.Done(Result{Outcome: Overloaded})
+		var tried Tried
+		tried.Add(first)
+		second, _ := p.Pick(estimatePolicy(), Need{Objective: testObjective}, tried)
+		if got := second.Record.InstanceID; got != "far" {
+			t.Errorf("second attempt: got %s, want far", got)
+		}
+	})
+}
+
 // A refusal by a full target while another one has free slots shows that load is uneven.
 func TestRefusalBesideRoomIsCounted(t *testing.T) {
 	for _, tt := range []struct {
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -91,7 +91,8 @@
 	}
 	room := local.room.positive()
 	hasRoom := room >= minLocalRoom && (tried.n == 0 || local.room.isSure())
-	if hasRoom && local.expected <= e.localLimit(p) {
+	isOnlyDomain := local.target != nil && len(v.local) == len(v.all)
+	if isOnlyDomain || hasRoom && local.expected <= e.localLimit(p) {
 		return local, ReasonLocal
 	}
 	anywhere := e.choose(p, v.all, tried)
