--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,6 +26,7 @@
 	m.Set("fencer", publisher.Counters(&d.executor.Calls.Counters))
 	m.Set("throttler", publisher.Counters(&d.forwarder.Throttler.Counters))
 	m.Set("picker", publisher.Counters(&d.forwarder.Picker.Counters))
+	m.Set("load-spread-percent", expvar.Func(func() any { return d.forwarder.Picker.LoadSpreadPercent() }))
 	m.Set("retrier", publisher.Counters(&d.forwarder.Retrier.Counters))
 	m.Set("limiter", publisher.Counters(&d.limiter.Counters))
 	m.Set("quoter", publisher.Counters(&d.quoter.Counters))
--- a/picker/explain.go
+++ b/picker/explain.go
@@ -52,13 +52,14 @@
 		x := Candidate{TargetView: view, ReportAgeMS: -1}
 		if t := v.find(view.InstanceID); t != nil {
 			x.Slots, x.OddsPercent, x.Reason = t.slots(policy), odds[t], reasons[t]
-			x.Load = t.load(x.Slots, e.meanLoadShare, now)
+			x.Load = t.load(x.Slots, now)
 			if at := instant(t.reported.at.Load()); at != 0 {
 				x.ReportAgeMS = now.sub(at).Milliseconds()
 			}
 			x.TurnMS = e.turn(t) / float64(time.Millisecond)
 			if need.Objective > 0 {
-				x.ExpectedMS = e.expectedLatency(t) / float64(time.Millisecond)
+				expected, _ := e.expectedLatency(t)
+				x.ExpectedMS = expected / float64(time.Millisecond)
 			}
 		}
 		candidates = append(candidates, x)
