Keep calls out of the test's process where that is busy itself

Cause: TestScenarios/shares_under_flood failed in a whole run beside a load average of 59 (206 of the flood unknown, link-lost after 1.6 s). The proxies of a scenario run in the test's process, which also makes the flood; all calls between daemons and to targets pass it. Traced in a failing run (postings-20 refused, target-daemon-silent): the test's process began ten calls of the flood in 492 ms instead of about 1,000, d1 and d2 got none, and d1's checks of the link ran on time and found it silent for over 400 ms. So no daemon was silent. The whole run's log keeps too few lines for the same trace; stopping the test's process gives the same picture.

Change: the scenario command direct-calls leaves these proxies out. The assertions stay; a lost link now shows that a daemon did not answer.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -56,6 +56,11 @@
 type Fleet struct {
 	// TargetArgs are further arguments of the fake targets that are started.
 	TargetArgs []string
+	// DirectCalls makes daemons and targets that are started later reach each other without
+	// proxies; their links "DAEMON:peers" and "TARGET:calls" don't exist. The proxies run in
+	// this process, and while it has no processor their links are silent, although the
+	// daemons run.
+	DirectCalls bool
 
 	program string // path of the bambooweir binary
 	dir     string // directory of settings files, logs and journals
@@ -97,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := f.addLink(name+":peers", listen)
+	peers, err := f.addCallLink(name+":peers", listen)
 	if err != nil {
 		return err
 	}
@@ -127,7 +132,7 @@
 		return err
 	}
 	addr := NewAddress()
-	calls, err := f.addLink(name+":calls", addr)
+	calls, err := f.addCallLink(name+":calls", addr)
 	if err != nil {
 		return err
 	}
@@ -142,6 +147,14 @@
 // JournalPath returns the path of the file to which a target writes its events.
 func (f *Fleet) JournalPath(name string) string { return filepath.Join(f.dir, name+".journal") }
 
+// addCallLink is like addLink, but returns upstream if DirectCalls is set.
+func (f *Fleet) addCallLink(name, upstream string) (string, error) {
+	if f.DirectCalls {
+		return upstream, nil
+	}
+	return f.addLink(name, upstream)
+}
+
 // addLink starts a proxy to upstream and returns the proxy's address.
 func (f *Fleet) addLink(name, upstream string) (string, error) {
 	p, err := faulter.Listen(NewAddress(), upstream)
--- a/scripter/processes.go
+++ b/scripter/processes.go
@@ -26,6 +26,13 @@
 	return nil
 }
 
+// directCalls makes daemons and targets that are started later reach each other without
+// proxies.
+func (s *scenario) directCalls(*testscript.TestScript, []string) error {
+	s.fleet.DirectCalls = true
+	return nil
+}
+
 // daemon starts a daemon, sets the variable NAME_url to its operator URL, begins
 // to record its versions and waits until it serves.
 func (s *scenario) daemon(ts *testscript.TestScript, args []string) error {
--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -85,6 +85,7 @@
 func Commands() map[string]Command {
 	return map[string]Command{
 		"store":            command(0, 0, "store", (*scenario).store),
+		"direct-calls":     command(0, 0, "direct-calls", (*scenario).directCalls),
 		"daemon":           command(2, -1, "daemon NAME DOMAIN [SETTING...]", (*scenario).daemon),
 		"target":           command(3, 3, "target NAME DAEMON SERVICE", (*scenario).target),
 		"behave":           command(2, 2, "behave TARGET JSON", (*scenario).behave),
