Find the end of a process in the error of a signal

The soak ignores the error of a freeze or thaw of a target that has ended by itself, by errors.Is.

Change: the error is wrapped by fmt.Errorf.

Result: TestEndedProcessIsReported fails before (Freeze and Thaw).

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"testing"
 )
 
@@ -28,3 +29,21 @@
 		}
 	}
 }
+
+// TestEndedProcessIsReported guards against a soak that ends with an error since a target has
+// ended by itself: errors.Is did not find os.ErrProcessDone in the error of Freeze and Thaw.
+func TestEndedProcessIsReported(t *testing.T) {
+	f := New(os.Args[0], t.TempDir())
+	defer f.Close()
+	if err := f.startProcess("t1", "-test.run=^$"); err != nil {
+		t.Fatal(err)
+	}
+	<-f.processes["t1"].done
+	for name, signal := range map[string]func(string) error{
+		"Freeze": f.Freeze, "Thaw": f.Thaw, "Stop": f.Stop, "Reload": f.Reload,
+	} {
+		if got := signal("t1"); !errors.Is(got, os.ErrProcessDone) {
+			t.Errorf("%s of an ended process: got %v, want %v", name, got, os.ErrProcessDone)
+		}
+	}
+}
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -140,7 +141,8 @@
 	p.frozen = frozen
 	f.mu.Unlock()
 	if err := p.cmd.Process.Signal(signal); err != nil {
-		return errorx.Decorate(err, "signalling %s", name)
+		// errors.Is does not look into the errors of errorx.
+		return fmt.Errorf("signalling %s: %w", name, err)
 	}
 	if frozen {
 		awaitSuspended(p.cmd.Process.Pid)
