Keep larger calls near where bytes between domains are dear

Cause: with even load a call that was refused leaves its failure domain sooner.

Change: with the setting near-bytes, a call whose bodies have that size leaves only if it is expected to miss its objective near, or no target there takes it. The template sets it beside spill-ratio.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -51,6 +51,7 @@
 	TargetBufferBytes    int     `toml:"target-buffer-bytes"`
 	RetryBudgetRatio     float64 `toml:"retry-budget-ratio"`
 	SpillRatio           float64 `toml:"spill-ratio"`
+	NearBytes            int     `toml:"near-bytes"`
 	RetryBudgetWindowS   float64 `toml:"retry-budget-window-s"`
 	RetryBudgetAllowance float64 `toml:"retry-budget-allowance"`
 	QuotaWindowS         float64 `toml:"quota-window-s"`
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -56,6 +56,7 @@
 		{Key: "stop-limit-s", Default: 0.0, Doc: "longest time that a planned stop may take, in seconds; 0 means the shared setting drain-ms", check: floatRange(0, 3600)},
 		{Key: "retry-budget-ratio", Default: 0.0, Doc: "attempts beyond the first that all daemons together may send to one service, as a share of the calls for it; 0 means that only the shared setting retry-budget-percent applies", check: floatRange(0, 1)},
 		{Key: "spill-ratio", Default: 0.0, Doc: "calls that may leave the failure domain for each that another one accepted in the last seconds; the rest is refused at once while no target is near that could take it; 0 means no bound", check: floatRange(0, 100)},
+		{Key: "near-bytes", Default: 0, Doc: "size of the bodies of a call, in bytes, from which it leaves the failure domain only if it is expected to miss its objective there or no target there takes it; 0 means that lack of room is reason enough", check: intRange(0, 1<<30)},
 		{Key: "retry-budget-window-s", Default: 10.0, Doc: "time over which retry-budget-ratio holds, in seconds", check: floatRange(0.1, 3600)},
 		{Key: "retry-budget-allowance", Default: 0.0, Doc: "attempts beyond the first that all daemons together may send to one service in that time in addition to the share", check: floatRange(0, 1_000_000)},
 		{Key: "quota-window-s", Default: 5.0, Doc: "time over which the quotas of tenants hold, in seconds", check: floatRange(0.1, 3600)},
--- a/picker/candidate_test.go
+++ b/picker/candidate_test.go
@@ -68,6 +68,12 @@
 		if got := second.Record.InstanceID; got != "far" {
 			t.Errorf("second attempt: got %s, want far", got)
 		}
+		// Where bytes between domains are dear, larger calls stay.
+		p.NearBytes = 4 << 10
+		large, _ := p.Pick(estimatePolicy(), Need{Objective: testObjective, Bytes: p.NearBytes}, tried)
+		if got := large.Record.Domain; got != "mobile-bay" {
+			t.Errorf("second attempt of a larger call: got domain %s, want mobile-bay", got)
+		}
 	})
 }
 
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -87,16 +87,19 @@
 // pickByEstimate returns the candidate for a call and the reason, or no target when no eligible
 // one is left untried. A call stays in the local failure domain while the candidate there is
 // expected to have room and to answer within localObjectiveShare of the objective. A call
-// that was refused stays only if the candidate there surely has room.
+// that was refused stays only if the candidate there surely has room, or if it carries
+// NearBytes or more.
 func (p *Picker) pickByEstimate(e *estimator, v *view, tried *Tried) (candidate, Reason) {
 	local := e.choose(p, v.local, tried)
 	if local.isProbe {
 		return local, ReasonProbe
 	}
 	room := local.room.positive()
-	hasRoom := room >= minLocalRoom && (tried.n == 0 || local.room.isSure())
+	size := e.callBytes(p)
+	staysNear := p.NearBytes > 0 && size >= float64(p.NearBytes)
+	hasRoom := staysNear || room >= minLocalRoom && (tried.n == 0 || local.room.isSure())
 	isOnlyDomain := local.target != nil && len(v.local) == len(v.all)
-	if isOnlyDomain || hasRoom && local.expected <= e.localLimit(p) {
+	if isOnlyDomain || hasRoom && local.expected <= localObjectiveShare(size)*float64(e.need.Objective) {
 		return local, ReasonLocal
 	}
 	if e.need.IsLocal {
@@ -116,11 +119,10 @@
 	return local, ReasonLocal
 }
 
-// localLimit returns the latency within which the local failure domain must be expected to
-// answer, in nanoseconds.
-func (e *estimator) localLimit(p *Picker) float64 {
-	size := float64(e.need.Bytes) + p.service(e.policy.Service).answerBytes[e.class].value()
-	return localObjectiveShare(size) * float64(e.need.Objective)
+// callBytes returns how many bytes the bodies of the call's request and answer are expected to
+// have.
+func (e *estimator) callBytes(p *Picker) float64 {
+	return float64(e.need.Bytes) + p.service(e.policy.Service).answerBytes[e.class].value()
 }
 
 // localObjectiveShare returns the part of the objective within which the local
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -41,6 +41,10 @@
 	// LinkKbps is the bandwidth of this instance's link in kilobits a second; 0
 	// is treated as unlimited.
 	LinkKbps int
+	// NearBytes is the size of the bodies of a call from which it leaves the failure domain
+	// only if it is expected to miss its objective there, or no target there takes it; 0 means
+	// that lack of room is reason enough.
+	NearBytes int
 	// Choices is the number of targets drawn at random and compared for a call
 	// without a latency objective; 0 means two, and 1 makes the choice random.
 	Choices int
