Look for a parent as soon as the store answers

An instance that is new starts while the store is down and knows no other daemon. At 23.0 s it read the configuration from the store, but its next try to join the tree came at 27.0 s, since failed tries wait up to one and a half lease times. Until then it heard of no later version, and refused a request on a new route at 26.07 s.

Change: a daemon that has neither a parent nor a relay slot tries to join at once when a read of the store succeeds.

Result: TestDaemonJoinsOnceTheStoreIsBack fails before (0 wakes).

--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -120,6 +120,14 @@
 // confirmation.
 func (s *Spreader) readHeadOrSurvey(ctx context.Context) {
 	if s.readHead(ctx) == nil {
+		s.mu.Lock()
+		isAlone := s.parent == nil && s.relaySlot == ""
+		s.mu.Unlock()
+		if isAlone {
+			// The store is back, so that the relays can be found. A daemon that started while
+			// it was down would else wait for its next try and hear of no later version.
+			s.wakeJoin()
+		}
 		return
 	}
 	s.Counters.StoreFailures.Add(1)
--- a/spreader/freshness_test.go
+++ b/spreader/freshness_test.go
@@ -176,3 +176,33 @@
 		t.Errorf("confirmed version: got %d, want the 5 in force", got)
 	}
 }
+
+// A new daemon that starts while the store is down knows no other. Once the store answers it must
+// look for a parent at once: the version that it reads is in force there, but without a parent it
+// hears of no later one until its next try.
+func TestDaemonJoinsOnceTheStoreIsBack(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		relaySlot string
+		isDown    bool
+		want      int
+	}{
+		{"alone", "", false, 1},
+		{"relay", "relay/selma-row/0", false, 0},
+		{"store still down", "", true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			faults := &fakestorer.FaultInjector{Client: new(fakestorer.Store)}
+			faults.Set(fakestorer.Fault{IsDown: tt.isDown})
+			s := &Spreader{
+				InstanceID: "d1", Domain: "selma-row", Store: faults, Applier: new(applier.Applier), Table: new(tracker.Table),
+				Log: zap.NewNop(), relaySlot: tt.relaySlot,
+			}
+			s.init()
+			s.readHeadOrSurvey(t.Context())
+			if got := len(s.inviteWake); got != tt.want {
+				t.Errorf("wakes: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/spreader/invite.go
+++ b/spreader/invite.go
@@ -54,6 +54,11 @@
 	defer s.mu.Unlock()
 	s.invited = slices.DeleteFunc(s.invited, func(known string) bool { return known == addr })
 	s.invited = append([]string{addr}, s.invited[:min(len(s.invited), maxInviters-1)]...)
+	s.wakeJoin()
+}
+
+// wakeJoin ends the wait for the next attempt to attach.
+func (s *Spreader) wakeJoin() {
 	select {
 	case s.inviteWake <- struct{}{}:
 	default:
