--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -17,6 +17,7 @@
 
 	"bambooweir.example/bambooweir/announcer"
 	"bambooweir.example/bambooweir/fakestorer"
+	"bambooweir.example/bambooweir/launcher"
 	"bambooweir.example/bambooweir/loader"
 	"bambooweir.example/bambooweir/tracker"
 	"bambooweir.example/bambooweir/versioner"
@@ -33,17 +34,6 @@
 	runErr chan error
 }
 
-// freeAddress returns a local TCP address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // startDaemon starts a daemon with the test configuration and announces target as
 // its ready target.
 func startDaemon(t *testing.T, id, service string, target http.Handler) *testDaemon {
@@ -52,7 +42,7 @@
 	t.Cleanup(server.Close)
 	cfg := &loader.Daemon{
 		InstanceID: id, FailureDomain: "mobile-bay",
-		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+		CallerAddress: launcher.NewAddress(), PeerAddress: launcher.NewAddress(), OperatorAddress: launcher.NewAddress(),
 	}
 	r := &testDaemon{daemon: New(cfg, new(fakestorer.Store), zap.NewNop()), runErr: make(chan error, 1)}
 	if _, err := r.daemon.applier.Offer(testDocument()); err != nil {
