--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -105,8 +105,8 @@
 	budgetSnapshot atomic.Pointer[applier.Snapshot]
 	waits          waitEstimator
 	startup        startup
-	// homeless is the time in which no home of tenants is known.
-	homeless startup
+	// homeWait is the time in which no home of tenants is known.
+	homeWait startup
 	notices  noticeTable
 	// stopping is set by Drain.
 	stopping atomic.Bool
--- a/forwarder/quota.go
+++ b/forwarder/quota.go
@@ -40,14 +40,14 @@
 		permit, err := f.Quota.Admit(ctx, tenant, limit)
 		var refused *quoter.RefusedError
 		if !errors.As(err, &refused) || refused.IsOver {
-			f.homeless.end()
+			f.homeWait.end()
 			return permit, err
 		}
-		left := f.homeless.timeLeft(x.deadline.Sub(x.arrived), x.arrived, time.Now())
+		left := f.homeWait.timeLeft(x.deadline.Sub(x.arrived), x.arrived, time.Now())
 		if !isWaiting {
 			isWaiting = true
-			defer f.homeless.waiting.Add(-1)
-			if f.homeless.waiting.Add(1) > maxStartupWaiting {
+			defer f.homeWait.waiting.Add(-1)
+			if f.homeWait.waiting.Add(1) > maxStartupWaiting {
 				return permit, err
 			}
 		}
