--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -9,6 +9,7 @@
 // scenarios are the cases by name. Each reports whether the rule held.
 var scenarios = map[string]func(f *fleet, trouble bool) (held bool, err error){
 	"rollout": playRollout,
+	"quota":   playQuota,
 }
 
 // main plays the case that the first argument names and writes record.txt to the folder that the
