--- a/review/_second/fleet.go
+++ b/review/_second/fleet.go
@@ -33,6 +33,9 @@
 	storeAddr              string
 	store                  *exec.Cmd
 	began                  time.Time
+	// memoryMB and linkMbps are those of the machines that are added from now on.
+	memoryMB int
+	linkMbps float64
 
 	mu       sync.Mutex
 	record   *os.File
@@ -90,7 +93,7 @@
 	if _, err := os.Stat(program); err != nil {
 		return nil, err
 	}
-	return &fleet{dir: dir, program: program, template: string(tmpl), began: time.Now()}, nil
+	return &fleet{dir: dir, program: program, template: string(tmpl), began: time.Now(), memoryMB: 536, linkMbps: 200}, nil
 }
 
 // log writes a line to the record.
@@ -194,7 +197,7 @@
 		"listen":                map[string]any{"outbound": m.outbound, "inbound": m.inbound, "ready": m.ready, "control": m.control},
 		"platform":              map[string]any{"address": f.storeAddr},
 		"heartbeat_interval_ms": heartbeatInterval.Milliseconds(),
-		"limits":                map[string]any{"memory_mb": 536, "link_mbps": 200.0},
+		"limits":                map[string]any{"memory_mb": f.memoryMB, "link_mbps": f.linkMbps},
 		"bounds":                bounds,
 	}
 	path := filepath.Join(f.dir, name+".toml")
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -10,6 +10,7 @@
 var scenarios = map[string]func(f *fleet, trouble bool) (held bool, err error){
 	"rollout": playRollout,
 	"quota":   playQuota,
+	"bodies":  playBodies,
 }
 
 // main plays the case that the first argument names and writes record.txt to the folder that the
