--- a/review/_second/fleet.go
+++ b/review/_second/fleet.go
@@ -55,7 +55,9 @@
 	// startedAt is when the daemon's process last began or was killed.
 	startedAt time.Time
 	isReady   atomic.Bool
-	upstream  *upstream
+	// isOver is set once the case has ended: a crashed upstream does not come back then.
+	isOver   bool
+	upstream *upstream
 }
 
 // upstream is a stand-in of an application upstream.
@@ -77,7 +79,7 @@
 type execution struct {
 	id, service, version, upstream string
 	at                             time.Time
-	failed                         bool
+	failed, crashed                bool
 	tenant                         string
 }
 
@@ -368,13 +370,18 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	x := execution{
 		id: id, service: u.machine.service, version: u.version, upstream: u.id, at: time.Now(),
-		failed: rand.Float64() < u.failShare, tenant: r.Header.Get("X-Tenant"),
+		failed: rand.Float64() < u.failShare, crashed: r.URL.Path == deadlyPath, tenant: r.Header.Get("X-Tenant"),
 	}
 	f := u.machine.fleet
 	f.mu.Lock()
 	f.runs = append(f.runs, x)
 	f.mu.Unlock()
 	f.log("run %s at %s (%s %s) failed=%v tenant=%s", id, u.id, x.service, x.version, x.failed, x.tenant)
+	if x.crashed {
+		go u.crash()
+		<-r.Context().Done()
+		return
+	}
 	select {
 	case <-time.After(u.work):
 	case <-r.Context().Done():
@@ -427,6 +434,9 @@
 	machines := f.machines
 	f.mu.Unlock()
 	for _, m := range machines {
+		m.mu.Lock()
+		m.isOver = true
+		m.mu.Unlock()
 		if m.upstream != nil {
 			m.upstream.end()
 		}
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -11,6 +11,7 @@
 	"rollout": playRollout,
 	"quota":   playQuota,
 	"bodies":  playBodies,
+	"deadly":  playDeadly,
 }
 
 // main plays the case that the first argument names and writes record.txt to the folder that the
--- a/review/_second/rollout.go
+++ b/review/_second/rollout.go
@@ -23,7 +23,7 @@
 	// orderTime is the duration_s of the order.
 	orderTime = 16 * time.Second
 	// restartTime is how long killed processes are down.
-	restartTime = 2 * time.Second
+	restartTime = 1500 * time.Millisecond
 	// upstreamStart is how much later than its daemon the upstream of a new machine starts.
 	upstreamStart = 300 * time.Millisecond
 	perMachine    = 20 // requests a second
