--- a/review/_second/fleet.go
+++ b/review/_second/fleet.go
@@ -70,9 +70,11 @@
 	stop        chan struct{}
 	stopOnce    sync.Once
 	isDraining  atomic.Bool
-	work        time.Duration
-	failShare   float64
-	slots       chan struct{}
+	// quiet is closed when the upstream sends no further heartbeats.
+	quiet     chan struct{}
+	work      time.Duration
+	failShare float64
+	slots     chan struct{}
 }
 
 // execution is one run of a request at an upstream.
@@ -297,7 +299,7 @@
 func (m *machine) startUpstream(version string, slots int, work time.Duration, failShare float64) error {
 	u := &upstream{
 		machine: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), version: version, born: time.Now().UnixMilli(),
-		stop: make(chan struct{}), work: work, failShare: failShare, slots: make(chan struct{}, slots),
+		stop: make(chan struct{}), quiet: make(chan struct{}), work: work, failShare: failShare, slots: make(chan struct{}, slots),
 	}
 	l, err := net.Listen("tcp", m.appAddr)
 	if err != nil {
@@ -328,11 +330,7 @@
 		if u.isDraining.Load() {
 			state = "draining"
 		}
-		body, _ := json.Marshal(map[string]any{
-			"address": u.machine.appAddr, "born": u.born,
-			"info":   map[string]any{"service": u.machine.service, "version": u.version, "zone": u.machine.zone, "slots": cap(u.slots)},
-			"status": map[string]any{"state": state, "seq": u.seq.Add(1), "cold_left_ms": 0},
-		})
+		body := u.heartbeat(state)
 		res, err := client.Post("http://"+u.machine.control+"/-/instances/"+u.id+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, res.Body)
@@ -341,11 +339,23 @@
 		select {
 		case <-u.stop:
 			return
+		case <-u.quiet:
+			return
 		case <-time.After(heartbeatInterval):
 		}
 	}
 }
 
+// heartbeat returns the body of the upstream's next heartbeat.
+func (u *upstream) heartbeat(state string) []byte {
+	body, _ := json.Marshal(map[string]any{
+		"address": u.machine.appAddr, "born": u.born,
+		"info":   map[string]any{"service": u.machine.service, "version": u.version, "zone": u.machine.zone, "slots": cap(u.slots)},
+		"status": map[string]any{"state": state, "seq": u.seq.Add(1), "cold_left_ms": 0},
+	})
+	return body
+}
+
 // ServeHTTP runs a request.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -12,6 +12,7 @@
 	"quota":   playQuota,
 	"bodies":  playBodies,
 	"deadly":  playDeadly,
+	"drain":   playDrain,
 }
 
 // main plays the case that the first argument names and writes record.txt to the folder that the
