--- a/review/_second/drain.go
+++ b/review/_second/drain.go
@@ -16,6 +16,18 @@
 	storeSilence = 8 * time.Second
 )
 
+// notRelay returns a machine that the store names as no relay, as most are.
+func (f *fleet) notRelay() *machine {
+	isRelay := make(map[string]bool)
+	for _, slot := range []string{"relay/aarhus-a/0", "relay/aarhus-a/1"} {
+		if addr, ok := f.read(slot); ok {
+			isRelay[string(addr)] = true
+		}
+	}
+	i := slices.IndexFunc(f.machines, func(m *machine) bool { return !isRelay[m.inbound] })
+	return f.machines[max(0, i)]
+}
+
 // playDrain lets an upstream leave while the store is silent, kills the daemon that has confirmed
 // that, and delivers a heartbeat late that the upstream had sent before.
 func playDrain(f *fleet, trouble bool) (bool, error) {
@@ -40,7 +52,7 @@
 	}); err != nil {
 		return false, err
 	}
-	for i := range 4 {
+	for i := range 6 {
 		m, err := f.addMachine(fmt.Sprintf("m%d", i), "aarhus-a", "kits", bounds())
 		if err != nil {
 			return false, err
@@ -53,7 +65,7 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	m := f.machines[0]
+	m := f.notRelay()
 	u := m.upstream
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -97,7 +109,7 @@
 	}
 	res.Body.Close()
 	confirmed := time.Now()
-	f.log("upstream %s: its departure is confirmed by the daemon of m0", u.id)
+	f.log("upstream %s: its departure is confirmed by the daemon of %s", u.id, m.name)
 	if trouble {
 		time.Sleep(300 * time.Millisecond)
 		m.killDaemon()
@@ -112,6 +124,9 @@
 	f.log("network: a heartbeat that %s sent before it left arrives %.1f s late", u.id, time.Since(silentAt).Seconds())
 	if res, err := http.Post("http://"+m.control+"/-/instances/"+u.id+"/heartbeat", "application/json", bytes.NewReader(late)); err == nil {
 		res.Body.Close()
+		f.log("network: the heartbeat is answered %d", res.StatusCode)
+	} else {
+		f.log("network: the heartbeat is not delivered: %v", err)
 	}
 	time.Sleep(storeSilence - time.Since(silentAt))
 	n.setCut(false, store)
@@ -130,7 +145,7 @@
 			continue
 		}
 		broken++
-		f.log("DRAIN: %s, sent on m0, ran at %s %.3f s after the departure was confirmed there", x.id, u.id, x.at.Sub(confirmed).Seconds())
+		f.log("DRAIN: %s, sent on that machine, ran at %s %.3f s after the departure was confirmed there", x.id, u.id, x.at.Sub(confirmed).Seconds())
 	}
 	fmt.Printf("broken %d\n", broken)
 	return broken == 0, nil
--- a/review/_second/fleet.go
+++ b/review/_second/fleet.go
@@ -176,18 +176,24 @@
 
 // get reads a value from the store into out and reports whether it is there.
 func (f *fleet) get(key string, out any) bool {
+	value, ok := f.read(key)
+	return ok && json.Unmarshal(value, out) == nil
+}
+
+// read reads a value from the store and reports whether it is there.
+func (f *fleet) read(key string) ([]byte, bool) {
 	res, err := http.Get("http://" + f.storeAddr + "/-/kv-key?key=" + key)
 	if err != nil {
-		return false
+		return nil, false
 	}
 	defer res.Body.Close()
 	var item struct {
 		Value []byte `json:"value"`
 	}
 	if res.StatusCode != http.StatusOK || json.NewDecoder(res.Body).Decode(&item) != nil {
-		return false
+		return nil, false
 	}
-	return json.Unmarshal(item.Value, out) == nil
+	return item.Value, true
 }
 
 // addMachine lays out a machine. Its daemon's settings are those of the deployment.
--- a/review/_second/rollout.go
+++ b/review/_second/rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -121,7 +123,7 @@
 		}
 	}
 	if trouble {
-		time.Sleep(restartTime - time.Since(ordered) - 200*time.Millisecond)
+		time.Sleep(downTime() - time.Since(ordered) - 200*time.Millisecond)
 		for _, m := range old {
 			if err := m.startDaemon(); err != nil {
 				return false, err
@@ -134,6 +136,14 @@
 	return f.checkExposure(ordered, sent), nil
 }
 
+// downTime returns how long killed processes are down: restartTime, or DOWN_MS for trials.
+func downTime() time.Duration {
+	if ms, err := strconv.Atoi(os.Getenv("DOWN_MS")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return restartTime
+}
+
 // awaitEnd does what the platform does with upstreams while an order runs, until its time limit.
 func (f *fleet) awaitEnd(ordered time.Time) {
 	last := ""
