--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -10,7 +10,6 @@
 var scenarios = map[string]func(f *fleet, trouble bool) (held bool, err error){
 	"rollout": playRollout,
 	"quota":   playQuota,
-	"bodies":  playBodies,
 	"deadly":  playDeadly,
 	"drain":   playDrain,
 }
