--- a/review/_second/platform/deadly.go
+++ b/review/_second/platform/deadly.go
@@ -54,7 +54,7 @@
 			mu.Lock()
 			sent[id] = attempt{id: id, origin: m, sent: time.Now()}
 			mu.Unlock()
-			wg.Go(func() { m.send(id, "GET", "kits.example", deadlyPath, "", nil, 3*time.Second) })
+			wg.Go(func() { m.send(id, deadlyPath, "") })
 		}
 		wg.Wait()
 	}
--- a/review/_second/platform/drain.go
+++ b/review/_second/platform/drain.go
@@ -88,7 +88,7 @@
 				mu.Lock()
 				sent[id] = attempt{id: id, origin: m, sent: time.Now()}
 				mu.Unlock()
-				requests.Go(func() { m.send(id, "GET", "kits.example", "/kits/"+id, "", nil, 3*time.Second) })
+				requests.Go(func() { m.send(id, "/kits/"+id, "") })
 			}
 		})
 	}
@@ -104,10 +104,13 @@
 	time.Sleep(100 * time.Millisecond)
 	body, _ := json.Marshal(map[string]any{"born": u.born})
 	res, err := http.Post("http://"+m.control+"/-/instances/"+u.id+"/deregister", "application/json", bytes.NewReader(body))
-	if err != nil || res.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("the departure was not confirmed: %v", err)
+	if err != nil {
+		return false, fmt.Errorf("the departure was not confirmed: %w", err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("the departure was answered %d", res.StatusCode)
 	}
-	res.Body.Close()
 	confirmed := time.Now()
 	f.log("upstream %s: its departure is confirmed by the daemon of %s", u.id, m.name)
 	if trouble {
--- a/review/_second/platform/fleet.go
+++ b/review/_second/platform/fleet.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		panic(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
@@ -415,16 +415,18 @@
 	id     string
 	origin *machine
 	sent   time.Time
-	status int
 }
 
-// send sends a request from a consumer on the machine and returns the status of its answer, 0
-// for none.
-func (m *machine) send(id, method, host, path, key string, body []byte, limit time.Duration) int {
+// send sends a GET request from a consumer on the machine, and reads its answer.
+func (m *machine) send(id, path, key string) {
+	const (
+		host  = "kits.example"
+		limit = 3 * time.Second
+	)
 	client := &http.Client{Timeout: limit + 500*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(method, "http://"+m.outbound+path, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodGet, "http://"+m.outbound+path, nil)
 	if err != nil {
-		return 0
+		return
 	}
 	req.Host = host
 	req.Header.Set("X-Request-Id", id)
@@ -432,16 +434,15 @@
 	if key != "" {
 		req.Header.Set("X-Api-Key", key)
 	}
-	m.fleet.log("consumer on %s sends %s %s %s%s of %d bytes", m.name, id, method, host, path, len(body))
+	m.fleet.log("consumer on %s sends %s GET %s%s", m.name, id, host, path)
 	res, err := client.Do(req)
 	if err != nil {
 		m.fleet.log("consumer on %s: %s has no answer: %v", m.name, id, err)
-		return 0
+		return
 	}
 	defer res.Body.Close()
 	answer, err := io.ReadAll(res.Body)
 	m.fleet.log("consumer on %s: %s is answered %d seal=%q %.60q %v", m.name, id, res.StatusCode, res.Header.Get("X-Server-Seal"), answer, err)
-	return res.StatusCode
 }
 
 // close ends all processes that the fleet started.
--- a/review/_second/platform/main.go
+++ b/review/_second/platform/main.go
@@ -32,7 +32,7 @@
 		return 2
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	} else {
 		fmt.Println("logs in", dir)
 	}
--- a/review/_second/platform/partition.go
+++ b/review/_second/platform/partition.go
@@ -20,8 +20,6 @@
 
 	mu  sync.Mutex
 	cut map[*machine]bool
-	// conns holds the open connections with the machines at their ends.
-	conns map[*carried]bool
 }
 
 // carried is one connection between two daemons.
--- a/review/_second/platform/quota.go
+++ b/review/_second/platform/quota.go
@@ -104,7 +104,7 @@
 				mu.Lock()
 				sent[id] = time.Now()
 				mu.Unlock()
-				requests.Go(func() { m.send(id, "GET", "kits.example", "/kits/"+id, "key-of-t1", nil, 3*time.Second) })
+				requests.Go(func() { m.send(id, "/kits/"+id, "key-of-t1") })
 			}
 		})
 	}
--- a/review/_second/platform/rollout.go
+++ b/review/_second/platform/rollout.go
@@ -89,7 +89,7 @@
 				mu.Lock()
 				sent[id] = attempt{id: id, origin: m, sent: time.Now()}
 				mu.Unlock()
-				requests.Go(func() { m.send(id, "GET", "kits.example", "/kits/"+id, "", nil, 3*time.Second) })
+				requests.Go(func() { m.send(id, "/kits/"+id, "") })
 			}
 		})
 	}
