--- a/review/_second/platform/drain.go
+++ b/review/_second/platform/drain.go
@@ -13,7 +13,7 @@
 const (
 	drainTime = 2500 * time.Millisecond
 	// storeSilence is how long the store does not answer.
-	storeSilence = 8 * time.Second
+	storeSilence = 4500 * time.Millisecond
 )
 
 // notRelay returns a machine that the store names as no relay, as most are.
@@ -79,7 +79,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(50 * time.Millisecond):
+				case <-time.After(15 * time.Millisecond):
 				}
 				if !m.isReady.Load() {
 					continue
@@ -114,14 +114,13 @@
 	confirmed := time.Now()
 	f.log("upstream %s: its departure is confirmed by the daemon of %s", u.id, m.name)
 	if trouble {
-		time.Sleep(300 * time.Millisecond)
 		m.killDaemon()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 		if err := m.startDaemon(); err != nil {
 			return false, err
 		}
 	} else {
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 	}
 	time.Sleep(300 * time.Millisecond)
 	f.log("network: a heartbeat that %s sent before it left arrives %.1f s late", u.id, time.Since(silentAt).Seconds())
