Complete no order at once before the fleet is known

Cause: a leader that has just started holds the part of the fleet that it has met for the whole, and concludes that a service without a target of another version has moved already. One that has not restarted concludes the same once the old targets' daemons have been silent for the departure grace.

Evidence: in the daemons' logs rollout-ended follows rollout-leader-begun without rollout-begun, which only that rule does. Ruled out: a verdict on few answers, a state of an earlier order.

Change: the relays keep rosters of the failure domains' instances in the store, where a daemon that has just started reads, with the relay slots, whom it has not met. A leader concludes that a service has moved only if it has met all of them and lost none of another version within 30 s. Until then, for 3 s at most, it begins no order for which it sees no old target, changes no stage, and rolls nothing back for a lack of targets: the same reading on related paths.

Tests: TestOrderDuringARestartRunsItsStages failed before with "completed" in all six cases of a bad version; good versions complete in time in it.

--- a/canarier/leader.go
+++ b/canarier/leader.go
@@ -39,6 +39,11 @@
 	movedTTL = 15 * time.Second
 	// unknownServiceWait is how long an order may name a service before the configuration does.
 	unknownServiceWait = 3 * time.Second
+	// fleetWait is how long a leader that does not know the whole fleet waits for the rest. It
+	// then decides by the targets that it knows, but never that a service has moved already.
+	fleetWait = 3 * time.Second
+	// returnTime is how long after its loss a target counts as one that may come back.
+	returnTime = 30 * time.Second
 )
 
 // Codec reads and writes the store's values.
@@ -69,6 +74,9 @@
 	IsWatcher func() bool
 	// HasService reports whether the configuration in force has the service.
 	HasService func(service string) bool
+	// KnowsFleet reports whether Table has a record of every instance of the fleet. A daemon
+	// that has just started knows a part of them at first.
+	KnowsFleet func() bool
 	// ExposureShare bounds the share of a service's calls that a bad version may get.
 	ExposureShare float64
 	// RollbackWithin is the time in which a bad version must get no more calls.
@@ -165,7 +173,7 @@
 			l.Part.Publish(finalDirective(st, o.Revision, 0))
 			continue
 		}
-		if o.err == nil && !l.isMoved(o.Order, st) {
+		if o.err == nil && !l.isMoved(o.Order, st) && !l.isCompleted(o.Order) {
 			l.Part.Publish(Directive{Service: o.Service, Version: o.Version, Revision: o.Revision, State: StateRunning, Barred: st.Barred})
 		}
 		open[o.Service] = o
@@ -201,10 +209,25 @@
 }
 
 // isMoved reports whether the service has no other version than the order's, and no order for it
-// runs: then there is nothing to move.
+// runs: then there is nothing to move. Targets of another version that this daemon has not met
+// yet, or that were lost a short time ago, may still come to serve beside those it knows.
 func (l *Leader) isMoved(o Order, st Status) bool {
 	room := l.room(o)
-	return room.NewTargets > 0 && room.OldTargets == 0 && (st.State != StateRunning || st.Version != o.Version)
+	return room.NewTargets > 0 && room.OldTargets == 0 && (st.State != StateRunning || st.Version != o.Version) &&
+		l.KnowsFleet() && !l.mayReturn(o)
+}
+
+// mayReturn reports whether targets of another version were lost a short time ago.
+func (l *Leader) mayReturn(o Order) bool {
+	return slices.ContainsFunc(l.Table.GoneSince(time.Now().Add(-returnTime)), func(r tracker.Record) bool {
+		return r.IsLost() && r.Service == o.Service && r.Version != o.Version && !l.Part.IsBarred(o.Service, r.Version)
+	})
+}
+
+// isCompleted reports whether this daemon knows that an order for the version has completed.
+func (l *Leader) isCompleted(o Order) bool {
+	known, ok := l.Part.Known(o.Service)
+	return ok && known.State == StateCompleted && known.Version == o.Version
 }
 
 // room returns the room of a service's targets.
@@ -220,6 +243,7 @@
 			room.OldSlots += max(1, r.Slots)
 		}
 	}
+	room.IsPartial = !l.KnowsFleet()
 	return room
 }
 
--- a/canarier/leader_test.go
+++ b/canarier/leader_test.go
@@ -72,6 +72,8 @@
 	badAt                              time.Time
 	// isRestored says that the store has lost what was decided.
 	isRestored bool
+	// knowsPart says that the relays' table lacks a part of the fleet.
+	knowsPart bool
 }
 
 // newFleet returns a fleet with n relays whose new version fails as told.
@@ -119,7 +121,7 @@
 	r.stop = stop
 	l := &Leader{
 		Store: r.faults, Codec: testCodec, Part: r.part, Table: f.table, InstanceID: "r", IsWatcher: func() bool { return true },
-		HasService: func(s string) bool { return s == testService }, ExposureShare: testShare, RollbackWithin: 5 * time.Second, LeaseTTL: 3 * time.Second,
+		HasService: func(s string) bool { return s == testService }, KnowsFleet: func() bool { return !f.knowsPart }, ExposureShare: testShare, RollbackWithin: 5 * time.Second, LeaseTTL: 3 * time.Second,
 	}
 	go func() {
 		defer close(r.done)
--- /dev/null
+++ b/canarier/restart_test.go
@@ -0,0 +1,86 @@
+package canarier
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bambooweir.example/bambooweir/tracker"
+)
+
+// setTargets gives the targets of a version the state, as records with the sequence.
+func (f *fleet) setTargets(version string, state tracker.State, sequence uint64) {
+	for i := range targetsAVersion {
+		f.table.Merge([]tracker.Record{{
+			InstanceID: version + string(rune('a'+i)), Incarnation: 1, Sequence: sequence, Service: testService, State: state, Slots: 12, Version: version,
+		}})
+	}
+}
+
+// TestOrderDuringARestartRunsItsStages guards against an order that completes at once because the
+// leader has not met the old targets yet, or has lost them for a moment: the old targets then
+// stop, and a bad version gets all calls.
+func TestOrderDuringARestartRunsItsStages(t *testing.T) {
+	for name, tc := range map[string]struct {
+		isForgotten bool
+		fails       func(int) bool
+		want        State
+	}{
+		"not met, bad":  {true, func(n int) bool { return n%2 == 0 }, StateRolledBack},
+		"not met, good": {true, func(int) bool { return false }, StateCompleted},
+		"lost, bad":     {false, func(n int) bool { return n%2 == 0 }, StateRolledBack},
+		"lost, good":    {false, func(int) bool { return false }, StateCompleted},
+	} {
+		for _, down := range []time.Duration{time.Second, 2 * time.Second, 10 * time.Second} {
+			t.Run(name+", down for "+down.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 2, tc.fails)
+					f.setTargets("v1", tracker.StateGone, 2)
+					if tc.isForgotten {
+						f.knowsPart = true
+						time.Sleep(time.Millisecond)
+						f.table.Purge(time.Now())
+					}
+					f.order(Order{Service: testService, Version: "v2", Duration: testDuration})
+					f.addTargets("v2")
+					f.playUntil(down, func() bool { return f.isOver("v2") })
+					f.setTargets("v1", tracker.StateReady, 3)
+					f.knowsPart = false
+					if !f.playUntil(testDuration-down, func() bool { return f.isOver("v2") }) {
+						t.Fatalf("got status %+v, want a final one in time", f.status(testService))
+					}
+					if got := f.status(testService); got.State != tc.want {
+						t.Errorf("got status %+v, want %v", got, tc.want)
+					}
+					if tc.want == StateRolledBack {
+						f.checkExposure()
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestStageSurvivesARestart guards against a leader that has just started and goes back to an
+// earlier stage, or rolls a good version back, since it has not met the version's targets yet.
+func TestStageSurvivesARestart(t *testing.T) {
+	const duration = 16 * time.Second
+	partial, whole := Room{IsPartial: true}, roomFor()
+	for _, stage := range []Stage{StageHeld, StageCanary, StageWiden, StageMost, StageAll} {
+		s := Stager{Duration: duration}
+		s.Enter(stage, 13*time.Second)
+		s.TakenUp = duration
+		if got := s.Decide(duration+fleetWait/2, partial, Verdict{}); stage < StageAll && (got.State != StateRunning || got.Stage != stage) {
+			t.Errorf("%v, fleet not known: got %+v, want the same stage", stage, got)
+		}
+		if got := s.Decide(duration+fleetWait/2, whole, Verdict{}); got.State == StateRolledBack || stage < StageAll && got.Stage != stage+1 {
+			t.Errorf("%v, fleet known: got %+v, want the next stage", stage, got)
+		}
+		if got := s.Decide(duration+fleetWait/2, partial, Verdict{IsBad: true}); got.State != StateRolledBack {
+			t.Errorf("%v, bad: got %+v, want a roll-back", stage, got)
+		}
+		if got := s.Decide(duration+fleetWait, Room{NewTargets: 1, NewSlots: 9, IsPartial: true}, Verdict{}); stage < StageAll && got.Stage != stage+1 {
+			t.Errorf("%v, fleet not known for long: got %+v, want the next stage", stage, got)
+		}
+	}
+}
--- a/canarier/round.go
+++ b/canarier/round.go
@@ -90,6 +90,11 @@
 	if !l.HasService(o.Service) {
 		return nil
 	}
+	if room := l.room(o.Order); room.IsPartial && room.OldTargets == 0 && !wasRunning && time.Since(o.seenAt) < fleetWait {
+		// Whether the service has moved already shows once the fleet is known.
+		return nil
+	}
+	r.stager.TakenUp = time.Since(r.status.Began)
 	if !wasRunning && !l.write(ctx, r, r.status) {
 		return nil
 	}
@@ -116,7 +121,7 @@
 	case known.State == StateRunning && known.Revision == o.Revision && known.Reason != "":
 		// A former leader has found the version to be bad, but could not write it.
 		return StateRolledBack, known.Reason
-	case known.State == StateCompleted && known.Version == o.Version:
+	case l.isCompleted(o.Order):
 		// The restored store has lost what was decided.
 		return StateCompleted, ""
 	case !l.HasService(o.Service) && time.Since(o.seenAt) > unknownServiceWait:
--- a/canarier/stage.go
+++ b/canarier/stage.go
@@ -62,6 +62,8 @@
 	// NewTargets and OldTargets count the ready targets, NewSlots and OldSlots their slots.
 	NewTargets, OldTargets int
 	NewSlots, OldSlots     int
+	// IsPartial says that there may be targets that are not counted.
+	IsPartial bool
 }
 
 // Stager decides the stages of one order. The zero value of Stage is the first stage. It is
@@ -73,6 +75,8 @@
 	// Stage is the present stage, Since the time in the order at which it began.
 	Stage Stage
 	Since time.Duration
+	// TakenUp is the time in the order at which this daemon began to decide it.
+	TakenUp time.Duration
 }
 
 // Decision is what is next for an order.
@@ -90,6 +94,8 @@
 	switch {
 	case v.IsBad:
 		return Decision{State: StateRolledBack, Reason: v.Reason}
+	case room.IsPartial && s.Stage < StageAll && elapsed-s.TakenUp < fleetWait:
+		return running
 	case room.NewTargets == 0 && part >= 1:
 		return Decision{State: StateRolledBack, Reason: ReasonNoTargets}
 	case room.NewTargets == 0 && s.Stage < StageAll:
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -37,7 +37,7 @@
 	}
 	d.rolloutLeader = &canarier.Leader{
 		Store: watched, Codec: platform.RolloutCodec(), Part: d.rollouts, Table: d.table, Log: d.log,
-		InstanceID: cfg.InstanceID, IsWatcher: d.spreader.IsWatcher, HasService: d.hasService,
+		InstanceID: cfg.InstanceID, IsWatcher: d.spreader.IsWatcher, HasService: d.hasService, KnowsFleet: d.spreader.KnowsFleet,
 		ExposureShare: cfg.ExposureShare, RollbackWithin: loader.Milliseconds(cfg.RollbackMS), LeaseTTL: loader.Milliseconds(cfg.RelayLeaseMS),
 	}
 }
--- a/spreader/counters.go
+++ b/spreader/counters.go
@@ -40,6 +40,8 @@
 	Redirects, JoinsRefused expvar.Int
 	// LeasesTaken and LeasesLost count relay leases.
 	LeasesTaken, LeasesLost expvar.Int
+	// RostersWritten counts changes of the rosters of instances in the store.
+	RostersWritten expvar.Int
 	// StoreFailures counts calls of the store that failed.
 	StoreFailures expvar.Int
 	// RecordsMarked counts records of other targets that this daemon marked
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -165,13 +166,19 @@
 	return s.keepSlots(items), nil
 }
 
-// keepSlots keeps the relay slots that the items hold in slots, and returns them.
+// keepSlots keeps the relay slots that the items hold in slots, and the rosters, and returns
+// the slots.
 func (s *Spreader) keepSlots(items []storer.Item) []slot {
 	var slots []slot
+	var rosters []storer.Item
 	for _, item := range items {
 		if item.Key == quarantineKey {
 			s.loadQuarantine(item)
 		}
+		if strings.HasPrefix(item.Key, rosterPrefix) {
+			rosters = append(rosters, item)
+			continue
+		}
 		domain, ok := slotDomain(item.Key)
 		if !ok {
 			continue
@@ -188,7 +195,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots = slots
+	s.slots, s.areSlotsRead = slots, true
+	for _, item := range rosters {
+		s.keepRoster(item)
+	}
 	return slots
 }
 
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -97,6 +97,7 @@
 		wg.Go(func() { s.watchHead(ctx) })
 	}
 	wg.Go(func() { s.keepNeighbors(ctx, key) })
+	wg.Go(func() { s.maintainRosters(ctx, key) })
 	s.keepLease(ctx, key, lease)
 	cancel()
 	wg.Wait()
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,14 +54,18 @@
 	Counters Counters
 
 	initOnce sync.Once
+	// began is when this daemon started.
+	began time.Time
 	// firstSlotRead is closed after the first attempt to read the relay slots.
 	firstSlotRead     chan struct{}
 	firstSlotReadOnce sync.Once
 	// inviteWake holds a token when an invitation has arrived.
 	inviteWake chan struct{}
-	cfg        Settings
-	admission  *rate.Limiter
-	history    history
+	// hasMetAll says that the table has had a record of every instance of the rosters.
+	hasMetAll atomic.Bool
+	cfg       Settings
+	admission *rate.Limiter
+	history   history
 
 	// configMu serializes changes of the configuration. It is locked before mu.
 	configMu sync.Mutex
@@ -94,8 +99,16 @@
 	// appointedSlot is the key of the slot that a parent asked this daemon to
 	// claim, or "".
 	appointedSlot string
-	// slots holds the relay slots as last read from the store.
-	slots []slot
+	// slots holds the relay slots as last read from the store, areSlotsRead says that they
+	// have been read.
+	slots        []slot
+	areSlotsRead bool
+	// rosters holds the rosters by failure domain, as last read from the store or written.
+	rosters map[string]roster
+	// strangers is the number of instances of the rosters that the table lacked at strangersAt.
+	strangers           int
+	strangersAt         tracker.Cursor
+	areStrangersCounted bool
 	// lostSessions holds the ended sessions whose departure grace has not
 	// ended.
 	lostSessions []*lostSession
@@ -130,7 +143,8 @@
 		s.firstSlotRead = make(chan struct{})
 		s.inviteWake = make(chan struct{}, 1)
 		s.reports = make(map[string]*rootReport)
-		s.epoch = uint64(time.Now().UnixNano())
+		s.began = time.Now()
+		s.epoch = uint64(s.began.UnixNano())
 	})
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -98,3 +98,10 @@
 		cmp.Compare(r.State.finality(), other.State.finality()),
 	) > 0
 }
+
+// HasLeft reports whether the instance is gone and has said so.
+func (r Record) HasLeft() bool { return r.State == StateGone && (r.TargetLeaving || r.HandedOver) }
+
+// IsLost reports whether the instance is gone without having said so: it may only be out of
+// touch.
+func (r Record) IsLost() bool { return r.State == StateGone && !r.HasLeft() }
