Count instances that a restarted daemon has not met in quotas

Cause: a daemon derives the part of a quota that it may grant from the instances that it knows and can't reach. A process that started behind the cut knows none, and after 10 s grants the whole rate.

Evidence: the calls beyond the bound are granted, none admitted from an own share; each restarted daemon logs that it took the home over from nobody. Ruled out: grants that outlive a change of home.

Change: instances of the store's rosters that the daemon has not met count like lost ones, in what a home grants and in a daemon's own share. A daemon alone that knows of others is a home after 3 s in place of 10, since its part is safe; one that has not read the store yet waits for 3 s.

Why it works: whatever part of the fleet a daemon has met, the parts of all homes add up to the rate.

The randomized test no longer leaves out restarts of a whole part of the network.

--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -20,7 +20,7 @@
 
 // newQuoter returns the quoter of this daemon.
 func (d *Daemon) newQuoter(cfg *loader.Daemon) *quoter.Quoter {
-	members := &quotaMembers{table: d.table}
+	members := &quotaMembers{table: d.table, strangers: d.spreader.Strangers}
 	return &quoter.Quoter{
 		InstanceID: cfg.InstanceID, Members: members.current, Limit: d.tenantLimit, Send: d.sendQuotaAsk, Log: d.log,
 	}
@@ -75,6 +75,9 @@
 // quotaMembers derives the members of the fleet from the membership table.
 type quotaMembers struct {
 	table *tracker.Table
+	// strangers returns the number of instances of the fleet that the table lacks, and whether
+	// that is known.
+	strangers func() (n int, isCounted bool)
 
 	mu      sync.Mutex
 	at      tracker.Cursor
@@ -89,11 +92,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.table.Now()
-	if m.members != nil && (m.at == now || time.Since(m.built) < rebuildInterval) {
+	strangers, isCounted := m.strangers()
+	isSame := m.members != nil && m.at == now && m.members.Strangers == strangers && m.members.IsUncounted != isCounted
+	if isSame || m.members != nil && time.Since(m.built) < rebuildInterval {
 		return m.members
 	}
 	records := m.table.All()
 	next := groupMembers(records)
+	next.Strangers, next.IsUncounted = strangers, !isCounted
 	next.Returns = m.countReturns(records)
 	if m.members == nil || !isSameMembers(m.members, next) {
 		m.members = next
@@ -112,7 +118,7 @@
 	lost := make(map[string]uint64)
 	for _, r := range records {
 		switch incarnation, wasLost := m.lost[r.InstanceID]; {
-		case isLost(r):
+		case r.IsLost():
 			lost[r.InstanceID] = r.Incarnation
 		case wasLost && incarnation == r.Incarnation:
 			returns++
@@ -122,12 +128,6 @@
 	return returns
 }
 
-// isLost reports whether an instance is gone without having said so: it may only be out of
-// touch.
-func isLost(r tracker.Record) bool {
-	return r.State == tracker.StateGone && !r.TargetLeaving && !r.HandedOver
-}
-
 // groupMembers groups the instances of records, which are sorted by instance ID.
 func groupMembers(records []tracker.Record) *quoter.Members {
 	members := new(quoter.Members)
@@ -137,7 +137,7 @@
 			members.Ready = append(members.Ready, r.InstanceID)
 		case r.State == tracker.StateDraining:
 			members.Leaving = append(members.Leaving, r.InstanceID)
-		case isLost(r):
+		case r.IsLost():
 			members.Lost = append(members.Lost, r.InstanceID)
 		}
 	}
@@ -146,5 +146,6 @@
 
 // isSameMembers reports whether both hold the same instances.
 func isSameMembers(a, b *quoter.Members) bool {
-	return slices.Equal(a.Ready, b.Ready) && slices.Equal(a.Leaving, b.Leaving) && slices.Equal(a.Lost, b.Lost) && a.Returns == b.Returns
+	return slices.Equal(a.Ready, b.Ready) && slices.Equal(a.Leaving, b.Leaving) && slices.Equal(a.Lost, b.Lost) && a.Returns == b.Returns &&
+		a.Strangers == b.Strangers && a.IsUncounted == b.IsUncounted
 }
--- a/quoter/fleet_test.go
+++ b/quoter/fleet_test.go
@@ -66,7 +66,7 @@
 func (n *node) restart() {
 	n.isDown = false
 	n.seen, n.seenAs = make(map[string]time.Time), make(map[string]*Quoter)
-	n.members = &Members{Ready: []string{n.id}}
+	n.members = &Members{Ready: []string{n.id}, Strangers: len(n.fleet.nodes) - 1}
 	q := &Quoter{InstanceID: n.id, Limit: n.fleet.currentLimit}
 	q.Members = func() *Members {
 		n.fleet.mu.Lock()
@@ -186,28 +186,12 @@
 	}
 	slices.Sort(next.Ready)
 	slices.Sort(next.Lost)
+	next.Strangers = len(f.nodes) - len(next.Ready) - len(next.Lost)
 	if !slices.Equal(next.Ready, n.members.Ready) || !slices.Equal(next.Lost, n.members.Lost) {
 		n.members = next
 	}
 }
 
-// isRemembered reports whether the daemon, if it restarts now, is alone or learns of the whole
-// fleet from another one. Daemons of one part that all restart hold that part for the fleet,
-// which docs/design/quotas.md excepts from the bound. The caller holds mu.
-func (f *fleet) isRemembered(n *node) bool {
-	isAlone := true
-	for _, other := range f.nodes {
-		if other == n || other.side != n.side || other.isDown {
-			continue
-		}
-		isAlone = false
-		if time.Since(other.quoter.began) >= joinTime {
-			return true
-		}
-	}
-	return isAlone
-}
-
 // learn adds the daemons that another one knows, since records of lost daemons spread too.
 func (n *node) learn(from *node) {
 	for id, at := range from.seen {
--- a/quoter/members.go
+++ b/quoter/members.go
@@ -16,11 +16,19 @@
 	// Lost are out of touch without having left as planned: they may admit calls from
 	// their own share.
 	Lost []string
+	// Strangers is the number of instances that belong to the fleet and of which this daemon
+	// has no record: it has just started. Like lost ones, they may admit calls.
+	Strangers int
+	// IsUncounted says that this daemon can't tell yet how many strangers there are.
+	IsUncounted bool
 	// Returns is the number of times that a lost instance came back with the same process.
 	// There may have been two homes of a tenant meanwhile.
 	Returns int
 }
 
+// elsewhere returns the number of instances that may be there, out of this daemon's reach.
+func (m *Members) elsewhere() int { return len(m.Lost) + m.Strangers }
+
 // live returns the number of instances that are there.
 func (m *Members) live() int { return len(m.Ready) + len(m.Leaving) }
 
@@ -83,8 +91,8 @@
 	// settleTime is how long the members must not have grown before a daemon that has
 	// just started is the home of tenants.
 	settleTime = 500 * time.Millisecond
-	// maxSettleTime is after how long a daemon that knows others is, and aloneTime after
-	// how long one that knows none.
+	// maxSettleTime is after how long a daemon that knows others is, or knows of some, and
+	// aloneTime after how long one that knows of none.
 	maxSettleTime = 3 * time.Second
 	aloneTime     = 10 * time.Second
 )
@@ -116,8 +124,11 @@
 // at first.
 func (k *knownMembers) isSettled(now, began time.Time) bool {
 	age := now.Sub(began)
-	if k.members.live() < 2 {
+	switch isAlone := k.members.live() < 2; {
+	case isAlone && k.members.Strangers == 0:
 		return age >= aloneTime
+	case isAlone, k.members.IsUncounted:
+		return age >= maxSettleTime
 	}
 	return age >= maxSettleTime || now.Sub(k.grew) >= settleTime
 }
--- a/quoter/peers.go
+++ b/quoter/peers.go
@@ -64,13 +64,13 @@
 			heard++
 		}
 	}
-	lost := 0
+	lost := m.Strangers
 	for _, id := range m.Lost {
 		if p, ok := t.byID[id]; !ok || !p.failed.IsZero() {
 			lost++
 		}
 	}
-	live := m.live() + len(m.Lost) - lost
+	live := m.live() + m.elsewhere() - lost
 	reached := float64(live) * float64(heard) / float64(heard+failed)
 	t.scale = max(1, reached) / float64(max(1, live+lost))
 	t.scaledAt, t.scaledOf = now, m
--- a/quoter/quoter_test.go
+++ b/quoter/quoter_test.go
@@ -11,9 +11,6 @@
 
 var testBounds = Bounds{Window: 5 * time.Second, OverRatio: 0.1, Slack: 20}
 
-// joinTime is how long it takes until daemons that start know each other.
-const joinTime = 2 * time.Second
-
 // farFuture is later than all calls of a test.
 const farFuture = time.Hour
 
@@ -119,6 +116,22 @@
 				n.side = map[bool]int{true: i % 2, false: 0}[at < 70]
 			}
 		},
+		"others-cut-off-and-restarted": func(f *fleet, at int) {
+			for i, n := range f.nodes[:6] {
+				n.side = map[bool]int{true: i + 1, false: 0}[at < 115]
+				if at == -28 {
+					n.restart()
+				}
+			}
+		},
+		"split-in-half-and-restarted": func(f *fleet, at int) {
+			for i, n := range f.nodes {
+				n.side = map[bool]int{true: i % 2, false: 0}[at < 70]
+				if at == -28 {
+					n.restart()
+				}
+			}
+		},
 		"half-killed": func(f *fleet, at int) {
 			for _, n := range f.nodes[:10] {
 				if at == 0 {
@@ -205,11 +218,6 @@
 				hot := r.IntN(nodes)
 				isOnOne := r.IntN(3) == 0
 				lasts := time.Duration(200+r.IntN(3000)) * time.Millisecond
-				if fault == 5 {
-					// Daemons that start in one part of a split network, where nobody remembers
-					// the rest, hold that part for the fleet.
-					lasts += joinTime
-				}
 				f.run(lasts, func(node int) int {
 					if isOnOne {
 						return pick(r, demand*float64(max(0, 1-max(node-hot, hot-node))))
@@ -239,7 +247,7 @@
 			n.side = 1 + r.IntN(1000)
 		case fault == 3: // the network splits
 			n.side = r.IntN(2)
-		case fault == 4 && r.IntN(4) == 0 && f.isRemembered(n): // a quarter restarts at once
+		case fault == 4 && r.IntN(4) == 0: // a quarter restarts at once
 			n.restart()
 		case fault == 5: // all are killed and restart, in one network
 			n.restart()
--- a/quoter/stash.go
+++ b/quoter/stash.go
@@ -306,7 +306,7 @@
 func (q *Quoter) useOwnShare(now time.Time, tenant string, s *stash, need int) {
 	members := q.known.observe(now, q.Members())
 	window := q.bounds.window().Seconds()
-	known := float64(max(1, members.live()+len(members.Lost)))
+	known := float64(max(1, members.live()+members.elsewhere()))
 	rate := max(0, (s.limit.RatePerS*window/known-1)/window)
 	wait := unreachableRetryAfter
 	if !q.known.isSettled(now, q.began) {
