End the second of two homes of a tenant

Cause: askers and possible homes that wait for late replies make two or three homes of a tenant. Each grants a part of the rate while a rival is silent. When the rival replies again each grants the whole rate: a reply does not say that its sender is a home too, and nothing ends the others. A home that was replaced also began with a few grants each time that it returned.

Change: a probe and its reply say whether the sender is a home; of two, the lower in rank gives way, and begins with an empty bucket if it is the home again within a window.

Why it works: homes that can hear each other are one after a probe interval; until then each grants its part.

--- a/logger/events.go
+++ b/logger/events.go
@@ -49,6 +49,7 @@
 		{"link-silent", "a link with calls in flight was closed because nothing arrived on it", "target, silent"},
 
 		{"quota-home-taken-over", "this daemon became the home of a tenant, which keeps the tenant's quota; from is the home before, replied whether that stopped, level the calls that may be admitted at once", "tenant, from, replied, level"},
+		{"quota-home-gave-way", "this daemon is no longer the home of a tenant, because it met another home of higher rank, to", "tenant, to"},
 		{"quota-home-unreachable", "no home of a tenant replies, so this daemon admits calls of the tenant from its own share only", "tenant, own-rate-per-s"},
 		{"request-refused", "a request was refused before it was routed to a target", "request-id, cause, status, host, method, tenant, version"},
 		{"call-refused", "the response to a caller says that its call has not run", callEndKeys},
@@ -68,6 +69,7 @@
 		{"request-quarantined", "targets ended each time that they ran the request, which is not run from now on; learned says that another daemon found it", "request-digest, service, partner, crashes, for, learned"},
 		{"record-malformed", "a peer sent a membership record with a field out of bounds; the record is ignored, the others hold", "peer, error"},
 		{"slot-malformed", "a relay slot in the store holds no address; it counts as vacant", "slot"},
+		{"roster-malformed", "the store's roster of a failure domain can't be read; a relay replaces it", "key, error"},
 		{"quarantine-malformed", "the store's record of quarantined requests can't be read; the next one replaces it", "error"},
 		{"request-cleared", "a target has run the request to its end, after others had ended while they ran it", "request-digest, service, crashes"},
 		{"target-crashed", "a run of the target ended, without having said that it leaves, while it was running calls", "run-id, epoch, interrupted, request-digests"},
--- a/quoter/fleet_test.go
+++ b/quoter/fleet_test.go
@@ -33,6 +33,8 @@
 	ran     []time.Time
 	refused int
 	calls   sync.WaitGroup
+	// delay returns by how much a message to a daemon is late; nil means by nothing.
+	delay func(to string) time.Duration
 }
 
 // node is one daemon.
@@ -102,7 +104,7 @@
 
 // send delivers an ask and its reply, each after hopTime.
 func (f *fleet) send(ctx context.Context, from *node, id string, ask Ask) (Reply, error) {
-	time.Sleep(hopTime)
+	time.Sleep(hopTime + f.lateness(id))
 	to, q, isRefused := f.find(from, id)
 	if isRefused {
 		return Reply{}, errCut
@@ -112,7 +114,7 @@
 		return Reply{}, ctx.Err()
 	}
 	reply := q.Handle(context.Background(), from.id, ask)
-	time.Sleep(hopTime)
+	time.Sleep(hopTime + f.lateness(from.id))
 	if _, now, _ := f.find(from, id); now != q {
 		<-ctx.Done()
 		return Reply{}, ctx.Err()
@@ -120,6 +122,16 @@
 	return reply, ctx.Err()
 }
 
+// lateness returns by how much the next message to a daemon is late.
+func (f *fleet) lateness(to string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.delay == nil {
+		return 0
+	}
+	return f.delay(to)
+}
+
 // run plays d of time in steps, in each of which every daemon gets calls(i) calls.
 func (f *fleet) run(d time.Duration, calls func(node int) int) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
--- a/quoter/home.go
+++ b/quoter/home.go
@@ -34,6 +34,9 @@
 	// Returns of the members then.
 	isContested bool
 	returns     int
+	// hasGivenWay means that this daemon gave way to another home a short time ago: it has had
+	// what a home may grant at its start.
+	hasGivenWay bool
 	// started is closed once the home before has been asked to stop.
 	started chan struct{}
 }
@@ -52,6 +55,8 @@
 type move struct {
 	to    string
 	until time.Time
+	// isRival says that this daemon gave way to the other one, which was a home already.
+	isRival bool
 }
 
 // Handle replies to the ask of another instance. It may send an ask itself, to take over
@@ -66,11 +71,41 @@
 	case ask.TakesOver:
 		return q.handOver(now, from, ask.Tenant)
 	case ask.Want == 0:
-		return Reply{}
+		return q.handleProbe(now, from, ask)
 	}
 	return q.decide(ctx, now, ask)
 }
 
+// handleProbe replies to the probe of another possible home of a tenant. If both are homes, one
+// of them gives way. The caller holds mu.
+func (q *Quoter) handleProbe(now time.Time, from string, ask Ask) Reply {
+	h := q.homes[ask.Tenant]
+	if h != nil && ask.IsHome {
+		q.giveWay(now, ask.Tenant, h, from)
+	}
+	return Reply{IsHome: q.homes[ask.Tenant] != nil}
+}
+
+// giveWay ends this daemon's being the home of a tenant if the rival, which is one too, comes
+// before it. The content of its bucket is dropped: the rival has one of its own. The caller
+// holds mu.
+func (q *Quoter) giveWay(now time.Time, tenant string, h *home, rival string) {
+	members := q.known.observe(now, q.Members())
+	_, isReady := slices.BinarySearch(members.Ready, q.InstanceID)
+	_, isRivalReady := slices.BinarySearch(members.Ready, rival)
+	comesBefore := outranks(tenant, rival, q.InstanceID)
+	if isReady != isRivalReady {
+		comesBefore = isRivalReady
+	}
+	if !comesBefore || q.homes[tenant] != h || !h.isStarted() {
+		return
+	}
+	delete(q.homes, tenant)
+	q.moved[tenant] = move{to: rival, until: now.Add(moveTime), isRival: true}
+	q.Counters.GaveWay.Add(1)
+	q.logger().Info("quota-home-gave-way", zap.String("tenant", tenant), zap.String("to", rival))
+}
+
 // handOver ends the grants of this daemon for a tenant and returns the content of its
 // bucket. The caller holds mu.
 func (q *Quoter) handOver(now time.Time, to, tenant string) Reply {
@@ -114,7 +149,8 @@
 		h = nil
 	}
 	if h == nil {
-		h = &home{started: make(chan struct{})}
+		m, wasMoved := q.moved[ask.Tenant]
+		h = &home{started: make(chan struct{}), hasGivenWay: wasMoved && m.isRival && now.Sub(m.until) < q.bounds.window()}
 		q.homes[ask.Tenant] = h
 		delete(q.moved, ask.Tenant)
 		q.takeOver(ctx, ask.Tenant, limit, members, h)
@@ -153,7 +189,7 @@
 	rate := q.refill(now, ask.Tenant, h, limit)
 	if h.bucket.level < q.bounds.capacity(limit, 1)/2 && now.Sub(h.probed) >= probeInterval {
 		h.probed = now
-		go q.probe(context.WithoutCancel(ctx), ask.Tenant, h.rivals)
+		go q.probe(context.WithoutCancel(ctx), ask.Tenant, h)
 	}
 	reply := Reply{IsDecided: true, Granted: h.bucket.take(ask.Need, ask.Want)}
 	if refused := ask.Need - reply.Granted; refused > 0 {
@@ -184,6 +220,7 @@
 		h.bucket.level = *reply.Level
 	case reply.IsIdle && q.isUndisturbed(now):
 		h.bucket.level = q.bounds.capacity(limit, 1)
+	case h.hasGivenWay:
 	default:
 		h.bucket.level = q.bounds.startLevel()
 	}
@@ -252,11 +289,20 @@
 	return rate
 }
 
-// probe finds out whether the instances that may be the tenant's home reply. A home does so
-// while the tenant uses most of its quota: only then two homes exceed it.
-func (q *Quoter) probe(ctx context.Context, tenant string, rivals []string) {
-	for _, id := range rivals {
-		go q.send(ctx, id, Ask{Tenant: tenant})
+// probe finds out whether the instances that may be the tenant's home reply, and whether one of
+// them is a home as well. A home does so while the tenant uses most of its quota: only then two
+// homes exceed it.
+func (q *Quoter) probe(ctx context.Context, tenant string, h *home) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range h.rivals {
+		go func() {
+			if reply, ok := q.send(ctx, id, Ask{Tenant: tenant, IsHome: true}); ok && reply.IsHome {
+				q.mu.Lock()
+				defer q.mu.Unlock()
+				q.giveWay(time.Now(), tenant, h, id)
+			}
+		}()
 	}
 }
 
--- a/quoter/quoter.go
+++ b/quoter/quoter.go
@@ -81,6 +81,8 @@
 	// TakesOver reports that the asker becomes the tenant's home: the receiver must
 	// grant nothing more.
 	TakesOver bool `cbor:"5,keyasint,omitempty"`
+	// IsHome reports, on an ask without Need and Want, that the asker is a home of the tenant.
+	IsHome bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Reply is the reply to an Ask.
@@ -97,6 +99,8 @@
 	// IsIdle reports, in place of Level, that the sender has granted nothing to the tenant for
 	// a whole window.
 	IsIdle bool `cbor:"6,keyasint,omitempty"`
+	// IsHome reports, for an ask without Need and Want, that the sender is a home of the tenant.
+	IsHome bool `cbor:"7,keyasint,omitempty"`
 }
 
 // RefusedError reports a call that got no grant.
@@ -135,6 +139,9 @@
 	Granted expvar.Int
 	// TakenOver counts the tenants of which this daemon became the home.
 	TakenOver expvar.Int
+	// GaveWay counts the tenants of which this daemon ceased to be the home because another
+	// home of higher rank turned up.
+	GaveWay expvar.Int
 	// Returned counts the grants of calls that did not run and were used again.
 	Returned expvar.Int
 }
--- a/quoter/quoter_test.go
+++ b/quoter/quoter_test.go
@@ -174,6 +174,53 @@
 	}
 }
 
+// TestLateMessagesKeepTheBound guards against several homes that each grant the whole rate, and
+// own shares beside them, while daemons have little processor time and replies come late.
+func TestLateMessagesKeepTheBound(t *testing.T) {
+	for name, newDelay := range map[string]func(r *rand.Rand) func(string) time.Duration{
+		"single messages": func(r *rand.Rand) func(string) time.Duration {
+			share := 0.02 + 0.7*r.Float64()*r.Float64()
+			return func(string) time.Duration {
+				if r.Float64() >= share {
+					return 0
+				}
+				return time.Duration(r.IntN(500)) * time.Millisecond
+			}
+		},
+		"daemons that stall": func(r *rand.Rand) func(string) time.Duration {
+			until := make(map[string]time.Time)
+			stall, pause := 1+r.IntN(800), 1+r.IntN(3000)
+			return func(to string) time.Duration {
+				if now := time.Now(); now.After(until[to].Add(time.Duration(pause) * time.Millisecond)) {
+					until[to] = now.Add(time.Duration(r.IntN(stall)) * time.Millisecond)
+				}
+				return max(0, time.Until(until[to]))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limit := Limit{RatePerS: 100, Burst: 20}
+			for seed := range uint64(20) {
+				got := 0
+				synctest.Test(t, func(*testing.T) {
+					f := newFleet(12, limit, testBounds, seed)
+					f.run(10*time.Second, func(int) int { return 0 })
+					r := rand.New(rand.NewPCG(seed, 4))
+					f.delay = newDelay(r)
+					f.run(12*time.Second, func(int) int { return pick(r, 4) })
+					f.mu.Lock()
+					f.delay = nil
+					f.mu.Unlock()
+					got = f.most(time.Time{}, time.Now().Add(farFuture))
+				})
+				if want := (&fleet{bounds: testBounds}).bound(limit); got > want {
+					t.Errorf("seed %d: got %d calls in a window, want %d at most", seed, got, want)
+				}
+			}
+		})
+	}
+}
+
 // TestLoweredLimitBinds guards against grants of an earlier, higher limit: one window after
 // the change, the lower one must hold.
 func TestLoweredLimitBinds(t *testing.T) {
