Count instances not yet met in the allowance of retries

Cause: a daemon that has just started divides the allowance of retries by the daemons that it knows, itself alone at first, and so takes a larger part than its own. The same reading of a part of the fleet for the whole as in roll-outs and quotas.

Change: the number of daemons includes the instances of the store's rosters that this one has not met.

Ruled out: a broken bound. By arithmetic the sum stayed inside it before; no run showed otherwise.

Measured: go test ./daemon ./retrier passes. No case shows the difference to callers.

--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -62,8 +62,9 @@
 	})
 }
 
-// fleetSize returns the number of daemons that this daemon knows and that are not
-// gone, including itself.
+// fleetSize returns the number of daemons that are not gone, including this one. A daemon that
+// has just started counts those that it has yet to meet.
 func (d *Daemon) fleetSize() int {
-	return max(d.table.LiveCount(), 1)
+	strangers, _ := d.spreader.Strangers()
+	return max(d.table.LiveCount()+strangers, 1)
 }
