Read bodies into pieces that are used again

What callers saw: nothing on this machine. Where an instance enforces its memory, the daemon of a target that answers with bodies without an end is ended by the system, and with it the calls of others.

Cause: a body was read into a buffer that doubles, so that each body that was given up left several times its counted size behind, and the next began at once. The bound of 32 MB was that of every instance, and counted a body only until it was read, not the answer made of it.

Change: bodies are read in pieces of 64 KiB from a pool; all of them take an eighth of memory-mb at most, until the answer is on its link, with a part for short ones; Send of a long answer waits for that.

Why it works: what is read beyond the bound leaves no garbage, and what is counted is what is held.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -31,6 +31,23 @@
 	return budget
 }
 
+// minAnswerBudgetBytes is the least budget for answers: that of one of the largest size, and of
+// short ones beside it.
+const minAnswerBudgetBytes = 20 << 20
+
+// answerBudgetPercent bounds the bodies of the target's answers in percent of the process's
+// memory. One that is sent to another daemon is in memory up to three times.
+const answerBudgetPercent = 12.5
+
+// answerBudget returns the bytes that the bodies of the target's answers may take together.
+func answerBudget(cfg *loader.Daemon) int64 {
+	bound := int64(cfg.TargetBufferBytes)
+	if cfg.MemoryMB > 0 {
+		bound = min(bound, max(minAnswerBudgetBytes, int64(cfg.MemoryMB*answerBudgetPercent/100*(1<<20))))
+	}
+	return bound
+}
+
 // admit waits for one of the target's slots and returns the function that
 // releases it. If the limiter refuses the call, admit returns instead the answer
 // that tells the caller that the call has not run.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,7 +101,7 @@
 	d.executor.Requester.MaxConnections = d.maxConnections
 	d.executor.Requester.Log = log
 	d.executor.Requester.MaxHeadBytes = cfg.TargetHeadBytes
-	d.executor.Requester.MaxBufferedBytes = int64(cfg.TargetBufferBytes)
+	d.executor.Requester.MaxBufferedBytes = answerBudget(cfg)
 	d.executor.BodyPacer.Kbps = int(cfg.LinkMbps * 1000)
 	d.forwarder = &forwarder.Forwarder{
 		Applier: d.applier, Picker: &picker.Picker{Table: d.table, Domain: cfg.FailureDomain, LinkKbps: int(cfg.LinkMbps * 1000), Log: log}, Log: log,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -225,6 +225,15 @@
 	// digest is the digest of the call's content if hasDigest is set.
 	digest    quarantiner.Digest
 	hasDigest bool
+	// releaseBody gives back the memory that the target's response takes, nil for none.
+	releaseBody func()
+}
+
+// release gives back the memory of the response once the answer is no longer in use here.
+func (r *run) release() {
+	if r.releaseBody != nil {
+		r.releaseBody()
+	}
 }
 
 // Run runs a call that entered the mesh at this daemon, and returns its answer.
@@ -241,6 +250,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := &run{call: call, deadline: deadline, cancel: cancel, begin: func() bool { return caller.Err() == nil }}
+	defer r.release()
 	return x.runSafely(ctx, r)
 }
 
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -198,6 +198,7 @@
 	delete(x.kept, call.ID)
 	x.mu.Unlock()
 	x.send(ctx, l, answer)
+	r.release()
 }
 
 // runSafely runs the call and returns the answer with the target's state. If that
--- a/executor/target.go
+++ b/executor/target.go
@@ -101,6 +101,7 @@
 		}
 		return markSent(answer)
 	}
+	r.releaseBody = res.Release
 	x.observeAlive(run, began)
 	x.reportReached(res.Status != http.StatusMisdirectedRequest)
 	if res.Status != http.StatusMisdirectedRequest {
--- a/faketarget/faketarget.go
+++ b/faketarget/faketarget.go
@@ -62,6 +62,10 @@
 	// ResetUploads answers each call at once, without a length and before its body is read,
 	// and then resets the connection.
 	ResetUploads bool `json:"reset-uploads"`
+	// EndlessPercent is the percentage of calls that run and are answered with a body that has
+	// no end, until the daemon closes the connection. By turns it is in chunks and without a
+	// length.
+	EndlessPercent int `json:"endless-percent"`
 	// CutAnswers aborts the connection after half of the bytes of each answer.
 	CutAnswers bool `json:"cut-answers"`
 	// CrashOnCall ends the process when a call has begun and was recorded.
@@ -171,6 +175,10 @@
 		writeRaw(w, r, b.RawStatus, "Content-Length: 2\r\n\r\nok", false)
 		return
 	}
+	if rand.IntN(100) < b.EndlessPercent {
+		writeEndlessly(w, r, i%2 == 0)
+		return
+	}
 	t.writeAnswer(w, r, b, body)
 }
 
--- a/faketarget/raw.go
+++ b/faketarget/raw.go
@@ -1,6 +1,7 @@
 package faketarget
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -42,3 +43,26 @@
 		_ = tcp.SetLinger(0)
 	}
 }
+
+// endlessPieceBytes is the size of the pieces in which an endless body is written.
+const endlessPieceBytes = 64 << 10
+
+// writeEndlessly answers with a body that has no end, until the daemon closes the connection.
+func writeEndlessly(w http.ResponseWriter, r *http.Request, inChunks bool) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	piece := bytes.Repeat([]byte("endless "), endlessPieceBytes/8)
+	framing := ""
+	if inChunks {
+		framing = "Transfer-Encoding: chunked\r\n"
+		piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	name := messenger.HeaderNames{}.WithDefaults().RequestID
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n", name, r.Header.Get(name), framing)
+	for err == nil {
+		_, err = c.Write(piece)
+	}
+}
--- a/launcher/attributes_linux.go
+++ b/launcher/attributes_linux.go
@@ -32,4 +32,18 @@
 	}
 }
 
+// peakBytes returns the largest resident size that a process has had.
+func peakBytes(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := bytes.Cut(status, []byte("VmHWM:"))
+	var kib int64
+	if _, err := fmt.Fscan(bytes.NewReader(rest), &kib); err != nil {
+		return 0, err
+	}
+	return kib << 10, nil
+}
+
 const suspendTimeout = 5 * time.Second
--- a/launcher/attributes_other.go
+++ b/launcher/attributes_other.go
@@ -10,3 +10,6 @@
 
 // awaitSuspended does nothing where /proc does not show the state of a process.
 func awaitSuspended(int) {}
+
+// peakBytes returns 0: only /proc shows the resident size of a process.
+func peakBytes(int) (int64, error) { return 0, nil }
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -73,6 +73,16 @@
 	return p, nil
 }
 
+// PeakBytes returns the largest resident size that a running process has had, or 0 where the
+// system does not tell.
+func (f *Fleet) PeakBytes(name string) (int64, error) {
+	p, err := f.findProcess(name)
+	if err != nil {
+		return 0, err
+	}
+	return peakBytes(p.cmd.Process.Pid)
+}
+
 // Restart waits until a process has ended and starts it again with the same
 // addresses and settings.
 func (f *Fleet) Restart(name string) error {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -66,7 +66,7 @@
 		{Key: "exposure-allowance", Default: 0.0, Doc: "calls that a new version may get in addition to the share, from all daemons together; with 0 each daemon sends none before its share of its own calls is a whole one", check: floatRange(0, 1_000_000)},
 		{Key: "rollback-ms", Default: 5000, Doc: "time after which a new version that was found to be bad gets no more calls, in milliseconds", check: intRange(1000, hourMS)},
 		{Key: "target-head-bytes", Default: 65_536, Doc: "largest head of a response of the target, in bytes; a longer one ends its connection, and the call's outcome is unknown", check: intRange(1024, 1<<20)},
-		{Key: "target-buffer-bytes", Default: 32 << 20, Doc: "total size of the target's response bodies that may be read at a time, in bytes; a response beyond it ends its connection, and the call's outcome is unknown", check: intRange(1<<20, 1<<30)},
+		{Key: "target-buffer-bytes", Default: 32 << 20, Doc: "total size of the target's response bodies that may be in memory, in bytes, or an eighth of memory-mb if that is less; a response beyond it ends its connection, and the call's outcome is unknown", check: intRange(1<<20, 1<<30)},
 		{Key: "memory-mb", Default: 0.0, Doc: "memory of the process in MB, which the garbage collector keeps well below; 0 means no bound", check: floatRange(0, 1<<20)},
 		{Key: "link-mbps", Default: 0.0, Doc: "bandwidth of this instance's link in Mbit/s; daemons with narrow links are relays only where there is no other; 0 means that the link is not narrow", check: floatRange(0, 1_000_000)},
 	}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -23,6 +23,9 @@
 // fields besides a body.
 const MaxMessageBytes = MaxBodyBytes + 1<<20
 
+// longBodyBytes is the size from which the body of an answer counts as long.
+const longBodyBytes = 64 << 10
+
 // maxQueuedBytes bounds the messages that wait to be written to a link.
 const maxQueuedBytes = 2 * MaxMessageBytes
 
@@ -76,12 +79,18 @@
 	Traffic *Traffic
 
 	mu          sync.Mutex
-	queue       [][]byte
+	queue       []queued
 	queuedBytes int
 	writing     bool
 	err         error
 }
 
+// queued is a message that waits to be written. written is closed once it is, or never will be.
+type queued struct {
+	bytes   []byte
+	written chan struct{}
+}
+
 // Dial opens a link to the daemon at addr ("127.0.0.1:7101").
 func Dial(ctx context.Context, addr, path string) (*Link, error) {
 	return DialWith(ctx, nil, addr, path)
@@ -117,7 +126,7 @@
 
 // Send implements Conn. When ctx ends, it returns, but does not cancel a write that has
 // begun, because that would close the link and fail all its calls. The write then ends with
-// the link.
+// the link. An answer with a long body is written when Send returns, unless ctx has ended.
 func (l *Link) Send(ctx context.Context, m Message) error {
 	if err := ctx.Err(); err != nil {
 		return err
@@ -126,19 +135,24 @@
 	if err != nil {
 		return err
 	}
-	first, err := l.enqueue(b)
-	if err != nil || !first {
-		return err
+	var written chan struct{}
+	if a, ok := m.(*Answer); ok && len(a.Body) > longBodyBytes {
+		written = make(chan struct{})
 	}
-	if ctx.Done() == nil {
+	first, err := l.enqueue(queued{b, written})
+	switch {
+	case err != nil || !first && written == nil:
+		return err
+	case first && ctx.Done() == nil:
 		l.writeQueue()
 		return nil
+	case first:
+		written = make(chan struct{})
+		go func() {
+			defer close(written)
+			l.writeQueue()
+		}()
 	}
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		l.writeQueue()
-	}()
 	select {
 	case <-written:
 	case <-ctx.Done():
@@ -147,17 +161,17 @@
 }
 
 // enqueue queues a message and reports whether the caller must write the queue.
-func (l *Link) enqueue(b []byte) (bool, error) {
+func (l *Link) enqueue(q queued) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.err != nil {
 		return false, l.err
 	}
-	if l.queuedBytes+len(b) > maxQueuedBytes {
+	if l.queuedBytes+len(q.bytes) > maxQueuedBytes {
 		return false, &QueueFullError{QueuedBytes: l.queuedBytes}
 	}
-	l.queue = append(l.queue, b)
-	l.queuedBytes += len(b)
+	l.queue = append(l.queue, q)
+	l.queuedBytes += len(q.bytes)
 	first := !l.writing
 	l.writing = true
 	return first, nil
@@ -165,7 +179,7 @@
 
 // writeQueue writes queued messages until the queue is empty or a write fails.
 func (l *Link) writeQueue() {
-	var spare [][]byte
+	var spare []queued
 	for {
 		l.mu.Lock()
 		batch := l.queue
@@ -177,25 +191,37 @@
 		l.queue = spare[:0]
 		l.queuedBytes = 0
 		l.mu.Unlock()
-		for i, b := range batch {
-			if err := l.conn.Write(context.Background(), websocket.MessageBinary, b); err != nil {
+		for i, q := range batch {
+			if err := l.conn.Write(context.Background(), websocket.MessageBinary, q.bytes); err != nil {
+				endWaits(batch[i:])
 				l.fail(err)
 				break
 			}
 			if l.Traffic != nil {
-				l.Traffic.SentBytes.Add(int64(len(b)))
+				l.Traffic.SentBytes.Add(int64(len(q.bytes)))
 			}
-			batch[i] = nil
+			endWaits(batch[i : i+1])
+			batch[i] = queued{}
 		}
 		spare = batch
 	}
 }
 
+// endWaits ends the waits for messages that are written, or never will be.
+func endWaits(messages []queued) {
+	for _, q := range messages {
+		if q.written != nil {
+			close(q.written)
+		}
+	}
+}
+
 // fail records the error for later Send calls, discards the queue and closes the
 // link.
 func (l *Link) fail(err error) {
 	l.mu.Lock()
 	l.err = err
+	endWaits(l.queue)
 	l.queue = nil
 	l.mu.Unlock()
 	l.Close()
--- a/requester/bounds.go
+++ b/requester/bounds.go
@@ -1,12 +1,12 @@
 package requester
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 
 	"bambooweir.example/bambooweir/messenger"
 )
@@ -24,6 +24,10 @@
 // length takes no memory before its bytes arrive.
 const bodyChunkBytes = 64 << 10
 
+// shortBodyShare is the part of the bound that only bodies of one chunk may take, so that long
+// ones don't keep them out.
+const shortBodyShare = 8
+
 // TooLargeError reports a response that exceeded a bound on its size.
 type TooLargeError struct {
 	// Part is what exceeded the bound, Bytes is the bound.
@@ -77,43 +81,109 @@
 }
 
 // readBody reads the whole body of a response, of at most messenger.MaxBodyBytes. All
-// bodies that are being read take at most MaxBufferedBytes.
-func (r *Requester) readBody(req *Request, res *http.Response) ([]byte, error) {
+// bodies that are being read, or whose Release was not called, take at most MaxBufferedBytes.
+func (r *Requester) readBody(req *Request, res *http.Response) (body []byte, release func(), err error) {
+	release = func() {}
 	if req.Method == http.MethodHead || res.ContentLength == 0 {
-		return nil, nil
+		return nil, release, nil
 	}
 	if res.ContentLength > messenger.MaxBodyBytes {
-		return nil, &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
+		return nil, release, &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
 	}
 	if res.ContentLength > 0 && res.ContentLength <= bodyChunkBytes {
 		body := make([]byte, res.ContentLength)
 		_, err := io.ReadFull(res.Body, body)
-		return body, err
+		return body, release, err
+	}
+	b := bodyBuffer{requester: r, length: res.ContentLength}
+	defer b.free()
+	if err := b.readFrom(res.Body); err != nil {
+		r.buffered.Add(-b.reserved)
+		return nil, release, err
 	}
-	var body bytes.Buffer
-	reserved := int64(0)
-	defer func() { r.buffered.Add(-reserved) }()
+	return b.join(), sync.OnceFunc(func() { r.buffered.Add(-b.reserved) }), nil
+}
+
+// chunkPool holds chunks of bodyChunkBytes. Bodies that turn out to be too long leave no
+// garbage, which would exceed the bound many times over before the next collection.
+var chunkPool = sync.Pool{New: func() any { return new([bodyChunkBytes]byte) }}
+
+// bodyBuffer holds a body that is being read.
+type bodyBuffer struct {
+	requester *Requester
+	// length is the stated length, -1 for none.
+	length int64
+	// reserved is the part of the requester's bound that the body takes.
+	reserved int64
+	chunks   []*[bodyChunkBytes]byte
+	size     int64
+}
+
+// readFrom reads the whole body.
+func (b *bodyBuffer) readFrom(body io.Reader) error {
 	for {
 		n := int64(bodyChunkBytes)
-		if res.ContentLength > 0 {
-			n = min(n, res.ContentLength-int64(body.Len()))
+		if b.length > 0 {
+			n = min(n, b.length-b.size)
 		}
-		reserved += n
-		if r.buffered.Add(n) > r.maxBufferedBytes() {
-			return nil, &TooLargeError{Part: "body, beside others that are being read,", Bytes: r.maxBufferedBytes()}
+		if err := b.reserve(n); err != nil {
+			return err
 		}
-		read, err := body.ReadFrom(io.LimitReader(res.Body, n))
+		chunk := chunkPool.Get().(*[bodyChunkBytes]byte)
+		b.chunks = append(b.chunks, chunk)
+		read, err := readChunk(body, chunk[:n])
+		b.size += int64(read)
 		switch {
+		case errors.Is(err, io.EOF) && b.length > b.size:
+			return io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) || err == nil && b.size == b.length:
+			return nil
 		case err != nil:
-			return nil, err
-		case res.ContentLength > 0 && int64(body.Len()) == res.ContentLength:
-			return body.Bytes(), nil
-		case read < n && res.ContentLength > 0:
-			return nil, io.ErrUnexpectedEOF
-		case read < n:
-			return body.Bytes(), nil
-		case body.Len() > messenger.MaxBodyBytes:
-			return nil, &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
+			return err
+		case b.size > messenger.MaxBodyBytes:
+			return &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
 		}
 	}
 }
+
+// reserve takes n more bytes of the requester's bound. The last part of that is for bodies
+// that are short so far.
+func (b *bodyBuffer) reserve(n int64) error {
+	b.reserved += n
+	bound := b.requester.maxBufferedBytes()
+	limit := bound
+	if b.reserved > bodyChunkBytes {
+		limit -= bound / shortBodyShare
+	}
+	if b.requester.buffered.Add(n) > limit {
+		return &TooLargeError{Part: "body, beside others that are being read,", Bytes: bound}
+	}
+	return nil
+}
+
+// readChunk fills the chunk. Unlike io.ReadFull it keeps the end of the body and that of a
+// truncated one apart.
+func readChunk(body io.Reader, chunk []byte) (read int, err error) {
+	for read < len(chunk) && err == nil {
+		var n int
+		n, err = body.Read(chunk[read:])
+		read += n
+	}
+	return read, err
+}
+
+// join returns the body in one piece.
+func (b *bodyBuffer) join() []byte {
+	body := make([]byte, 0, b.size)
+	for _, chunk := range b.chunks {
+		body = append(body, chunk[:min(bodyChunkBytes, b.size-int64(len(body)))]...)
+	}
+	return body
+}
+
+// free makes the chunks available to other bodies.
+func (b *bodyBuffer) free() {
+	for _, chunk := range b.chunks {
+		chunkPool.Put(chunk)
+	}
+}
--- a/requester/conn.go
+++ b/requester/conn.go
@@ -67,8 +67,9 @@
 	sent chan struct{}
 	// sendErr is the error of writing the request. It is valid once sent is closed.
 	sendErr error
-	// written says that bytes may have reached the target. conn.mu guards it.
-	written bool
+	// written says that bytes may have reached the target, isOver that the request has failed
+	// before its response was read. conn.mu guards both.
+	written, isOver bool
 }
 
 // errNotSentWhole reports a response whose target did not read the whole request in time.
@@ -235,6 +236,7 @@
 		}
 		if !c.requester.isResponseTo(p.req, res) {
 			c.requester.observeStray(p.req, res)
+			res.Release()
 			if stray++; stray > maxStrayResponses || keep == 0 {
 				c.close(errUnsolicited)
 				return
@@ -328,13 +330,19 @@
 	return c.requester.putIdle(c)
 }
 
-// release delivers the response to p, after which the connection carries no request.
+// release delivers the response to p, after which the connection carries no request. If p has
+// failed meanwhile, nobody waits for the response.
 func (c *conn) release(p *pending, res *Response) {
 	c.mu.Lock()
 	if c.pending == p {
 		c.pending = nil
 	}
+	isOver := p.isOver
 	c.mu.Unlock()
+	if isOver {
+		res.Release()
+		return
+	}
 	p.done <- result{res: res}
 }
 
@@ -365,6 +373,9 @@
 	c.closed = cause
 	p := c.pending
 	c.pending = nil
+	if p != nil {
+		p.isOver = true
+	}
 	c.mu.Unlock()
 	_ = c.nc.Close()
 	c.requester.remove(c)
--- a/requester/endless_test.go
+++ b/requester/endless_test.go
@@ -194,3 +194,29 @@
 		}
 	}
 }
+
+// TestBodyCountsUntilItIsReleased guards against answers that wait to be sent on and are not
+// counted, and against long bodies that leave no room for short ones without a stated length.
+func TestBodyCountsUntilItIsReleased(t *testing.T) {
+	const bound = 2 << 20
+	addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+		id := r.Header.Get(idField)
+		if strings.HasPrefix(id, "long") {
+			fmt.Fprint(c, responseText(id, strings.Repeat("a", bound*3/4)))
+			return true
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n", idField, id)
+		return true
+	})
+	r := &Requester{IDField: idField, MaxBufferedBytes: bound}
+	first := mustDo(t, r, addr, "long 1")
+	if _, err := r.Do(t.Context(), addr, newRequest("long 2")); !IsTooLarge(err) {
+		t.Errorf("second long body: got error %v, want a TooLargeError", err)
+	}
+	if got := string(mustDo(t, r, addr, "short").Body); got != "short" {
+		t.Errorf("short body beside a long one: got %q, want it whole", got)
+	}
+	first.Release()
+	first.Release()
+	mustDo(t, r, addr, "long 3").Release()
+}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -83,6 +83,9 @@
 	Body   []byte
 	// Carried is the number of requests that the connection had carried before this one.
 	Carried int
+	// Release gives back what Body takes of MaxBufferedBytes. It must be called once Body is no
+	// longer in use.
+	Release func()
 }
 
 // NotSentError reports a request of which the target cannot have received a byte.
@@ -129,7 +132,7 @@
 	// all interim responses before it; 0 means DefaultHeadBytes.
 	MaxHeadBytes int
 	// MaxBufferedBytes bounds the total size of the response bodies that are being
-	// read; 0 means DefaultBufferedBytes.
+	// read or were not released; 0 means DefaultBufferedBytes.
 	MaxBufferedBytes int64
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -147,7 +150,8 @@
 	addr string
 	// repeatsIDs is set once the target has repeated the ID of a request.
 	repeatsIDs atomic.Bool
-	// buffered is the total size of the response bodies that are being read.
+	// buffered is the total size of the response bodies that are being read or were not
+	// released.
 	buffered atomic.Int64
 }
 
--- a/requester/response.go
+++ b/requester/response.go
@@ -70,17 +70,18 @@
 			continue
 		}
 		c.head.unlimit()
-		body, err := c.requester.readBody(p.req, res)
+		body, release, err := c.requester.readBody(p.req, res)
 		if err == nil && endsWithConnection(p.req, res) {
 			err = c.confirmEnd(p)
 		}
 		if err != nil {
+			release()
 			// Close would read the rest of the body, which may have no end. The
 			// connection is closed instead.
 			return nil, 0, err
 		}
 		_ = res.Body.Close()
-		return &Response{Status: res.StatusCode, Header: res.Header, Body: body, Carried: c.carriedBefore()}, keepTime(p.req, res), nil
+		return &Response{Status: res.StatusCode, Header: res.Header, Body: body, Carried: c.carriedBefore(), Release: release}, keepTime(p.req, res), nil
 	}
 }
 
--- a/scripter/counters.go
+++ b/scripter/counters.go
@@ -34,6 +34,19 @@
 	return err
 }
 
+// assertPeak fails if a daemon has ever had more memory than a number of MiB.
+func (s *scenario) assertPeak(_ *testscript.TestScript, args []string) error {
+	bound, err := strconv.ParseInt(args[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	got, err := s.fleet.PeakBytes(args[0])
+	if err == nil && got > bound<<20 {
+		err = fmt.Errorf("%s: got %d MiB of memory, want at most %d", args[0], got>>20, bound)
+	}
+	return err
+}
+
 // counter returns the value of a daemon's counter. The name is the path of the
 // counter in the metrics, joined by dots, such as acceptor.conflicts.
 func (s *scenario) counter(daemon, name string) (int, error) {
--- a/scripter/scripter.go
+++ b/scripter/scripter.go
@@ -121,6 +121,7 @@
 		"wait-status":      command(2, -1, "wait-status REGEXP DAEMON...", (*scenario).waitStatus),
 		"wait-counter":     command(2, 2, "wait-counter DAEMON NAME{=,>=,<=}N", (*scenario).waitCounter),
 		"assert-counter":   command(2, 2, "assert-counter DAEMON NAME", (*scenario).assertCounter),
+		"assert-peak":      command(2, 2, "assert-peak DAEMON MB", (*scenario).assertPeak),
 		"wait-runs":        command(2, 2, "wait-runs NAME N", (*scenario).waitRuns),
 		"wait-outcomes":    command(2, -1, "wait-outcomes NAME OUTCOME{=,>=,<=}N...", (*scenario).waitOutcomes),
 		"assert-outcomes":  command(2, -1, "assert-outcomes NAME OUTCOME{=,>=,<=}N...", (*scenario).assertOutcomes),
