Bound the long answers that a daemon receives from others

What callers saw: nothing on this machine. A daemon whose callers' requests are answered by several targets with bodies of the largest size at a time exceeds its instance's memory and is ended there.

Cause: nothing bounded the answers on call links beside their size. A message was read into a buffer that grows, copied by decoding, and held until the caller had read it.

Change: a link reads messages in pieces that are used again (package gatherer, from requester). Long answers take a budget of an eighth of memory-mb before they are read, and give it back when they are written to the caller, or collected if they were not. Without room the rest of the message is dropped, and an answer with its ID says that the call is lost, for lack of room.

Why it works: the bound is checked before the bytes are read; only the call of that answer ends.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -39,7 +39,8 @@
 // memory. One that is sent to another daemon is in memory up to three times.
 const answerBudgetPercent = 12.5
 
-// answerBudget returns the bytes that the bodies of the target's answers may take together.
+// answerBudget returns the bytes that the bodies of the target's answers may take together, and
+// those of the answers of other daemons' targets.
 func answerBudget(cfg *loader.Daemon) int64 {
 	bound := int64(cfg.TargetBufferBytes)
 	if cfg.MemoryMB > 0 {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,6 +108,7 @@
 		InstanceID: cfg.InstanceID, RunLocal: d.executor.Run, Service: func() string { return d.cfg.Load().TargetService },
 		Quarantine: d.quarantine,
 	}
+	d.forwarder.Answers = &limiter.ByteBudget{Max: answerBudget(cfg)}
 	d.forwarder.Throttler.Ratio, d.forwarder.Picker.NearBytes = cfg.SpillRatio, cfg.NearBytes
 	d.quoter = d.newQuoter(cfg)
 	d.forwarder.Quota, d.executor.Quota = d.quoter, d.quoter
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -83,6 +83,9 @@
 	// FractionalRetryAfter makes Retry-After carry fractions of a second instead of
 	// whole seconds.
 	FractionalRetryAfter bool
+	// Answers bounds the long answers of other daemons' targets that are in memory; nil means no
+	// bound.
+	Answers messenger.Budget
 	// Dial opens a call link; nil means messenger.Dial.
 	Dial func(ctx context.Context, addr string) (messenger.Conn, error)
 	// LinksPerPeer bounds the links of each lane to one daemon; 0 means 2.
@@ -175,6 +178,7 @@
 	f.logCall(r.Context(), x, answer)
 	f.tally(x.call.Tenant, answer)
 	f.writeAnswer(w, r, answer)
+	answer.Release()
 }
 
 // dropStaleBudgets drops the retry budgets of routes that are not in s, once for
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -226,5 +226,10 @@
 	if f.Dial != nil {
 		return f.Dial(ctx, addr)
 	}
-	return messenger.Dial(ctx, addr, messenger.CallPath)
+	link, err := messenger.Dial(ctx, addr, messenger.CallPath)
+	if err != nil {
+		return nil, err
+	}
+	link.Answers = f.Answers
+	return link, nil
 }
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -177,6 +177,9 @@
 	Suspicions []quarantiner.Record `cbor:"21,keyasint,omitempty"`
 	// Quota is set in the answer to a QuotaAsk.
 	Quota *quoter.Reply `cbor:"22,keyasint,omitempty"`
+
+	// release gives back the memory that the answer takes, nil for none.
+	release func()
 }
 
 // Reserve asks for a time at which the body of a call may be sent over the
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
+	"io"
 	"net/http"
 	"sync"
 
 	"github.com/coder/websocket"
 	"github.com/joomcode/errorx"
+
+	"bambooweir.example/bambooweir/gatherer"
 )
 
 // Paths at which a daemon accepts links.
@@ -41,6 +45,15 @@
 	Close()
 }
 
+// Budget bounds a number of bytes in memory.
+type Budget interface {
+	// Take reserves bytes of a body and reports whether there was room. bodyBytes is the size
+	// of the body so far.
+	Take(bytes, bodyBytes int64) bool
+	// Give returns bytes that Take reserved.
+	Give(bytes int64)
+}
+
 // QueueFullError reports that the queue of a link has no space for another
 // message, because the peer does not read fast enough.
 type QueueFullError struct{ QueuedBytes int }
@@ -77,6 +90,9 @@
 	// Traffic counts the link's bytes; nil disables counting. It must be set
 	// before the first message.
 	Traffic *Traffic
+	// Answers bounds the long answers that were received on all links and are still in use;
+	// nil means no bound. It must be set before the first message.
+	Answers Budget
 
 	mu          sync.Mutex
 	queue       []queued
@@ -227,17 +243,54 @@
 	l.Close()
 }
 
-// Receive implements Conn.
+// Receive implements Conn. In place of an answer that Answers has no room for, it returns one
+// that says so.
 func (l *Link) Receive(ctx context.Context) (Message, error) {
-	_, b, err := l.conn.Read(ctx)
+	_, r, err := l.conn.Reader(ctx)
 	if err != nil {
 		return nil, err
 	}
+	var g gatherer.Gatherer
+	defer g.Free()
+	reserved := int64(0)
+	release := func() {
+		if l.Answers != nil {
+			l.Answers.Give(reserved)
+		}
+	}
+	for err == nil {
+		if err = g.Read(r, gatherer.ChunkBytes); err != nil || l.Answers == nil || !isAnswer(&g) {
+			continue
+		}
+		if !l.Answers.Take(gatherer.ChunkBytes, int64(g.Len())+gatherer.ChunkBytes) {
+			answer, err := refuseAnswer(g.Bytes())
+			release()
+			g.Free()
+			if err == nil {
+				_, err = io.Copy(io.Discard, r)
+			}
+			return answer, err
+		}
+		reserved += gatherer.ChunkBytes
+	}
+	if !errors.Is(err, io.EOF) {
+		release()
+		return nil, err
+	}
 	if l.Traffic != nil {
-		l.Traffic.ReceivedBytes.Add(int64(len(b)))
+		l.Traffic.ReceivedBytes.Add(int64(g.Len()))
+	}
+	m, err := Decode(g.Bytes())
+	if a, ok := m.(*Answer); ok && reserved > 0 {
+		a.hold(release)
+	} else {
+		release()
 	}
-	return Decode(b)
+	return m, err
 }
 
+// isAnswer reports whether the message that is being gathered is an answer.
+func isAnswer(g *gatherer.Gatherer) bool { return g.Len() > 0 && Kind(g.First()) == KindAnswer }
+
 // Close closes the link without a WebSocket closing handshake.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
--- a/requester/bounds.go
+++ b/requester/bounds.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 
+	"bambooweir.example/bambooweir/gatherer"
 	"bambooweir.example/bambooweir/messenger"
 )
 
@@ -20,10 +21,6 @@
 	DefaultBufferedBytes = 32 << 20
 )
 
-// bodyChunkBytes is the size of the steps in which a body is read, so that a stated
-// length takes no memory before its bytes arrive.
-const bodyChunkBytes = 64 << 10
-
 // shortBodyShare is the part of the bound that only bodies of one chunk may take, so that long
 // ones don't keep them out.
 const shortBodyShare = 8
@@ -90,57 +87,50 @@
 	if res.ContentLength > messenger.MaxBodyBytes {
 		return nil, release, &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
 	}
-	if res.ContentLength > 0 && res.ContentLength <= bodyChunkBytes {
+	if res.ContentLength > 0 && res.ContentLength <= gatherer.ChunkBytes {
 		body := make([]byte, res.ContentLength)
 		_, err := io.ReadFull(res.Body, body)
 		return body, release, err
 	}
 	b := bodyBuffer{requester: r, length: res.ContentLength}
-	defer b.free()
+	defer b.Free()
 	if err := b.readFrom(res.Body); err != nil {
 		r.buffered.Add(-b.reserved)
 		return nil, release, err
 	}
-	return b.join(), sync.OnceFunc(func() { r.buffered.Add(-b.reserved) }), nil
+	return b.Bytes(), sync.OnceFunc(func() { r.buffered.Add(-b.reserved) }), nil
 }
 
-// chunkPool holds chunks of bodyChunkBytes. Bodies that turn out to be too long leave no
-// garbage, which would exceed the bound many times over before the next collection.
-var chunkPool = sync.Pool{New: func() any { return new([bodyChunkBytes]byte) }}
-
 // bodyBuffer holds a body that is being read.
 type bodyBuffer struct {
+	gatherer.Gatherer
 	requester *Requester
 	// length is the stated length, -1 for none.
 	length int64
 	// reserved is the part of the requester's bound that the body takes.
 	reserved int64
-	chunks   []*[bodyChunkBytes]byte
-	size     int64
 }
 
 // readFrom reads the whole body.
 func (b *bodyBuffer) readFrom(body io.Reader) error {
 	for {
-		n := int64(bodyChunkBytes)
+		n := int64(gatherer.ChunkBytes)
 		if b.length > 0 {
-			n = min(n, b.length-b.size)
+			n = min(n, b.length-int64(b.Len()))
 		}
 		if err := b.reserve(n); err != nil {
 			return err
 		}
-		chunk := chunkPool.Get().(*[bodyChunkBytes]byte)
-		b.chunks = append(b.chunks, chunk)
-		read, err := readChunk(body, chunk[:n])
-		b.size += int64(read)
+		err := b.Read(body, int(n))
+		size := int64(b.Len())
 		switch {
-		case errors.Is(err, io.EOF) && b.length > b.size:
+		case errors.Is(err, io.EOF) && b.length > size:
 			return io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF) || err == nil && b.size == b.length:
+		case errors.Is(err, io.EOF) || err == nil && size == b.length:
 			return nil
 		case err != nil:
 			return err
-		case b.size > messenger.MaxBodyBytes:
+		case size > messenger.MaxBodyBytes:
 			return &TooLargeError{Part: "body", Bytes: messenger.MaxBodyBytes}
 		}
 	}
@@ -152,7 +142,7 @@
 	b.reserved += n
 	bound := b.requester.maxBufferedBytes()
 	limit := bound
-	if b.reserved > bodyChunkBytes {
+	if b.reserved > gatherer.ChunkBytes {
 		limit -= bound / shortBodyShare
 	}
 	if b.requester.buffered.Add(n) > limit {
@@ -160,30 +150,3 @@
 	}
 	return nil
 }
-
-// readChunk fills the chunk. Unlike io.ReadFull it keeps the end of the body and that of a
-// truncated one apart.
-func readChunk(body io.Reader, chunk []byte) (read int, err error) {
-	for read < len(chunk) && err == nil {
-		var n int
-		n, err = body.Read(chunk[read:])
-		read += n
-	}
-	return read, err
-}
-
-// join returns the body in one piece.
-func (b *bodyBuffer) join() []byte {
-	body := make([]byte, 0, b.size)
-	for _, chunk := range b.chunks {
-		body = append(body, chunk[:min(bodyChunkBytes, b.size-int64(len(body)))]...)
-	}
-	return body
-}
-
-// free makes the chunks available to other bodies.
-func (b *bodyBuffer) free() {
-	for _, chunk := range b.chunks {
-		chunkPool.Put(chunk)
-	}
-}
--- a/requester/endless_test.go
+++ b/requester/endless_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bambooweir.example/bambooweir/gatherer"
 )
 
 // endless lists responses whose last part a faulty target repeats until its connection
@@ -129,11 +131,11 @@
 			done <- struct{}{}
 		}()
 	}
-	for r.buffered.Load() < requests*bodyChunkBytes {
+	for r.buffered.Load() < requests*gatherer.ChunkBytes {
 		runtime.Gosched()
 	}
-	if got := r.buffered.Load(); got != requests*bodyChunkBytes {
-		t.Errorf("buffered: got %d bytes, want %d", got, requests*bodyChunkBytes)
+	if got := r.buffered.Load(); got != requests*gatherer.ChunkBytes {
+		t.Errorf("buffered: got %d bytes, want %d", got, requests*gatherer.ChunkBytes)
 	}
 	cancel()
 	close(release)
