Bound the kept answers by the instance's memory

Cause: the tables of answers that are kept for lost links and for idempotency keys hold up to 64 and 32 MB on instances of every size, more than half of the memory of a small one.

Change: they hold an eighth and a sixteenth of memory-mb at most. A full table refuses calls before they run, as before.

Test: TestMemoryIsShared.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -24,29 +24,36 @@
 // newBodyBudget returns the budget for the bodies of callers' requests and of calls from other
 // daemons together.
 func newBodyBudget(cfg *loader.Daemon) *limiter.ByteBudget {
-	budget := &limiter.ByteBudget{Max: maxBodyBudgetBytes}
-	if cfg.MemoryMB > 0 {
-		budget.Max = min(budget.Max, int64(cfg.MemoryMB*bodyBudgetPercent/100*(1<<20)))
-	}
-	return budget
+	return &limiter.ByteBudget{Max: int64(memoryShare(cfg, maxBodyBudgetBytes, bodyBudgetPercent))}
 }
 
 // minAnswerBudgetBytes is the least budget for answers: that of one of the largest size, and of
 // short ones beside it.
 const minAnswerBudgetBytes = 20 << 20
 
-// answerBudgetPercent bounds the bodies of the target's answers in percent of the process's
-// memory. One that is sent to another daemon is in memory up to three times.
-const answerBudgetPercent = 12.5
+const (
+	// answerBudgetPercent bounds the bodies of the target's answers in percent of the process's
+	// memory. One that is sent to another daemon is in memory up to three times.
+	answerBudgetPercent = 12.5
+	// keptAnswersPercent and keyAnswersPercent bound the answers that are kept in case that a
+	// link is lost, and for idempotency keys.
+	keptAnswersPercent = 12.5
+	keyAnswersPercent  = 6.25
+)
 
 // answerBudget returns the bytes that the bodies of the target's answers may take together, and
 // those of the answers of other daemons' targets.
 func answerBudget(cfg *loader.Daemon) int64 {
-	bound := int64(cfg.TargetBufferBytes)
-	if cfg.MemoryMB > 0 {
-		bound = min(bound, max(minAnswerBudgetBytes, int64(cfg.MemoryMB*answerBudgetPercent/100*(1<<20))))
+	share := memoryShare(cfg, cfg.TargetBufferBytes, answerBudgetPercent)
+	return int64(max(share, min(cfg.TargetBufferBytes, minAnswerBudgetBytes)))
+}
+
+// memoryShare returns a bound in bytes, or a share of the process's memory if that is less.
+func memoryShare(cfg *loader.Daemon, bound int, percent float64) int {
+	if cfg.MemoryMB <= 0 {
+		return bound
 	}
-	return bound
+	return min(bound, int(cfg.MemoryMB*percent/100*(1<<20)))
 }
 
 // admit waits for one of the target's slots and returns the function that
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"bambooweir.example/bambooweir/authorizer"
 	"bambooweir.example/bambooweir/canarier"
 	"bambooweir.example/bambooweir/executor"
+	"bambooweir.example/bambooweir/fencer"
 	"bambooweir.example/bambooweir/forwarder"
 	"bambooweir.example/bambooweir/limiter"
 	"bambooweir.example/bambooweir/listener"
@@ -124,6 +125,8 @@
 	d.configureRollouts(store)
 	d.executor.Requester.IDField = d.executor.Headers.WithDefaults().RequestID
 	d.applySettings(cfg)
+	d.executor.Calls.MaxBytes = memoryShare(cfg, fencer.DefaultMaxBytes, keptAnswersPercent)
+	d.executor.KeyCoordinator.Keys.MaxBytes = memoryShare(cfg, fencer.DefaultMaxKeyBytes, keyAnswersPercent)
 	d.executor.KeyCoordinator.Peers = d.table
 	d.executor.KeyCoordinator.Ask = d.forwarder.Ask
 	d.executor.KeyCoordinator.Retention = d.keyRetention
