Save requests that have ended three targets before a trial

Cause: only quarantined requests were written to the store. Crashes that happen before one is known are no trials: a request that comes everywhere at once is suspected, and known in memory alone.

Change: a request with three crashes or more is saved at the third, quarantined ones before the others if there are more than 64. After the end of all daemons it is on trial, one run in the fleet.

Ruled out: saving all suspects, a write with each crash when many targets end.

Test: TestConvictedSuspectOutlivesTheEndOfAllDaemons failed before (nothing in the store). QuarantinedShare is ConvictedShare now; its test asks the same of it.

--- a/quarantiner/queries.go
+++ b/quarantiner/queries.go
@@ -54,12 +54,26 @@
 // Quarantined returns the records of the requests that are quarantined at their service, the
 // newest first.
 func (t *Table) Quarantined() []Record {
+	return t.find(func(v Verdict) bool { return v.Status == StatusQuarantined })
+}
+
+// Convicted returns the records of the requests that have ended quarantineCrashes targets of
+// their service or more: those that are quarantined, and after them those that would be with a
+// trial. In each part the newest are first.
+func (t *Table) Convicted() []Record {
+	return append(t.Quarantined(), t.find(func(v Verdict) bool {
+		return v.Status == StatusSuspected && v.Crashes >= quarantineCrashes
+	})...)
+}
+
+// find returns the records of the requests whose verdict matches, the newest first.
+func (t *Table) find(matches func(Verdict) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	var records []Record
 	for _, e := range t.all() {
-		if t.judge(e.Request, e.Service, now).Status == StatusQuarantined {
+		if matches(t.judge(e.Request, e.Service, now)) {
 			records = append(records, e.recordAt(now))
 		}
 	}
@@ -69,12 +83,12 @@
 	return records
 }
 
-// QuarantinedShare returns at most n of the records that Quarantined returns. Partners take
-// turns, each with its newest first, so that none displaces the others'.
-func (t *Table) QuarantinedShare(n int) []Record {
+// ConvictedShare returns at most n of the records that Convicted returns. Partners take turns,
+// each with its first ones first, so that none displaces the others'.
+func (t *Table) ConvictedShare(n int) []Record {
 	byPartner := make(map[string][]Record)
 	var partners []string
-	for _, r := range t.Quarantined() {
+	for _, r := range t.Convicted() {
 		if byPartner[r.Partner] == nil {
 			partners = append(partners, r.Partner)
 		}
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -234,37 +234,38 @@
 	e.change, e.source = t.changes, source
 }
 
-// logQuarantine counts and logs that a change quarantined the request, and wakes what saves
-// it. The caller holds mu.
+// logQuarantine counts and logs that a change quarantined the request. It wakes what saves the
+// request if that is to outlive this daemon. The caller holds mu.
 func (t *Table) logQuarantine(e *entry, before Verdict, now time.Time) {
 	v := t.judge(e.Request, e.Service, now)
+	if e.isReported && v.Crashes >= quarantineCrashes && (before.Crashes < quarantineCrashes || v.Status != before.Status) {
+		t.wakeSaver()
+	}
 	if v.Status != StatusQuarantined || before.Status == StatusQuarantined {
 		return
 	}
 	t.Counters.Quarantined.Add(1)
-	if e.isReported {
-		select {
-		case t.unsavedChan() <- struct{}{}:
-		default:
-		}
-	}
 	if t.Log != nil {
 		t.Log.Warn("request-quarantined", zap.Stringer("request-digest", e.Request), zap.String("service", e.Service),
 			zap.String("partner", e.Partner), zap.Int("crashes", v.Crashes), zap.Duration("for", v.Remaining), zap.Bool("learned", !e.isReported))
 	}
 }
 
-// Unsaved returns a channel that holds a token after a request was quarantined of which this
-// daemon found a crash, so that the daemons that found it save it, and not all that learn of
-// it, and after MarkUnsaved.
+// Unsaved returns a channel that holds a token after a request was convicted or quarantined of
+// which this daemon found a crash, so that the daemons that found it save it, and not all that
+// learn of it, and after MarkUnsaved.
 func (t *Table) Unsaved() <-chan struct{} { return t.unsavedChan() }
 
-// MarkUnsaved makes Unsaved return a token if a request is quarantined, since what was saved
-// may be lost.
+// MarkUnsaved makes Unsaved return a token if a request is convicted, since what was saved may
+// be lost.
 func (t *Table) MarkUnsaved() {
-	if len(t.Quarantined()) == 0 {
-		return
+	if len(t.Convicted()) > 0 {
+		t.wakeSaver()
 	}
+}
+
+// wakeSaver makes Unsaved return a token.
+func (t *Table) wakeSaver() {
 	select {
 	case t.unsavedChan() <- struct{}{}:
 	default:
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -283,7 +283,7 @@
 	quarantine("magnolia", 2)
 	quarantine("regie", 50)
 	counts := make(map[string]int)
-	for _, r := range table.QuarantinedShare(10) {
+	for _, r := range table.ConvictedShare(10) {
 		counts[r.Partner]++
 	}
 	if got, want := fmt.Sprint(counts), "map[magnolia:2 regie:8]"; got != want {
--- a/spreader/savedquarantine.go
+++ b/spreader/savedquarantine.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// quarantineKey is the store's key for the quarantined requests. It is read together
-	// with the relay slots, of which it is none.
+	// quarantineKey is the store's key for the requests that have ended several targets. It is
+	// read together with the relay slots, of which it is none.
 	quarantineKey = relayPrefix + "quarantine"
 	// maxSaved bounds the records in the store.
 	maxSaved = 64
@@ -32,8 +32,8 @@
 	Records   []quarantiner.Record `cbor:"2,keyasint"`
 }
 
-// saveQuarantine writes requests that this daemon found to be quarantined to the store until
-// ctx ends, so that they outlive the end of all daemons.
+// saveQuarantine writes requests that this daemon found to have ended several targets to the
+// store until ctx ends, so that they outlive the end of all daemons.
 func (s *Spreader) saveQuarantine(ctx context.Context) {
 	if s.Quarantine == nil {
 		return
@@ -62,8 +62,8 @@
 	}
 }
 
-// trySave adds the quarantined requests of this daemon's table to those in the store, unless
-// these are the same.
+// trySave adds the convicted requests of this daemon's table to those in the store, unless these
+// are the same.
 func (s *Spreader) trySave(ctx context.Context) error {
 	item, err := s.Store.Get(ctx, quarantineKey)
 	var missing *storer.NotFoundError
@@ -71,7 +71,7 @@
 		return err
 	}
 	saved := s.loadQuarantine(item)
-	records := s.Quarantine.QuarantinedShare(maxSaved)
+	records := s.Quarantine.ConvictedShare(maxSaved)
 	if containsRecords(saved, records) {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	})
 }
 
-// loadQuarantine merges the quarantined requests of a store item into this daemon's table,
+// loadQuarantine merges the requests of a store item into this daemon's table,
 // and returns them. An item that can't be read holds none, and the next save replaces it.
 func (s *Spreader) loadQuarantine(item storer.Item) []quarantiner.Record {
 	if s.Quarantine == nil || len(item.Value) == 0 {
--- a/spreader/suspicion_test.go
+++ b/spreader/suspicion_test.go
@@ -81,6 +81,32 @@
 	f.waitStatus(request, quarantiner.StatusQuarantined)
 }
 
+// TestConvictedSuspectOutlivesTheEndOfAllDaemons guards against a request that has ended several
+// targets before any of the crashes was known, so that none was in a trial, and that all daemons
+// run again once they have restarted.
+func TestConvictedSuspectOutlivesTheEndOfAllDaemons(t *testing.T) {
+	f := newFleet(t)
+	f.acceptVersion()
+	f.startMembers(3, "mobile-bay", "selma-row")
+	f.waitConverged()
+	f.waitMembers(6)
+	request := quarantiner.NewDigest("magnolia", "", "GET", "/shares/7", nil)
+	for i, m := range f.members[:3] {
+		m.Quarantine.ReportCrash(request, "ledger-view", "magnolia", quarantiner.Crash{Run: uint64(i)})
+	}
+	f.waitFor("the suspect in the store", func() (bool, string) {
+		item, err := f.store.Get(t.Context(), quarantineKey)
+		return err == nil, fmt.Sprint(len(item.Value), err)
+	})
+	f.restartAll()
+	f.waitStatus(request, quarantiner.StatusSuspected)
+	for _, m := range f.members {
+		if got := m.Quarantine.Judge(request, "ledger-view"); got.Crashes != 3 || !got.IsOnTrial() {
+			t.Errorf("%s: got %+v, want three crashes, on trial", m.InstanceID, got)
+		}
+	}
+}
+
 // TestQuarantineIsSavedAgainAfterARestore guards against a request that ends targets again:
 // the store comes back from a copy of before the quarantine, and then all daemons end.
 func TestQuarantineIsSavedAgainAfterARestore(t *testing.T) {
