Split the reading of a message from what becomes of it

Cause: Receive gathered, dropped and decoded a message in one loop, and a roster that another relay had written counted as written here.

Change: Receive decides by the result of gather; RostersWritten counts this daemon's writes alone.

Measured: go test -race ./messenger passes; no behavior on links is meant to change.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -252,43 +252,59 @@
 	}
 	var g gatherer.Gatherer
 	defer g.Free()
-	reserved := int64(0)
-	release := func() {
-		if l.Answers != nil {
-			l.Answers.Give(reserved)
-		}
-	}
-	for err == nil {
-		if err = g.Read(r, gatherer.ChunkBytes); err != nil || l.Answers == nil || !isAnswer(&g) {
-			continue
-		}
-		if !l.Answers.Take(gatherer.ChunkBytes, int64(g.Len())+gatherer.ChunkBytes) {
-			answer, err := refuseAnswer(g.Bytes())
-			release()
-			g.Free()
-			if err == nil {
-				_, err = io.Copy(io.Discard, r)
-			}
-			return answer, err
+	reserved, err := l.gather(&g, r)
+	release := func() { l.Answers.Give(reserved) }
+	switch {
+	case errors.Is(err, errNoRoom):
+		begin := g.Bytes()
+		g.Free()
+		release()
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			return nil, err
 		}
-		reserved += gatherer.ChunkBytes
-	}
-	if !errors.Is(err, io.EOF) {
+		return refuseAnswer(begin)
+	case err != nil && reserved > 0:
 		release()
 		return nil, err
+	case err != nil:
+		return nil, err
 	}
 	if l.Traffic != nil {
 		l.Traffic.ReceivedBytes.Add(int64(g.Len()))
 	}
 	m, err := Decode(g.Bytes())
-	if a, ok := m.(*Answer); ok && reserved > 0 {
-		a.hold(release)
-	} else {
+	answer, ok := m.(*Answer)
+	switch {
+	case ok && reserved > 0:
+		answer.hold(release)
+	case reserved > 0:
 		release()
 	}
 	return m, err
 }
 
+// errNoRoom means that a part of an answer was read, and that Answers has no room for the rest.
+var errNoRoom = errors.New("no room for the answer")
+
+// gather reads a message to its end, and reserves the room of a long answer before it is read. It
+// returns the bytes that it has reserved, also if it fails.
+func (l *Link) gather(g *gatherer.Gatherer, r io.Reader) (reserved int64, err error) {
+	for {
+		err := g.Read(r, gatherer.ChunkBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			return reserved, nil
+		case err != nil:
+			return reserved, err
+		case l.Answers == nil || !isAnswer(g):
+			continue
+		case !l.Answers.Take(gatherer.ChunkBytes, int64(g.Len())+gatherer.ChunkBytes):
+			return reserved, errNoRoom
+		}
+		reserved += gatherer.ChunkBytes
+	}
+}
+
 // isAnswer reports whether the message that is being gathered is an answer.
 func isAnswer(g *gatherer.Gatherer) bool { return g.Len() > 0 && Kind(g.First()) == KindAnswer }
 
--- a/spreader/roster.go
+++ b/spreader/roster.go
@@ -215,7 +215,9 @@
 	item := storer.Item{Key: key, Value: value, Revision: revision}
 	var conflict *storer.ConflictError
 	var missing *storer.NotFoundError
-	if errors.As(err, &conflict) {
+	if err == nil {
+		s.Counters.RostersWritten.Add(1)
+	} else if errors.As(err, &conflict) {
 		item, err = s.Store.Get(ctx, key)
 	}
 	s.mu.Lock()
@@ -227,7 +229,6 @@
 	case err != nil:
 		s.Counters.StoreFailures.Add(1)
 	default:
-		s.Counters.RostersWritten.Add(1)
 		s.keepRoster(item)
 	}
 }
