Count the time of an order from before it was found

Cause: the store does not say when an order was given. Before orders ran their stages beside a restart, they were completed at once, and this did not show.

Change: an order that a daemon finds when it begins to watch counts from 4 s, or a quarter of its duration, before that. Orders that arrive while it watches are counted as before.

Ruled out: the wait for the whole fleet, which began the order 2.5 s after it was given, in time.

Test: TestUnseenOrderCompletesInTime failed before (running in the last stage after 16 s).

--- a/canarier/leader.go
+++ b/canarier/leader.go
@@ -42,6 +42,10 @@
 	// fleetWait is how long a leader that does not know the whole fleet waits for the rest. It
 	// then decides by the targets that it knows, but never that a service has moved already.
 	fleetWait = 3 * time.Second
+	// maxUnseenTime and maxUnseenPart bound the time for which an order may have been in the store
+	// before a daemon that begins to watch found it there, the second as a part of its duration.
+	maxUnseenTime = 4 * time.Second
+	maxUnseenPart = 0.25
 	// returnTime is how long after its loss a target counts as one that may come back.
 	returnTime = 30 * time.Second
 )
@@ -105,6 +109,18 @@
 	Order
 	err    error
 	seenAt time.Time
+	// wasThere says that the order was found when this daemon began to watch, so that it may
+	// have been given some time before.
+	wasThere bool
+}
+
+// began returns when the order was given, or before that if it may have been unseen for a while:
+// a version that is good is completed in its time all the same.
+func (o *seenOrder) began() time.Time {
+	if !o.wasThere {
+		return o.seenAt
+	}
+	return o.seenAt.Add(-min(maxUnseenTime, time.Duration(maxUnseenPart*float64(o.Duration))))
 }
 
 // Run watches for orders and decides them until ctx ends.
@@ -129,7 +145,7 @@
 // watch reads all orders and waits for changes, until a call fails or this daemon is no longer
 // a watcher.
 func (l *Leader) watch(ctx context.Context) error {
-	at, err := l.readOrders(ctx)
+	at, err := l.readOrders(ctx, true)
 	for err == nil && l.IsWatcher() {
 		var unchanged *storer.NotFoundError
 		var compacted *storer.CompactedError
@@ -138,15 +154,15 @@
 		case errors.As(err, &unchanged):
 			err = nil
 		case err == nil, errors.As(err, &compacted):
-			at, err = l.readOrders(ctx)
+			at, err = l.readOrders(ctx, false)
 		}
 	}
 	return err
 }
 
 // readOrders reads all orders and states, announces them, and returns the revision at which it
-// read them.
-func (l *Leader) readOrders(ctx context.Context) (storer.Revision, error) {
+// read them. isFirst says that this daemon begins to watch.
+func (l *Leader) readOrders(ctx context.Context, isFirst bool) (storer.Revision, error) {
 	items, at, err := l.Store.ListAt(ctx, l.Codec.OrderPrefix)
 	if err != nil {
 		return at, err
@@ -168,6 +184,7 @@
 	open := make(map[string]seenOrder)
 	for _, item := range items {
 		o := l.decodeOrder(item)
+		o.wasThere = isFirst
 		st, ok := statuses[o.Service]
 		if ok && st.isVerdict() && st.Version == o.Version && o.err == nil {
 			l.Part.Publish(finalDirective(st, o.Revision, 0))
@@ -253,7 +270,7 @@
 	defer l.mu.Unlock()
 	for service, o := range orders {
 		if old, ok := l.orders[service]; ok && old.Version == o.Version {
-			o.seenAt = old.seenAt
+			o.seenAt, o.wasThere = old.seenAt, old.wasThere
 			orders[service] = o
 		}
 	}
--- a/canarier/restart_test.go
+++ b/canarier/restart_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"bambooweir.example/bambooweir/fakestorer"
 	"bambooweir.example/bambooweir/tracker"
 )
 
@@ -84,3 +85,22 @@
 		}
 	}
 }
+
+// TestUnseenOrderCompletesInTime guards against a good version that misses its time because the
+// order was given while no daemon watched, and whose time was counted from when one found it.
+func TestUnseenOrderCompletesInTime(t *testing.T) {
+	for _, unseen := range []time.Duration{0, time.Second, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 2, func(int) bool { return false })
+			f.addTargets("v2")
+			f.setFault(fakestorer.Fault{IsDown: true})
+			f.playUntil(10*time.Second, func() bool { return false })
+			f.order(Order{Service: testService, Version: "v2", Duration: testDuration})
+			f.playUntil(unseen, func() bool { return false })
+			f.setFault(fakestorer.Fault{})
+			if !f.playUntil(testDuration-unseen, func() bool { return f.isOver("v2") }) {
+				t.Errorf("unseen for %v: got status %+v, want completed in %v", unseen, f.status(testService), testDuration)
+			}
+		})
+	}
+}
--- a/canarier/round.go
+++ b/canarier/round.go
@@ -68,7 +68,7 @@
 	}
 	known, _ := l.Part.Known(o.Service)
 	r := &run{order: o.Order, revision: item.Revision, status: Status{
-		Service: o.Service, Version: o.Version, State: StateRunning, Began: o.seenAt, Revision: o.Revision,
+		Service: o.Service, Version: o.Version, State: StateRunning, Began: o.began(), Revision: o.Revision,
 		Barred: addBarred(st.Barred, known.Barred...),
 	}}
 	wasRunning := st.State == StateRunning && st.Version == o.Version
