Drop long answers for which no call waits

What callers saw: on a busy machine a call whose target answers with 16 MB ended as unknown (no-room-for-answer) although no other call was under way.

Cause: an answer that comes after its call has ended kept its room until the garbage collector ran.

Change: a link drops a long answer, also half read, once its call does not wait, and an answer that comes to nobody, or damaged, gives its room back at once.

Why it works: only awaited answers hold room, until they are written or given up.

Tests: TestLongAnswersTakeTheirRoom has an answer that nobody waits for.

--- a/forwarder/dispatch.go
+++ b/forwarder/dispatch.go
@@ -255,6 +255,7 @@
 	took := time.Since(began)
 	if answer.IsDamaged() {
 		f.Counters.Damaged.Add(1)
+		answer.Release()
 		answer = messenger.Unknown(call.ID, causeDamaged)
 	}
 	if choice.Record.Domain != f.Picker.Domain {
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -137,6 +137,7 @@
 	l.mu.Unlock()
 	if wait == nil {
 		l.forwarder.Counters.StrayAnswers.Add(1)
+		answer.Release()
 		return
 	}
 	wait <- answer
@@ -181,7 +182,10 @@
 		return answerOrLost(answer, ok)
 	case <-ctx.Done():
 	}
-	defer l.unregister(id)
+	defer func() {
+		l.unregister(id)
+		releaseUnread(wait)
+	}()
 	go func() { _ = l.conn.Send(context.Background(), &messenger.Cancel{ID: id}) }()
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, ctx.Err()
@@ -196,6 +200,17 @@
 	}
 }
 
+// releaseUnread gives back the memory of an answer that came when nobody waited any more.
+func releaseUnread(wait <-chan *messenger.Answer) {
+	select {
+	case answer, ok := <-wait:
+		if ok {
+			answer.Release()
+		}
+	default:
+	}
+}
+
 // answerOrLost returns the answer, or errLinkLost if ok is false, which means that
 // the link closed the channel.
 func answerOrLost(answer *messenger.Answer, ok bool) (*messenger.Answer, error) {
@@ -231,6 +246,14 @@
 	delete(l.waiting, id)
 }
 
+// isAwaited reports whether a call waits for its answer on this link.
+func (l *callLink) isAwaited(id messenger.CallID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.waiting[id]
+	return ok
+}
+
 // takeAcks returns the pending acknowledgements and removes them from the link.
 func (l *callLink) takeAcks() []messenger.CallID {
 	l.mu.Lock()
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -218,7 +218,11 @@
 	if opening.Draining {
 		f.markDraining(opening.InstanceID, opening.Incarnation)
 	}
-	return newCallLink(f, conn, *opening), nil
+	l := newCallLink(f, conn, *opening)
+	if link, ok := conn.(*messenger.Link); ok {
+		link.IsAwaited = l.isAwaited
+	}
+	return l, nil
 }
 
 // dialConn opens a connection by Dial, or by messenger.Dial if that is nil.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -37,8 +37,13 @@
 // Len returns the number of bytes that were read.
 func (g *Gatherer) Len() int { return g.size }
 
-// First returns the first byte. There must be one.
-func (g *Gatherer) First() byte { return g.chunks[0][0] }
+// Begin returns what was read into the first piece, until Free is called.
+func (g *Gatherer) Begin() []byte {
+	if len(g.chunks) == 0 {
+		return nil
+	}
+	return g.chunks[0][:min(g.size, ChunkBytes)]
+}
 
 // Bytes returns a copy of all bytes that were read. All pieces but the last must be full.
 func (g *Gatherer) Bytes() []byte {
--- a/messenger/heldanswer_test.go
+++ b/messenger/heldanswer_test.go
@@ -55,7 +55,7 @@
 	answer := func(id byte, size int) *Answer {
 		return &Answer{ID: CallID{id}, Outcome: OutcomeAnswered, Status: 200, Sent: true, Body: []byte(strings.Repeat("a", size))}
 	}
-	link := linkTo(t, answer(1, 700<<10), answer(2, 700<<10), answer(3, 1<<10), answer(4, 700<<10), &Call{ID: CallID{5}, Body: make([]byte, 2<<20)})
+	link := linkTo(t, answer(1, 700<<10), answer(2, 700<<10), answer(3, 1<<10), answer(4, 700<<10), answer(6, 700<<10), &Call{ID: CallID{5}, Body: make([]byte, 2<<20)})
 	budget := new(testBudget)
 	budget.max.Store(1 << 20)
 	link.Answers = budget
@@ -80,6 +80,10 @@
 	}
 	fourth.Release()
 	fourth.Release()
+	link.IsAwaited = func(id CallID) bool { return id != CallID{6} }
+	if got := receive().(*Answer); got.ID != (CallID{6}) || got.Outcome != OutcomeUnknown || budget.taken.Load() != 0 {
+		t.Errorf("answer that nobody waits for: got %v %v, %d bytes taken, want it dropped and 0", got.ID, got.Outcome, budget.taken.Load())
+	}
 	if got := len(receive().(*Call).Body); got != 2<<20 {
 		t.Errorf("call: got %d bytes, want them all, since it is no answer", got)
 	}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -93,6 +93,9 @@
 	// Answers bounds the long answers that were received on all links and are still in use;
 	// nil means no bound. It must be set before the first message.
 	Answers Budget
+	// IsAwaited reports whether a call still waits for its answer; nil means that all do. A long
+	// answer is dropped as soon as its call does not. It must be set before the first answer.
+	IsAwaited func(CallID) bool
 
 	mu          sync.Mutex
 	queue       []queued
@@ -255,14 +258,14 @@
 	reserved, err := l.gather(&g, r)
 	release := func() { l.Answers.Give(reserved) }
 	switch {
-	case errors.Is(err, errNoRoom):
-		begin := g.Bytes()
+	case errors.Is(err, errDropped):
+		answer, err := refuseAnswer(g.Begin())
 		g.Free()
 		release()
-		if _, err := io.Copy(io.Discard, r); err != nil {
-			return nil, err
+		if err == nil {
+			_, err = io.Copy(io.Discard, r)
 		}
-		return refuseAnswer(begin)
+		return answer, err
 	case err != nil && reserved > 0:
 		release()
 		return nil, err
@@ -283,8 +286,9 @@
 	return m, err
 }
 
-// errNoRoom means that a part of an answer was read, and that Answers has no room for the rest.
-var errNoRoom = errors.New("no room for the answer")
+// errDropped means that a part of an answer was read, and that the rest is to be dropped: Answers
+// has no room for it, or its call does not wait any more.
+var errDropped = errors.New("the answer is dropped")
 
 // gather reads a message to its end, and reserves the room of a long answer before it is read. It
 // returns the bytes that it has reserved, also if it fails.
@@ -298,15 +302,24 @@
 			return reserved, err
 		case l.Answers == nil || !isAnswer(g):
 			continue
-		case !l.Answers.Take(gatherer.ChunkBytes, int64(g.Len())+gatherer.ChunkBytes):
-			return reserved, errNoRoom
+		case !l.isAwaited(g), !l.Answers.Take(gatherer.ChunkBytes, int64(g.Len())+gatherer.ChunkBytes):
+			return reserved, errDropped
 		}
 		reserved += gatherer.ChunkBytes
 	}
 }
 
+// isAwaited reports whether a call waits for the answer that is being gathered.
+func (l *Link) isAwaited(g *gatherer.Gatherer) bool {
+	if l.IsAwaited == nil {
+		return true
+	}
+	id, err := decodeAnswerID(g.Begin())
+	return err != nil || l.IsAwaited(id)
+}
+
 // isAnswer reports whether the message that is being gathered is an answer.
-func isAnswer(g *gatherer.Gatherer) bool { return g.Len() > 0 && Kind(g.First()) == KindAnswer }
+func isAnswer(g *gatherer.Gatherer) bool { return g.Len() > 0 && Kind(g.Begin()[0]) == KindAnswer }
 
 // Close closes the link without a WebSocket closing handshake.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
