Let a faded latency be replaced by the next answer

What callers saw: one of four equal targets got a call in four or five seconds for a minute, since its first answer had been slow. Its capacity was lacking for that time.

Cause: a mean latency loses its effect over 5 s without an answer, but the answer of the call that this allows counted a fifth in the old mean, which then had its full effect again. The time that calls wait on the way, for calls with an objective, had the same fault.

No domain was lost and no target ejected.

Change: an answer's weight in a mean latency is what the mean has lost by its age, at least a fifth.

Why it works: the mean that is compared and the mean that the answer is added to have now lost the same part.

Test: TestSlowFirstAnswerIsForgotten failed before in both cases (share 0 % of the calls after 15 s, want 20 to 30).

--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -70,6 +70,35 @@
 	}
 }
 
+// A target whose first answer was slow gets its part of the calls soon after. Each of its
+// later answers used to count a fifth, however old the first one was: it got one call in
+// five seconds for over a minute.
+func TestSlowFirstAnswerIsForgotten(t *testing.T) {
+	for _, need := range []Need{{}, {Objective: testObjective}} {
+		t.Run(fmt.Sprintf("objective %s", need.Objective), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[string]int{"mobile-bay": 4})
+				slow := f.pickUntil(t, "mobile-bay-0")
+				time.Sleep(100 * time.Millisecond)
+				slow.Done(Result{Outcome: Answered, Transit: 100 * time.Millisecond})
+				got, n := 0.0, 0
+				for start := time.Now(); time.Since(start) < 5*latencyFadeTime; {
+					c, _ := f.Pick(f.policy, need, Tried{})
+					time.Sleep(2 * time.Millisecond)
+					c.Done(Result{Outcome: Answered, Transit: time.Millisecond, HasLoad: true, Slots: 12, Run: time.Millisecond})
+					if time.Since(start) > 3*latencyFadeTime {
+						n++
+						if c.Record.InstanceID == "mobile-bay-0" {
+							got++
+						}
+					}
+				}
+				wantBetween(t, "share of the target", 100*got/float64(n), 20, 30)
+			})
+		})
+	}
+}
+
 func TestAbandonedAttemptShowsSlowTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(map[string]int{"mobile-bay": 5})
--- a/picker/target.go
+++ b/picker/target.go
@@ -12,7 +12,7 @@
 
 const (
 	// latencyWeight and failureWeight are the weights of the newest call in the
-	// exponentially weighted moving averages.
+	// exponentially weighted moving averages. A latency weighs more after a pause.
 	latencyWeight = 0.2
 	failureWeight = 0.1
 	// latencyTolerance is the ratio of mean latencies up to which two targets
@@ -56,9 +56,11 @@
 	observedAt atomic.Int64
 }
 
-// observe includes a time in the mean. The first one becomes the mean.
+// observe includes a time in the mean, with the weight that the mean has lost since the last
+// one, or latencyWeight if that is more. The first time becomes the mean.
 func (l *latency) observe(took time.Duration, now instant) {
-	weight := latencyWeight
+	age := now.sub(instant(l.observedAt.Load()))
+	weight := min(1, max(latencyWeight, float64(age)/float64(latencyFadeTime)))
 	if l.mean.value() == 0 {
 		weight = 1
 	}
