Hold a ready target until its departure can be known

What callers saw: with the store silent, a departure that a daemon had confirmed was forgotten by the daemon's next process.

Cause: the daemon waited half a second for the store and then took the lack of news for the news that there was no departure. Its peers knew better, but it joins them only after its call of the store has timed out, and their record was by then older than its own.

Evidence: with hold switched off three cases of TestTargetWaitsForItsDeparture fail (state ready, want none).

Change: an announcement that would put a target into use is held until the store has been read, or the peers have said what they know of the daemon's earlier processes. It is dropped if the target has since been silent for its heartbeat timeout.

Why it works: a daemon without store and peers has no configuration and takes no calls, so nobody waits for the held announcement; the peer that brings the configuration brings the record too.

Tests: TestTargetWaitsForItsDeparture, TestOwnHistoryIsReported.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -114,6 +114,10 @@
 	// handedOver reports that this daemon gave its idempotency keys to others.
 	handedOver bool
 	departure  departureState
+	// held is the newest announcement that waits until the departure is known, heldAt when it
+	// arrived.
+	held   Announcement
+	heldAt time.Time
 }
 
 // run identifies one process lifetime of a target.
@@ -176,7 +180,7 @@
 		return err
 	}
 	a.Counters.Announced.Add(1)
-	a.announcedAt = time.Now()
+	a.announcedAt, a.held = time.Now(), Announcement{}
 	a.silence.hear()
 	wasLeaving := a.isLeaving()
 	if in.run() == (run{}) {
--- a/announcer/departure.go
+++ b/announcer/departure.go
@@ -44,6 +44,9 @@
 		r = a.current.run()
 	}
 	a.markEnded(r)
+	if runID == a.held.RunID && (epoch == 0 || epoch == a.held.Epoch) {
+		a.held = Announcement{}
+	}
 	if epoch >= a.current.Epoch {
 		a.setDeparture(epoch)
 	}
--- a/announcer/savedeparture.go
+++ b/announcer/savedeparture.go
@@ -15,12 +15,14 @@
 )
 
 // This file keeps departures beyond the end of all daemons: what this process knows of a
-// departure is saved before its target gets the acknowledgement, and an announcement is not
-// applied before this process has read what an earlier one saved. Both waits are bounded,
-// since a target calls another daemon if it gets no answer within a second.
+// departure is saved before its target gets the acknowledgement, and a target does not become
+// ready before this process has read what an earlier one saved, or has it from a peer. Both
+// waits of the target for its answer are bounded, since it calls another daemon if it gets none
+// within a second.
 
 const (
-	// recallTimeout bounds the wait of an announcement for the saved departure.
+	// recallTimeout bounds the wait of an announcement for the saved departure. A ready
+	// target's announcement is then held.
 	recallTimeout = 500 * time.Millisecond
 	// saveTimeout bounds the wait of an acknowledgement for the departure to be saved.
 	saveTimeout = 400 * time.Millisecond
@@ -37,9 +39,9 @@
 	recalled uint64
 	// newest is the epoch of the run that departed last, saved the one in the store.
 	newest, saved uint64
-	// isRead is closed once the store has been read, isSaved when newest is saved the
-	// next time.
-	isRead, isSaved chan struct{}
+	// isKnown is closed once the store, or a peer, has said whether an earlier process knew
+	// of a departure, isSaved when newest is saved the next time.
+	isKnown, isSaved chan struct{}
 	// wake holds a token while newest may not be saved.
 	wake chan struct{}
 }
@@ -58,24 +60,84 @@
 func (a *Announcer) departureStateLocked() *departureState {
 	d := &a.departure
 	if d.wake == nil {
-		d.isRead, d.isSaved, d.wake = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+		d.isKnown, d.isSaved, d.wake = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	}
 	return d
 }
 
 // Receive is like Announce for an announcement that the target sends: it waits until the
 // departure that an earlier process saved is known, and until the one that the announcement
-// tells of is saved.
+// tells of is saved. An announcement that would put the target into use before that is known
+// is held.
 func (a *Announcer) Receive(ctx context.Context, in Announcement) error {
 	a.mu.Lock()
-	isRead := a.departureStateLocked().isRead
+	isKnown := a.departureStateLocked().isKnown
 	a.mu.Unlock()
-	a.await(ctx, isRead, recallTimeout)
+	a.await(ctx, isKnown, recallTimeout)
+	if isHeld, err := a.hold(in); isHeld || err != nil {
+		return err
+	}
 	err := a.Announce(in)
 	a.awaitSaved(ctx)
 	return err
 }
 
+// hold keeps the announcement for later if it would put the target into use before it is known
+// whether its run is leaving, and reports whether it does.
+func (a *Announcer) hold(in Announcement) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isLeaving := in.state() == tracker.StateDraining || in.state() == tracker.StateGone
+	if a.Departures == nil || a.record.Sequence > 0 || isLeaving || in.Epoch == 0 || a.isDepartureKnown() {
+		return false, nil
+	}
+	if err := a.checkOrder(in); err != nil {
+		return false, err
+	}
+	if in.Epoch < a.held.Epoch || in.run() == a.held.run() && in.Sequence < a.held.Sequence {
+		return true, nil
+	}
+	if a.held == (Announcement{}) {
+		a.logger().Info("announcement-held", zap.String("run-id", in.RunID), zap.Uint64("epoch", in.Epoch))
+	}
+	a.held, a.heldAt = in, time.Now()
+	return true, nil
+}
+
+// isDepartureKnown reports whether the store, or a peer, has said whether an earlier process
+// knew of a departure. The caller holds mu.
+func (a *Announcer) isDepartureKnown() bool {
+	select {
+	case <-a.departureStateLocked().isKnown:
+		return true
+	default:
+		return false
+	}
+}
+
+// LearnFromPeers records that Predecessor returns the record of an earlier process if any peer
+// has one.
+func (a *Announcer) LearnFromPeers() { a.applyHeld() }
+
+// applyHeld records that the departure is known and applies the announcement that was held for
+// it, unless the target has been silent since.
+func (a *Announcer) applyHeld() {
+	a.mu.Lock()
+	if !a.isDepartureKnown() {
+		close(a.departure.isKnown)
+	}
+	held := a.held
+	isSilent := a.HeartbeatTimeout > 0 && time.Since(a.heldAt) > a.HeartbeatTimeout
+	a.held = Announcement{}
+	a.mu.Unlock()
+	if held == (Announcement{}) || isSilent {
+		return
+	}
+	if err := a.Announce(held); err != nil {
+		a.Counters.Overtaken.Add(1)
+	}
+}
+
 // ReceiveDeparture is like Depart for a departure that the target sends: it waits until it is
 // saved.
 func (a *Announcer) ReceiveDeparture(ctx context.Context, runID string, epoch uint64) error {
@@ -167,12 +229,20 @@
 	}
 }
 
-// recallDeparture reads the departure that an earlier process saved and applies it.
+// recallDeparture reads the departure that an earlier process saved and applies it, and then
+// the announcement that was held for it.
 func (a *Announcer) recallDeparture(ctx context.Context) error {
 	epoch, err := a.Departures.Load(ctx)
 	if err != nil {
 		return err
 	}
+	a.applyRecalled(epoch)
+	a.applyHeld()
+	return nil
+}
+
+// applyRecalled applies the departure that an earlier process saved, 0 if there is none.
+func (a *Announcer) applyRecalled(epoch uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.departureStateLocked()
@@ -181,9 +251,8 @@
 		d.newest = epoch
 	}
 	d.setSaved(epoch)
-	close(d.isRead)
 	if epoch == 0 {
-		return nil
+		return
 	}
 	a.Counters.DeparturesRecalled.Add(1)
 	a.logger().Info("departure-recalled", zap.Uint64("epoch", epoch))
@@ -192,7 +261,6 @@
 		a.leaving, a.hasLeaving = a.current.run(), true
 		a.publish()
 	}
-	return nil
 }
 
 // saveDeparture saves the newest departure unless the store has it.
--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -108,6 +108,61 @@
 	}
 }
 
+// TestTargetWaitsForItsDeparture guards against a run that a restarted daemon puts back into use
+// by a late heartbeat, while neither the store nor a peer has answered yet.
+func TestTargetWaitsForItsDeparture(t *testing.T) {
+	left := tracker.Record{Incarnation: 1, Epoch: 1000, State: tracker.StateDraining, TargetLeaving: true}
+	ready := tracker.Record{Incarnation: 1, Epoch: 1000, State: tracker.StateReady}
+	tests := []struct {
+		name string
+		// peers is the record of the earlier process that the peers send 3 s after the start.
+		// They never answer if it is nil.
+		peers *tracker.Record
+		// storeAfter is when the store, which knows of no departure, answers again.
+		storeAfter time.Duration
+		// silent is set if the target sends nothing after its first heartbeat.
+		silent bool
+		want   string
+	}{
+		{name: "nobody answers", want: ""},
+		{name: "peers know of the departure", peers: &left, want: ""},
+		{name: "peers know of none", peers: &ready, want: "ready"},
+		{name: "peers know of no earlier process", peers: &tracker.Record{}, want: "ready"},
+		{name: "store answers", storeAfter: 5 * time.Second, want: "ready"},
+		{name: "store answers after the target has fallen silent", storeAfter: 5 * time.Second, silent: true, want: ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				faults := &fakestorer.FaultInjector{Client: new(fakestorer.Store)}
+				faults.Set(fakestorer.Fault{IsDown: true})
+				r := newRecorder()
+				r.Departures = &DepartureLog{Store: faults, InstanceID: "d1"}
+				r.HeartbeatTimeout = 3 * time.Second
+				var predecessor tracker.Record
+				r.Predecessor = func() (tracker.Record, bool) { return predecessor, predecessor.Epoch > 0 }
+				go r.Run(t.Context())
+				for i := range 10 {
+					time.Sleep(time.Second)
+					if i == 2 && tt.peers != nil {
+						predecessor = *tt.peers
+						r.LearnFromPeers()
+					}
+					if tt.storeAfter > 0 && time.Duration(i)*time.Second >= tt.storeAfter {
+						faults.Set(fakestorer.Fault{})
+					}
+					if i == 0 || !tt.silent {
+						_ = r.Receive(t.Context(), announcement(1000, uint64(i+1), tracker.StateReady))
+					}
+				}
+				if got := r.states(); got != tt.want {
+					t.Errorf("states: got %q, want %q", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // TestDepartureIsAcknowledgedWithoutStore guards against a target that gets no acknowledgement
 // within a second because the store is away.
 func TestDepartureIsAcknowledgedWithoutStore(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,6 +88,7 @@
 			d.spreader.Announce(context.Background(), []tracker.Record{r})
 		},
 	}
+	d.spreader.OnOwnHistory = d.announcer.LearnFromPeers
 	d.quarantine = &quarantiner.Table{Log: log, OnChange: d.spreader.SpreadSuspicions}
 	d.spreader.Quarantine = d.quarantine
 	d.limiter = &limiter.Limiter{Applier: d.applier, Service: d.announcer.Service, Announced: d.announcer.Slots, WarmsUp: d.announcer.WarmsUp}
--- a/logger/events.go
+++ b/logger/events.go
@@ -39,6 +39,7 @@
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
 		{"parent-lost", "the session with the parent ended", "parent, by-choice"},
 
+		{"announcement-held", "neither the store nor a peer has said whether the run is leaving; the target gets calls once one of them has", "run-id, epoch"},
 		{"departure-recalled", "this daemon read from the store that a run of its target is leaving or has left; the run gets no new calls", "epoch"},
 		{"target-state", "this daemon's target changed its state, disappeared or came back", "run-id, epoch, service, version, state, address, slots, sequence, vanished"},
 		{"target-marked-gone", "a daemon did not come back in time; its target is marked as gone", "target, service"},
--- a/spreader/exchange_test.go
+++ b/spreader/exchange_test.go
@@ -41,6 +41,44 @@
 	}
 }
 
+// TestOwnHistoryIsReported guards against a daemon that waits for news of its earlier processes
+// for as long as the store is away, and against one that takes the silence of a peer that has
+// just started for news.
+func TestOwnHistoryIsReported(t *testing.T) {
+	own, other := readyRecord("self", "mobile-bay"), readyRecord("other", "mobile-bay")
+	own.PeerAddress, other.PeerAddress = "127.0.0.1:7001", "127.0.0.1:7002"
+	tests := []struct {
+		name     string
+		records  []tracker.Record
+		position messenger.Position
+		pongs    int
+		want     bool
+	}{
+		{name: "own record", records: []tracker.Record{own}, want: true},
+		{name: "record of another instance", records: []tracker.Record{other}},
+		{name: "exchange has ended", position: messenger.Position{Version: 3}, pongs: pongsAfterExchange, want: true},
+		{name: "exchange may go on", position: messenger.Position{Version: 3}, pongs: pongsAfterExchange - 1},
+		{name: "peer without a configuration", pongs: pongsAfterExchange},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newIdleSpreader()
+			s.InstanceID = own.InstanceID
+			got := false
+			s.OnOwnHistory = func() { got = true }
+			sess := newIdleSession(s)
+			sess.remote = tt.position
+			s.handleMembers(t.Context(), tt.records, sess)
+			for range tt.pongs {
+				s.handlePong(sess, &messenger.HeartbeatAnswer{Position: tt.position})
+			}
+			if got != tt.want {
+				t.Errorf("reported: got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // newDeltaChain returns the documents of the versions 0 to n and the n deltas
 // between them.
 func newDeltaChain(n int) ([]digestedDoc, []versioner.Delta) {
--- a/spreader/heartbeat.go
+++ b/spreader/heartbeat.go
@@ -11,6 +11,10 @@
 // exchanged. A single mismatch may come from a ping that crossed a push.
 const mismatchesBeforeExchange = 2
 
+// pongsAfterExchange is the number of answers to pings after which the exchange of membership
+// at the beginning of a session has ended.
+const pongsAfterExchange = 2
+
 // queuePing queues a ping, if this daemon sends the session's pings.
 func (s *Spreader) queuePing(sess *session) {
 	if !sess.sendsPings() {
@@ -80,7 +84,12 @@
 	if m.Fleet != nil && sess.role == roleParent {
 		s.fleetFromParent = *m.Fleet
 	}
+	sess.pongs++
+	hasExchanged := sess.pongs >= pongsAfterExchange && sess.remote.Version > 0
 	s.mu.Unlock()
+	if hasExchanged {
+		s.reportOwnHistory()
+	}
 	if ok {
 		s.handleConfirmation(m.Confirm, sent)
 	}
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -101,6 +101,17 @@
 			s.refute(r)
 		}
 	}
+	if slices.ContainsFunc(valid, func(r tracker.Record) bool { return r.InstanceID == s.InstanceID }) {
+		s.reportOwnHistory()
+	}
+}
+
+// reportOwnHistory tells OnOwnHistory that the peers have said what they know of earlier
+// processes of this instance.
+func (s *Spreader) reportOwnHistory() {
+	if s.OnOwnHistory != nil {
+		s.OnOwnHistory()
+	}
 }
 
 // refute announces this daemon's own record again when r, a record of the same
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -66,6 +66,8 @@
 	sequence      uint64
 	// pings holds when the pings that await an answer were sent, by sequence.
 	pings map[uint64]time.Time
+	// pongs counts the answers to pings.
+	pongs int
 	// mismatches counts the consecutive pings with a different membership
 	// digest.
 	mismatches int
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -31,7 +31,7 @@
 
 // Spreader distributes configuration and membership on one daemon. The exported
 // fields must be set before the first method is called; Settings, External,
-// Quarantine, Parts and HTTP may stay zero.
+// Quarantine, OnOwnHistory, Parts and HTTP may stay zero.
 type Spreader struct {
 	InstanceID  string
 	Domain      string
@@ -47,6 +47,9 @@
 	// Quarantine, if not nil, is the table of requests under which targets have ended that
 	// is shared with the peers.
 	Quarantine *quarantiner.Table
+	// OnOwnHistory, if not nil, is called each time that the peers have said what they know of
+	// earlier processes of this instance.
+	OnOwnHistory func()
 	// Parts share their state with the peers.
 	Parts []Part
 	// HTTP is the client that opens links. Nil means the default client.
