Close the proxy's sides before it says that they are closed

No caller is concerned; the proxy is that of the tests.

Cause: a reset said first that the connection is done. The goroutine that serves it then closed both sides itself, sometimes before the reset had set the linger time to 0, so that the client saw an end.

Why it works: both sides are closed, or reset, when the connection is done.

--- a/faulter/faulter.go
+++ b/faulter/faulter.go
@@ -203,21 +203,22 @@
 	done       chan struct{}
 }
 
-// close closes both sides and done. It may be called more than once.
+// close closes both sides and then done, after which serveConn closes the sides again. It may
+// be called more than once.
 func (c *conn) close() {
 	c.once.Do(func() {
-		close(c.done)
 		c.client.Close()
 		c.server.Close()
+		close(c.done)
 	})
 }
 
 // reset is like close, but resets both sides.
 func (c *conn) reset() {
 	c.once.Do(func() {
-		close(c.done)
 		c.client.reset()
 		c.server.reset()
+		close(c.done)
 	})
 }
 
