Let a target's share of failures fade

What callers saw: a target that had failed more often than the others of its service, as the last one to fail when a service that all of them call comes back, got no calls for as long as the others had room. Its capacity was lacking when it was needed: a call that has to wait draws by the fourth power of the share of successes, so that few calls then reach it.

Cause: the share of failures is a moving average over calls. A target without calls kept it for good. Latencies, loads and run times fade.

Evidence: after 20 failures at one of four targets, or at each of them in turn, one target got none of the calls between 60 and 90 s later.

Change: the share of failures fades over 30 s without a call, and a new call counts a tenth in what is left.

Why it works: a target that fails still gets a trial call in some 30 s from each daemon and no more, since one failure puts it behind the others again; one that answers is level with them.

Test: TestFailuresAreForgotten failed before in both cases (0 % of the calls, want 20 to 30).

--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -175,7 +175,7 @@
 			sum += time.Duration(run)
 			known++
 		}
-		success += 1 - t.failureShare.value()
+		success += 1 - t.failures.at(now)
 		if t.reported.hasMean.Load() {
 			loadShare += t.reported.meanShare.value()
 			reported++
@@ -221,7 +221,7 @@
 // relativeSuccess returns the target's share of successful calls over the mean of the service, at
 // most 1.
 func (e *estimator) relativeSuccess(t *target) float64 {
-	success := 1 - t.failureShare.value()
+	success := 1 - t.failures.at(e.now)
 	if success >= e.meanSuccess {
 		return 1
 	}
@@ -323,13 +323,14 @@
 	if c.target == nil {
 		return false
 	}
-	v := c.picker.view(c.policy.Service, c.picker.now())
+	now := c.picker.now()
+	v := c.picker.view(c.policy.Service, now)
 	others, n := 0.0, 0
 	for _, t := range v.all {
 		if t != c.target {
-			others += t.failureShare.value()
+			others += t.failures.at(now)
 			n++
 		}
 	}
-	return n > 0 && c.target.failureShare.value() > outlierFactor*others/float64(n)+outlierMargin
+	return n > 0 && c.target.failures.at(now) > outlierFactor*others/float64(n)+outlierMargin
 }
--- a/picker/estimate_test.go
+++ b/picker/estimate_test.go
@@ -57,7 +57,8 @@
 		t.reported.slots.Store(12)
 		t.reported.meanRuns[classIndex(estimatePolicy())].Store(int64(report.run))
 		t.reported.turn.Store(int64(report.turn))
-		t.failureShare.add(report.failureShare, 1)
+		t.failures.mean.add(report.failureShare, 1)
+		t.failures.observedAt.Store(int64(p.now()))
 	}
 }
 
--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -99,6 +99,41 @@
 	}
 }
 
+// Targets that failed, as while a service that they call is down, share the calls again
+// afterwards. One that had failed more than others used to get none for as long as these had
+// room.
+func TestFailuresAreForgotten(t *testing.T) {
+	for _, failing := range []int{1, 4} {
+		t.Run(fmt.Sprintf("%d of 4", failing), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(map[string]int{"mobile-bay": 4})
+				for i := range failing {
+					for range 20 {
+						c := f.pickUntil(t, fmt.Sprintf("mobile-bay-%d", i))
+						c.byEstimate = true
+						c.Done(Result{Outcome: Failed, IsServerError: true})
+					}
+				}
+				got := make(map[string]float64)
+				n := 0.0
+				for start := time.Now(); time.Since(start) < 3*failureFadeTime; {
+					c, _ := f.Pick(f.policy, Need{Objective: testObjective}, Tried{})
+					time.Sleep(2 * time.Millisecond)
+					c.Done(Result{Outcome: Answered, HasLoad: true, Slots: 12, Run: time.Millisecond})
+					if time.Since(start) > 2*failureFadeTime {
+						n++
+						got[c.Record.InstanceID]++
+					}
+				}
+				for i := range 4 {
+					id := fmt.Sprintf("mobile-bay-%d", i)
+					wantBetween(t, "share of "+id, 100*got[id]/n, 20, 30)
+				}
+			})
+		})
+	}
+}
+
 func TestAbandonedAttemptShowsSlowTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(map[string]int{"mobile-bay": 5})
--- a/picker/outcome.go
+++ b/picker/outcome.go
@@ -105,7 +105,7 @@
 		if r.IsServerError && c.byEstimate {
 			// All targets of the service may answer with errors. The estimate compares
 			// their failure shares, so the target is not ejected here.
-			t.failureShare.add(1, failureWeight)
+			t.failures.observe(1, now)
 			break
 		}
 		c.recordFailure(now, int64(c.policy.EjectAfterFailures))
@@ -137,13 +137,13 @@
 	t := c.target
 	t.domain.recordAnswer()
 	t.consecutiveFailures.Store(0)
-	t.failureShare.add(0, failureWeight)
+	t.failures.observe(0, now)
 	t.latencies[classIndex(c.policy)].observe(now.sub(c.start), now)
 	until := instant(t.ejectedUntil.Load())
 	if until != 0 && c.probe {
 		t.readmittedAt.Store(int64(now))
 		t.ejectedUntil.Store(0)
-		t.failureShare.bits.Store(0)
+		t.failures.reset()
 		c.picker.Counters.Readmissions.Add(1)
 		if c.picker.Log != nil {
 			c.picker.Log.Info("target-readmitted", zap.String("target", c.Record.InstanceID), zap.String("service", c.policy.Service))
@@ -170,9 +170,9 @@
 func (c Choice) recordFailure(now instant, limit int64) {
 	t := c.target
 	c.observeLowerBound(now)
-	t.failureShare.add(1, failureWeight)
+	t.failures.observe(1, now)
 	failures := t.consecutiveFailures.Add(1)
-	if failures >= limit || c.probe || t.failsOften() {
+	if failures >= limit || c.probe || t.failsOften(now) {
 		c.eject(now)
 	}
 }
@@ -180,8 +180,8 @@
 // failsOften reports whether at least ejectFailureShare of the target's calls
 // fail. It requires more than one failure in a row, so that a first failure
 // alone does not count.
-func (t *target) failsOften() bool {
-	return t.consecutiveFailures.Load() > 1 && t.failureShare.value() >= ejectFailureShare
+func (t *target) failsOften(now instant) bool {
+	return t.consecutiveFailures.Load() > 1 && t.failures.at(now) >= ejectFailureShare
 }
 
 // eject ejects the target for EjectFor, doubled for each earlier ejection,
@@ -205,7 +205,7 @@
 	c.picker.Counters.Ejections.Add(1)
 	if c.picker.Log != nil {
 		c.picker.Log.Warn("target-ejected", zap.String("target", c.Record.InstanceID), zap.String("service", c.policy.Service),
-			zap.Int64("failures", t.consecutiveFailures.Load()), zap.Float64("failing", t.failureShare.value()),
+			zap.Int64("failures", t.consecutiveFailures.Load()), zap.Float64("failing", t.failures.at(now)),
 			zap.Duration("length", c.policy.EjectFor<<doublings))
 	}
 }
--- a/picker/status.go
+++ b/picker/status.go
@@ -113,7 +113,7 @@
 // describe fills in what this daemon observed of the target.
 func (t *target) describe(v *TargetView, now instant) {
 	v.InFlight, v.Load = t.inFlight.Load(), t.load(int(t.reported.slots.Load()), now)
-	v.FailurePercent, v.Ejections = int(100*t.failureShare.value()), t.ejections.Load()
+	v.FailurePercent, v.Ejections = int(100*t.failures.at(now)), t.ejections.Load()
 	ms := func(c int) float64 { return t.latencies[c].mean.value() / float64(time.Millisecond) }
 	v.LatencyMS = ClassLatencies{InternalRead: ms(0), Lookup: ms(1), Posting: ms(2), Scan: ms(3)}
 	until := instant(t.ejectedUntil.Load())
--- a/picker/target.go
+++ b/picker/target.go
@@ -18,6 +18,10 @@
 	// latencyTolerance is the ratio of mean latencies up to which two targets
 	// count as equally fast.
 	latencyTolerance = 2
+	// failureFadeTime is the time in which a share of failures loses its effect without a new
+	// call. Calls for which other targets have room would otherwise never reach the target
+	// again.
+	failureFadeTime = 30 * time.Second
 	// latencyFadeTime is the time in which an observed latency loses its effect
 	// without a new observation, so that a target is not avoided forever.
 	latencyFadeTime = 5 * time.Second
@@ -40,15 +44,57 @@
 
 // add includes a value with a weight of 0 to 1.
 func (a *average) add(value, weight float64) {
+	a.update(func(mean float64) float64 { return mean + (value-mean)*weight })
+}
+
+// scale multiplies the mean.
+func (a *average) scale(factor float64) {
+	if factor != 1 {
+		a.update(func(mean float64) float64 { return mean * factor })
+	}
+}
+
+// update replaces the mean.
+func (a *average) update(next func(mean float64) float64) {
 	for {
 		old := a.bits.Load()
-		mean := math.Float64frombits(old)
-		if a.bits.CompareAndSwap(old, math.Float64bits(mean+(value-mean)*weight)) {
+		if a.bits.CompareAndSwap(old, math.Float64bits(next(math.Float64frombits(old)))) {
 			return
 		}
 	}
 }
 
+// failureShare is the moving average of failures of one target, 0 to 1.
+type failureShare struct {
+	mean average
+	// observedAt is when the newest call ended.
+	observedAt atomic.Int64
+}
+
+// observe includes a call, 1 for a failed one and 0 for others.
+func (f *failureShare) observe(failed float64, now instant) {
+	before := instant(f.observedAt.Swap(int64(now)))
+	f.mean.scale(f.kept(before, now))
+	f.mean.add(failed, failureWeight)
+}
+
+// at returns the share, of which a part has faded since the newest call.
+func (f *failureShare) at(now instant) float64 {
+	mean := f.mean.value()
+	if mean == 0 {
+		return 0
+	}
+	return mean * f.kept(instant(f.observedAt.Load()), now)
+}
+
+// kept returns the part of the share that is left at now.
+func (f *failureShare) kept(since, now instant) float64 {
+	return min(1, max(0, 1-float64(now.sub(since))/float64(failureFadeTime)))
+}
+
+// reset forgets all failures.
+func (f *failureShare) reset() { f.mean.bits.Store(0) }
+
 // latency is the mean of the times observed for one target and class.
 type latency struct {
 	mean average
@@ -115,8 +161,7 @@
 
 	// consecutiveFailures is the number of failures since the last success.
 	consecutiveFailures atomic.Int64
-	// failureShare is the moving average of failures, 0 to 1.
-	failureShare average
+	failures            failureShare
 	// ejectedUntil is when an ejected target may be probed, 0 for a target that
 	// is not ejected. The ejection ends only when a probe succeeds.
 	ejectedUntil atomic.Int64
@@ -231,7 +276,7 @@
 // failures. Because it is a probability and not a penalty on the load, some
 // calls always reach the target and show when it may rise.
 func (t *target) weight(policy *applier.Policy, now instant) float64 {
-	success := 1 - t.failureShare.value()
+	success := 1 - t.failures.at(now)
 	weight := success * success
 	since := max(t.record.Load().inUseSince, instant(t.readmittedAt.Load()))
 	if age := now.sub(since); since != 0 && age < policy.SlowStart {
