Take no answer of a busy peer, and no single heartbeat, for news

Cause: two gaps in what puts a held target into use. Two answers to pings may come before the peer's records if this daemon reads the peer's membership digests late. And a store that was away says that it knows of no departure, though an earlier process could not save it; the one heartbeat that is held may be a late one.

Change: the answer counts whose ping followed this daemon's own digests, or that has the same digest of the members. A store that was away when the process started is believed alone only after a second heartbeat of the run.

Why it works: a peer answers in order, so that its records come before that answer. A target that serves sends heartbeats and needs no other sign; one that has left sends none.

Tests: TestOwnHistoryIsReported (records may follow the answer), TestTargetWaitsForItsDeparture (the only heartbeat may be late) failed before.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -115,9 +115,10 @@
 	handedOver bool
 	departure  departureState
 	// held is the newest announcement that waits until the departure is known, heldAt when it
-	// arrived.
-	held   Announcement
-	heldAt time.Time
+	// arrived, heldTimes the number of announcements of its run that have waited.
+	held      Announcement
+	heldAt    time.Time
+	heldTimes int
 }
 
 // run identifies one process lifetime of a target.
--- a/announcer/savedeparture.go
+++ b/announcer/savedeparture.go
@@ -44,6 +44,9 @@
 	isKnown, isSaved chan struct{}
 	// wake holds a token while newest may not be saved.
 	wake chan struct{}
+	// isStoreBehind says that the store was away when this process started, so that it may lack
+	// a departure that an earlier one could not save.
+	isStoreBehind bool
 }
 
 // setSaved records the epoch of the departure in the store.
@@ -100,7 +103,11 @@
 	if a.held == (Announcement{}) {
 		a.logger().Info("announcement-held", zap.String("run-id", in.RunID), zap.Uint64("epoch", in.Epoch))
 	}
+	if in.run() != a.held.run() {
+		a.heldTimes = 0
+	}
 	a.held, a.heldAt = in, time.Now()
+	a.heldTimes++
 	return true, nil
 }
 
@@ -117,20 +124,22 @@
 
 // LearnFromPeers records that Predecessor returns the record of an earlier process if any peer
 // has one.
-func (a *Announcer) LearnFromPeers() { a.applyHeld() }
+func (a *Announcer) LearnFromPeers() { a.applyHeld(true) }
 
 // applyHeld records that the departure is known and applies the announcement that was held for
-// it, unless the target has been silent since.
-func (a *Announcer) applyHeld() {
+// it. A target that sends heartbeats is waited for in two cases: it has been silent since, or has
+// sent only one, which may be late, while the news is not sure.
+func (a *Announcer) applyHeld(isSure bool) {
 	a.mu.Lock()
 	if !a.isDepartureKnown() {
 		close(a.departure.isKnown)
 	}
 	held := a.held
-	isSilent := a.HeartbeatTimeout > 0 && time.Since(a.heldAt) > a.HeartbeatTimeout
+	isSilent := time.Since(a.heldAt) > a.HeartbeatTimeout
+	waits := a.HeartbeatTimeout > 0 && (isSilent || !isSure && a.heldTimes == 1)
 	a.held = Announcement{}
 	a.mu.Unlock()
-	if held == (Announcement{}) || isSilent {
+	if held == (Announcement{}) || waits {
 		return
 	}
 	if err := a.Announce(held); err != nil {
@@ -234,15 +243,18 @@
 func (a *Announcer) recallDeparture(ctx context.Context) error {
 	epoch, err := a.Departures.Load(ctx)
 	if err != nil {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.departureStateLocked().isStoreBehind = true
 		return err
 	}
-	a.applyRecalled(epoch)
-	a.applyHeld()
+	a.applyHeld(!a.applyRecalled(epoch))
 	return nil
 }
 
-// applyRecalled applies the departure that an earlier process saved, 0 if there is none.
-func (a *Announcer) applyRecalled(epoch uint64) {
+// applyRecalled applies the departure that an earlier process saved, 0 if there is none, and
+// reports whether the store may lack a newer one.
+func (a *Announcer) applyRecalled(epoch uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.departureStateLocked()
@@ -252,7 +264,7 @@
 	}
 	d.setSaved(epoch)
 	if epoch == 0 {
-		return
+		return d.isStoreBehind
 	}
 	a.Counters.DeparturesRecalled.Add(1)
 	a.logger().Info("departure-recalled", zap.Uint64("epoch", epoch))
@@ -261,6 +273,7 @@
 		a.leaving, a.hasLeaving = a.current.run(), true
 		a.publish()
 	}
+	return d.isStoreBehind
 }
 
 // saveDeparture saves the newest departure unless the store has it.
--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -126,7 +126,8 @@
 		{"peers know of none", ready, 2, never, 10, "ready"},
 		{"peers know of no earlier process", tracker.Record{}, 2, never, 10, "ready"},
 		{"store answers", tracker.Record{}, never, 5, 10, "ready"},
-		{"store answers after the target has fallen silent", tracker.Record{}, never, 5, 1, ""},
+		{"store answers, the only heartbeat may be late", tracker.Record{}, never, 2, 1, ""},
+		{"store answers after the target has fallen silent", tracker.Record{}, never, 5, 2, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/spreader/exchange_test.go
+++ b/spreader/exchange_test.go
@@ -44,25 +44,24 @@
 // TestOwnHistoryIsReported guards against a daemon that waits for its history for good, or not at all.
 func TestOwnHistoryIsReported(t *testing.T) {
 	for _, tt := range []struct {
-		name, record string
-		version      versioner.Version
-		pongs        int
-		want         bool
+		name, record    string
+		version         versioner.Version
+		digests, answer uint64 // the last ping before the digests, and the one that is answered
+		want            bool
 	}{
-		{"own record", "self", 0, 0, true},
-		{"record of another instance", "other", 0, 0, false},
-		{"exchange has ended", "other", 3, pongsAfterExchange, true},
-		{"exchange may go on", "other", 3, pongsAfterExchange - 1, false},
-		{"peer without a configuration", "other", 0, pongsAfterExchange, false},
+		{"own record", "self", 0, 0, 0, true},
+		{"record of another instance", "other", 0, 0, 0, false},
+		{"exchange has ended", "other", 3, 5, 6, true},
+		{"records may follow the answer", "other", 3, 5, 5, false},
+		{"peer without a configuration", "other", 0, 5, 6, false},
 	} {
 		s, got := newIdleSpreader(), false
 		s.InstanceID, s.OnOwnHistory = "self", func() { got = true }
 		sess, record := newIdleSession(s), readyRecord(tt.record, "mobile-bay")
-		sess.remote.Version, record.PeerAddress = tt.version, "127.0.0.1:7001"
+		sess.remote.Version, sess.sequence, record.PeerAddress = tt.version, tt.digests, "127.0.0.1:7001"
 		s.handleMembers(t.Context(), []tracker.Record{record}, sess)
-		for range tt.pongs {
-			s.handlePong(sess, &messenger.HeartbeatAnswer{Position: sess.remote})
-		}
+		s.handleDigests(sess, &messenger.MemberDigests{Reply: true})
+		s.handlePong(sess, &messenger.HeartbeatAnswer{Sequence: tt.answer, Position: sess.remote})
 		if got != tt.want {
 			t.Errorf("%s: reported: got %t, want %t", tt.name, got, tt.want)
 		}
--- a/spreader/heartbeat.go
+++ b/spreader/heartbeat.go
@@ -11,10 +11,6 @@
 // exchanged. A single mismatch may come from a ping that crossed a push.
 const mismatchesBeforeExchange = 2
 
-// pongsAfterExchange is the number of answers to pings after which the exchange of membership
-// at the beginning of a session has ended.
-const pongsAfterExchange = 2
-
 // queuePing queues a ping, if this daemon sends the session's pings.
 func (s *Spreader) queuePing(sess *session) {
 	if !sess.sendsPings() {
@@ -84,10 +80,12 @@
 	if m.Fleet != nil && sess.role == roleParent {
 		s.fleetFromParent = *m.Fleet
 	}
-	sess.pongs++
-	hasExchanged := sess.pongs >= pongsAfterExchange && sess.remote.Version > 0
+	// The peer answers in order, so that its records came before the answer to a ping that
+	// followed this daemon's digests.
+	hasExchanged := sess.hasSentDigests && m.Sequence > sess.digestsSequence || m.MembersDigest == s.Table.Digest()
+	isPeerConfigured := sess.remote.Version > 0
 	s.mu.Unlock()
-	if hasExchanged {
+	if hasExchanged && isPeerConfigured {
 		s.reportOwnHistory()
 	}
 	if ok {
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -203,6 +203,7 @@
 	}
 	if m.Reply {
 		s.queueDigests(sess, false)
+		sess.digestsSequence, sess.hasSentDigests = sess.sequence, true
 	}
 }
 
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -66,8 +66,10 @@
 	sequence      uint64
 	// pings holds when the pings that await an answer were sent, by sequence.
 	pings map[uint64]time.Time
-	// pongs counts the answers to pings.
-	pongs int
+	// digestsSequence is that of the last ping before this daemon answered the peer's
+	// membership digests with its own. It is valid if hasSentDigests is set.
+	digestsSequence uint64
+	hasSentDigests  bool
 	// mismatches counts the consecutive pings with a different membership
 	// digest.
 	mismatches int
