--- a/announcer/savedeparture.go
+++ b/announcer/savedeparture.go
@@ -127,8 +127,8 @@
 func (a *Announcer) LearnFromPeers() { a.applyHeld(true) }
 
 // applyHeld records that the departure is known and applies the announcement that was held for
-// it. A target that sends heartbeats is waited for in two cases: it has been silent since, or has
-// sent only one, which may be late, while the news is not sure.
+// it. It drops a heartbeat, so that the next one decides, if the target has been silent since, or
+// if the news is not sure and no other one has come: it may be late.
 func (a *Announcer) applyHeld(isSure bool) {
 	a.mu.Lock()
 	if !a.isDepartureKnown() {
@@ -136,10 +136,10 @@
 	}
 	held := a.held
 	isSilent := time.Since(a.heldAt) > a.HeartbeatTimeout
-	waits := a.HeartbeatTimeout > 0 && (isSilent || !isSure && a.heldTimes == 1)
+	isDropped := a.HeartbeatTimeout > 0 && (isSilent || !isSure && a.heldTimes == 1)
 	a.held = Announcement{}
 	a.mu.Unlock()
-	if held == (Announcement{}) || waits {
+	if held == (Announcement{}) || isDropped {
 		return
 	}
 	if err := a.Announce(held); err != nil {
