--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestTargetWaitsForItsDeparture guards against a late heartbeat that puts a run back into use after a restart.
+// TestTargetWaitsForItsDeparture guards against a late heartbeat after a restart.
 func TestTargetWaitsForItsDeparture(t *testing.T) {
 	const never = 100
 	left := tracker.Record{Epoch: 1000, State: tracker.StateDraining, TargetLeaving: true}
--- a/canarier/restart_test.go
+++ b/canarier/restart_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// TestOrderDuringARestartRunsItsStages guards against a leader that has not met the old targets and completes at once.
+// TestOrderDuringARestartRunsItsStages guards against an order that completes at once.
 func TestOrderDuringARestartRunsItsStages(t *testing.T) {
 	for name, tc := range map[string]struct {
 		isForgotten bool
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestStageSurvivesARestart guards against a new leader that lowers the stage, or rolls a good version back.
+// TestStageSurvivesARestart guards against a new leader that lowers the stage or rolls back.
 func TestStageSurvivesARestart(t *testing.T) {
 	partial, few := Room{IsPartial: true}, Room{NewTargets: 1, NewSlots: 9, IsPartial: true}
 	for _, stage := range []Stage{StageHeld, StageCanary, StageWiden, StageMost} {
@@ -82,7 +82,7 @@
 	}
 }
 
-// TestUnseenOrderCompletesInTime guards against a good version that is late because nobody watched its order.
+// TestUnseenOrderCompletesInTime guards against an order that is late as nobody watched.
 func TestUnseenOrderCompletesInTime(t *testing.T) {
 	for _, unseen := range []time.Duration{0, time.Second, 3 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -7,7 +7,7 @@
 	"bambooweir.example/bambooweir/loader"
 )
 
-// TestMemoryIsShared guards against bounds over a small instance's memory, or below an answer of the largest size.
+// TestMemoryIsShared guards against bounds over the memory, or below the largest answer.
 func TestMemoryIsShared(t *testing.T) {
 	for _, tt := range []struct {
 		memoryMB                     float64
--- a/messenger/heldanswer_test.go
+++ b/messenger/heldanswer_test.go
@@ -32,7 +32,7 @@
 	return link
 }
 
-// TestLongAnswersTakeTheirRoom guards against more long answers than fit: what has no room is alone lost, at once.
+// TestLongAnswersTakeTheirRoom guards against more long answers than there is room for.
 func TestLongAnswersTakeTheirRoom(t *testing.T) {
 	answer := func(id byte, size int) *Answer {
 		return &Answer{ID: CallID{id}, Outcome: OutcomeAnswered, Status: 200, Sent: true, Body: []byte(strings.Repeat("a", size))}
--- a/picker/failure_test.go
+++ b/picker/failure_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// TestTroubleIsForgotten guards against a target that is idle since a slow answer or failures, while others have room.
+// TestTroubleIsForgotten guards against a target left idle after a slow answer or failures.
 func TestTroubleIsForgotten(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/quoter/quoter_test.go
+++ b/quoter/quoter_test.go
@@ -172,7 +172,7 @@
 	}
 }
 
-// TestLateMessagesKeepTheBound guards against several homes on a busy machine that each grant the whole rate.
+// TestLateMessagesKeepTheBound guards against several homes that grant the whole rate.
 func TestLateMessagesKeepTheBound(t *testing.T) {
 	for name, newDelay := range map[string]func(r *rand.Rand) func(string) time.Duration{
 		"single messages": func(r *rand.Rand) func(string) time.Duration {
--- a/requester/endless_test.go
+++ b/requester/endless_test.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// TestBodyCountsUntilItIsReleased guards against answers that wait uncounted, and against none for which there is room.
+// TestBodyCountsUntilItIsReleased guards against answers that wait uncounted.
 func TestBodyCountsUntilItIsReleased(t *testing.T) {
 	const bound = 2 << 20
 	addr := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
--- a/spreader/roster_test.go
+++ b/spreader/roster_test.go
@@ -36,7 +36,7 @@
 	})
 }
 
-// TestRestartedDaemonsCountTheRestOfTheFleet guards against daemons that take the part they meet for the whole.
+// TestRestartedDaemonsCountTheRestOfTheFleet guards against a part taken for the whole.
 func TestRestartedDaemonsCountTheRestOfTheFleet(t *testing.T) {
 	f := newFleet(t)
 	f.startMembers(3, "mobile-bay", "selma-row")
@@ -61,7 +61,7 @@
 	f.waitRosters(6)
 }
 
-// TestRosterForgetsOnlyTheDeparted guards against a roster that drops an instance behind a cut, or keeps one that left.
+// TestRosterForgetsOnlyTheDeparted guards against a roster without an instance behind a cut.
 func TestRosterForgetsOnlyTheDeparted(t *testing.T) {
 	const domain = "selma-row"
 	var records []tracker.Record
--- a/spreader/suspicion_test.go
+++ b/spreader/suspicion_test.go
@@ -81,7 +81,7 @@
 	f.waitStatus(request, quarantiner.StatusQuarantined)
 }
 
-// TestConvictedSuspectOutlivesTheEndOfAllDaemons guards against convicted requests that run again after a restart.
+// TestConvictedSuspectOutlivesTheEndOfAllDaemons guards against a request that runs again.
 func TestConvictedSuspectOutlivesTheEndOfAllDaemons(t *testing.T) {
 	f := newFleet(t)
 	f.acceptVersion()
