Take the word of a store that answered late for no news either

The heartbeat was answered in the millisecond before the store answered again; the target was in use as soon as the daemon had a configuration.

Cause: the single held heartbeat was doubted only if an attempt at reading the departure had failed. On the slow machine the first attempt was still under way when the store came back. Its answer, that there is no departure, was taken for sure, though the earlier process could not save it.

Change: a held announcement is applied on the store's word alone only if a second heartbeat has come.

Test: TestTargetWaitsForItsDeparture now has a store that answers late in place of one that fails; the case of the only heartbeat failed before (state ready, want none).

--- a/announcer/savedeparture.go
+++ b/announcer/savedeparture.go
@@ -44,9 +44,6 @@
 	isKnown, isSaved chan struct{}
 	// wake holds a token while newest may not be saved.
 	wake chan struct{}
-	// isStoreBehind says that the store was away when this process started, so that it may lack
-	// a departure that an earlier one could not save.
-	isStoreBehind bool
 }
 
 // setSaved records the epoch of the departure in the store.
@@ -243,18 +240,17 @@
 func (a *Announcer) recallDeparture(ctx context.Context) error {
 	epoch, err := a.Departures.Load(ctx)
 	if err != nil {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.departureStateLocked().isStoreBehind = true
 		return err
 	}
-	a.applyHeld(!a.applyRecalled(epoch))
+	a.applyRecalled(epoch)
+	// The store was away when the announcement came, so that it may lack a departure that an
+	// earlier process could not save.
+	a.applyHeld(false)
 	return nil
 }
 
-// applyRecalled applies the departure that an earlier process saved, 0 if there is none, and
-// reports whether the store may lack a newer one.
-func (a *Announcer) applyRecalled(epoch uint64) bool {
+// applyRecalled applies the departure that an earlier process saved, 0 if there is none.
+func (a *Announcer) applyRecalled(epoch uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := a.departureStateLocked()
@@ -264,7 +260,7 @@
 	}
 	d.setSaved(epoch)
 	if epoch == 0 {
-		return d.isStoreBehind
+		return
 	}
 	a.Counters.DeparturesRecalled.Add(1)
 	a.logger().Info("departure-recalled", zap.Uint64("epoch", epoch))
@@ -273,7 +269,6 @@
 		a.leaving, a.hasLeaving = a.current.run(), true
 		a.publish()
 	}
-	return d.isStoreBehind
 }
 
 // saveDeparture saves the newest departure unless the store has it.
--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -116,7 +116,7 @@
 	for _, tt := range []struct {
 		name string
 		// predecessor is the record that the peers send before heartbeat peers of n. The store
-		// answers from heartbeat store on.
+		// answers after as many seconds.
 		predecessor     tracker.Record
 		peers, store, n int
 		want            string
@@ -127,12 +127,12 @@
 		{"peers know of no earlier process", tracker.Record{}, 2, never, 10, "ready"},
 		{"store answers", tracker.Record{}, never, 5, 10, "ready"},
 		{"store answers, the only heartbeat may be late", tracker.Record{}, never, 2, 1, ""},
-		{"store answers after the target has fallen silent", tracker.Record{}, never, 5, 2, ""},
+		{"store answers after the target has fallen silent", tracker.Record{}, never, 7, 2, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				faults := &fakestorer.FaultInjector{Client: new(fakestorer.Store)}
-				faults.Set(fakestorer.Fault{IsDown: true})
+				faults.Set(fakestorer.Fault{Delay: time.Duration(tt.store) * time.Second})
 				r, isHere := newRecorder(), false
 				r.Departures, r.HeartbeatTimeout = &DepartureLog{Store: faults, InstanceID: "d1"}, 3*time.Second
 				r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, isHere && tt.predecessor.Epoch > 0 }
@@ -142,7 +142,6 @@
 					if isHere = i >= tt.peers; i == tt.peers {
 						r.LearnFromPeers()
 					}
-					faults.Set(fakestorer.Fault{IsDown: i < tt.store})
 					if i < tt.n {
 						_ = r.Receive(t.Context(), announcement(1000, uint64(i+1), tracker.StateReady))
 					}
