--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -133,13 +134,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				faults := &fakestorer.FaultInjector{Client: new(fakestorer.Store)}
 				faults.Set(fakestorer.Fault{Delay: time.Duration(tt.store) * time.Second})
-				r, isHere := newRecorder(), false
+				r, isHere := newRecorder(), new(atomic.Bool)
 				r.Departures, r.HeartbeatTimeout = &DepartureLog{Store: faults, InstanceID: "d1"}, 3*time.Second
-				r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, isHere && tt.predecessor.Epoch > 0 }
+				r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, isHere.Load() && tt.predecessor.Epoch > 0 }
 				go r.Run(t.Context())
 				for i := range 10 {
 					time.Sleep(time.Second)
-					if isHere = i >= tt.peers; i == tt.peers {
+					if isHere.Store(i >= tt.peers); i == tt.peers {
 						r.LearnFromPeers()
 					}
 					if i < tt.n {
