--- a/announcer/savedeparture_test.go
+++ b/announcer/savedeparture_test.go
@@ -116,8 +116,8 @@
 	ready := tracker.Record{Epoch: 1000, State: tracker.StateReady}
 	for _, tt := range []struct {
 		name string
-		// predecessor is the record that the peers send before heartbeat peers of n. The store
-		// answers after as many seconds.
+		// predecessor is the record that the peers have and send before the heartbeat with the
+		// index peers. The store answers after store seconds. The target sends n heartbeats.
 		predecessor     tracker.Record
 		peers, store, n int
 		want            string
@@ -134,13 +134,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				faults := &fakestorer.FaultInjector{Client: new(fakestorer.Store)}
 				faults.Set(fakestorer.Fault{Delay: time.Duration(tt.store) * time.Second})
-				r, isHere := newRecorder(), new(atomic.Bool)
+				r, hasPeers := newRecorder(), new(atomic.Bool)
 				r.Departures, r.HeartbeatTimeout = &DepartureLog{Store: faults, InstanceID: "d1"}, 3*time.Second
-				r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, isHere.Load() && tt.predecessor.Epoch > 0 }
+				r.Predecessor = func() (tracker.Record, bool) { return tt.predecessor, hasPeers.Load() && tt.predecessor.Epoch > 0 }
 				go r.Run(t.Context())
 				for i := range 10 {
 					time.Sleep(time.Second)
-					if isHere.Store(i >= tt.peers); i == tt.peers {
+					if hasPeers.Store(i >= tt.peers); i == tt.peers {
 						r.LearnFromPeers()
 					}
 					if i < tt.n {
