Run many daemons on the platform's store and check when versions are in force

What was missing: the soak runs nine daemons on the product's own configuration. A fleet of over 32 takes versions from the platform's store another way, through relays and the tree, and no run of processes went there.

What it does: bambooweir soak versions starts a fake of the platform's store and daemons, freezes, kills or cuts off some of them up to 0.1 s before each change, and asks every daemon for the route that the change adds. A daemon that runs and reaches the store must know it within the bound. It also counts the calls of the store.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -34,6 +34,7 @@
 	c.Flags().DurationVar(&s.cfg.Duration, "duration", time.Minute, "how long faults are injected")
 	c.Flags().IntVar(&s.cfg.Daemons, "daemons", 0, "number of daemons, each beside a target (default 9)")
 	c.Flags().StringVar(&s.logs, "logs", "", "directory to keep the logs and journals in; by default they are deleted")
+	c.AddCommand(new(soakVersionsCommand).command())
 	return c
 }
 
@@ -42,16 +43,12 @@
 	if err != nil {
 		return err
 	}
-	s.cfg.Program, s.cfg.Dir = program, s.logs
-	if s.logs == "" {
-		s.cfg.Dir, err = os.MkdirTemp("", "bambooweir-soak")
-		defer func() { _ = os.RemoveAll(s.cfg.Dir) }()
-	} else {
-		err = os.MkdirAll(s.logs, 0o700)
-	}
+	dir, remove, err := logsDir(s.logs)
 	if err != nil {
 		return err
 	}
+	defer remove()
+	s.cfg.Program, s.cfg.Dir = program, dir
 	result, err := soaker.Run(c.Context(), s.cfg, c.OutOrStdout())
 	if err != nil {
 		return err
@@ -68,3 +65,13 @@
 	}
 	return nil
 }
+
+// logsDir makes the directory named logs, or a temporary one if logs is "", and returns it with
+// a function that removes it if it is temporary.
+func logsDir(logs string) (dir string, remove func(), err error) {
+	if logs != "" {
+		return logs, func() {}, os.MkdirAll(logs, 0o700)
+	}
+	dir, err = os.MkdirTemp("", "bambooweir-soak")
+	return dir, func() { _ = os.RemoveAll(dir) }, err
+}
--- /dev/null
+++ b/soaker/versions.go
@@ -0,0 +1,459 @@
+package soaker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bambooweir.example/bambooweir/checker"
+	"bambooweir.example/bambooweir/faulter"
+	"bambooweir.example/bambooweir/launcher"
+	"bambooweir.example/bambooweir/operator"
+	"bambooweir.example/bambooweir/platform"
+	"bambooweir.example/bambooweir/sleeper"
+	"bambooweir.example/bambooweir/storer"
+	"bambooweir.example/bambooweir/versioner"
+)
+
+// InForceInTime is the invariant that each daemon in touch routes by a version of the
+// platform's store once VersionsConfig.Bound has passed since the store confirmed it.
+const InForceInTime checker.Invariant = "in-force-in-time"
+
+const (
+	// probeInterval is the time between two requests for a new route to one daemon.
+	probeInterval = 50 * time.Millisecond
+	// probeExtra is how long after the bound the requests go on.
+	probeExtra = 6 * time.Second
+	// targetHeartbeat is the time between two heartbeats of a target.
+	targetHeartbeat = 1500 * time.Millisecond
+	// maxLead is the longest time by which a fault begins before the change.
+	maxLead = 100 * time.Millisecond
+	// minVersionFault and maxVersionFault bound how long a fault lasts.
+	minVersionFault, maxVersionFault = time.Second, 4 * time.Second
+	versionsHost                     = "versions.example"
+	versionsService                  = "ledger-view"
+)
+
+// VersionFault is a kind of fault that begins just before each change.
+type VersionFault string
+
+// The kinds of faults. A daemon whose peers are cut off from it still reaches the store, and
+// the peers that it dials; one that is frozen or killed counts as out of touch for a while.
+const (
+	NoFault        VersionFault = "none"
+	FreezeDaemons  VersionFault = "freeze"
+	FreezeRelays   VersionFault = "freeze-relays"
+	KillRelays     VersionFault = "kill-relays"
+	CutFromPeers   VersionFault = "cut"
+	CutRelays      VersionFault = "cut-relays"
+	CutRelayStores VersionFault = "cut-relay-stores"
+)
+
+// VersionFaults returns all kinds of faults.
+func VersionFaults() []VersionFault {
+	return []VersionFault{NoFault, FreezeDaemons, FreezeRelays, KillRelays, CutFromPeers, CutRelays, CutRelayStores}
+}
+
+// VersionsConfig configures RunVersions. Program, Dir, Changes, Daemons and Bound must be set.
+type VersionsConfig struct {
+	Program, Dir string
+	Seed         uint64
+	Changes      int
+	Daemons      int
+	// Fault begins just before each change on up to Victims daemons.
+	Fault   VersionFault
+	Victims int
+	// Bound is the time within which a version must be in force, and Touch the time for which
+	// a daemon must have run and reached the store for it to count.
+	Bound, Touch time.Duration
+}
+
+// VersionsResult holds what RunVersions has seen.
+type VersionsResult struct {
+	// Judged counts the requests that a daemon in touch got later than the bound, Late those
+	// that it routed by an older version.
+	Judged, Late int
+	// Lags holds for each change and daemon in touch when the daemon last routed by an older
+	// version, since the confirmation, in ascending order.
+	Lags []time.Duration
+	// StoreCalls counts the calls of the store during the changes by kind, where the daemons
+	// ran throughout.
+	StoreCalls map[string]int64
+	Violations []checker.Violation
+}
+
+// versionsRun is the state of one run.
+type versionsRun struct {
+	cfg    VersionsConfig
+	log    io.Writer
+	start  time.Time
+	fleet  *launcher.Fleet
+	store  *platform.Store
+	client *http.Client
+	random *rand.Rand
+	routes []platform.RouteConfig
+	rev    storer.Revision
+
+	mu sync.Mutex
+	// outUntil holds until when a daemon is out of touch.
+	outUntil map[string]time.Time
+	result   VersionsResult
+}
+
+// RunVersions runs a fleet of real daemons that take their configuration from the platform's
+// store, changes it under faults, and checks when each daemon routes by each version.
+func RunVersions(ctx context.Context, cfg VersionsConfig, log io.Writer) (*VersionsResult, error) {
+	r := &versionsRun{
+		cfg: cfg, log: log, start: time.Now(), fleet: launcher.New(cfg.Program, cfg.Dir),
+		client:   &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
+		outUntil: make(map[string]time.Time),
+	}
+	defer r.fleet.Close()
+	r.fleet.DirectCalls = cfg.Fault != CutFromPeers && cfg.Fault != CutRelays
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := r.startFleet(ctx); err != nil {
+		return nil, err
+	}
+	before := r.storeCalls(ctx)
+	for range cfg.Changes {
+		if err := r.change(ctx); err != nil {
+			return nil, err
+		}
+	}
+	r.result.StoreCalls = r.storeCalls(ctx)
+	for name, n := range before {
+		r.result.StoreCalls[name] -= n
+	}
+	slices.Sort(r.result.Lags)
+	return &r.result, nil
+}
+
+func (r *versionsRun) logf(format string, args ...any) {
+	fmt.Fprintf(r.log, "%7.2fs  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// startFleet starts the store and the daemons, announces a target beside each, and waits
+// until every daemon routes by the first version.
+func (r *versionsRun) startFleet(ctx context.Context) error {
+	if err := r.fleet.StartStore(); err != nil {
+		return err
+	}
+	r.store = &platform.Store{BaseURL: r.fleet.StoreURL()}
+	for r.writeVersion(ctx) != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	for n := range r.cfg.Daemons {
+		if err := r.addDaemon(ctx, n); err != nil {
+			return err
+		}
+	}
+	for _, d := range r.fleet.Daemons() {
+		for r.routesBy(ctx, d) != nil || r.daemonCount(ctx, d) < r.cfg.Daemons {
+			if err := sleeper.Sleep(ctx, pollInterval); err != nil {
+				return err
+			}
+		}
+	}
+	r.logf("%d daemons know each other and version 1", r.cfg.Daemons)
+	// Daemons look once in a while how large the fleet is.
+	return sleeper.Sleep(ctx, r.cfg.Touch)
+}
+
+// addDaemon starts daemon n and announces a target beside it until ctx ends.
+func (r *versionsRun) addDaemon(ctx context.Context, n int) error {
+	name, domain := fmt.Sprintf("d%02d", n), domains[n%len(domains)]
+	err := r.fleet.StartDaemon(name, domain,
+		"platform = true", "target-service = \""+versionsService+"\"",
+		fmt.Sprintf("target-heartbeat-ms = %d", targetHeartbeat.Milliseconds()),
+		"spread-heartbeat-ms = 500", "relay-lease-ms = 3000", "store-timeout-ms = 1000")
+	if err != nil {
+		return err
+	}
+	d, err := r.fleet.Daemon(name)
+	if err != nil {
+		return err
+	}
+	h := platform.TargetHeartbeat{
+		RunID: "run-" + name, Address: launcher.NewAddress(), Service: versionsService, Domain: domain,
+		StartMS: uint64(r.start.UnixMilli()), Slots: 4,
+	}
+	if err := serveTarget(ctx, h.Address); err != nil {
+		return err
+	}
+	go func() {
+		for {
+			h.Sequence++
+			wait := targetHeartbeat
+			if h.Send(ctx, r.client, d.OperatorURL) != nil {
+				wait = pollInterval
+			}
+			if sleeper.Sleep(ctx, wait) != nil {
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// serveTarget answers all calls of a target at once until ctx ends.
+func serveTarget(ctx context.Context, addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	id := platform.HeaderNames().RequestID
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(id, req.Header.Get(id))
+	})}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// writeVersion writes the next version, which adds a route.
+func (r *versionsRun) writeVersion(ctx context.Context) error {
+	n := len(r.routes) + 1
+	routes := append(slices.Clone(r.routes), platform.RouteConfig{
+		Name: fmt.Sprint("route-", n), Host: versionsHost, Prefix: fmt.Sprintf("/v%d/", n), Service: versionsService,
+	})
+	value, err := platform.EncodeConfig(versioner.Version(n), routes)
+	if err != nil {
+		return err
+	}
+	rev, err := r.store.CompareAndSwap(ctx, platform.ConfigKey, value, r.rev, 0)
+	if err != nil {
+		return err
+	}
+	r.routes, r.rev = routes, rev
+	return nil
+}
+
+// errOlderVersion means that a daemon routes by a version without the newest route.
+var errOlderVersion = fmt.Errorf("status %d", http.StatusNotFound)
+
+// routesBy requests the newest route of a daemon. It returns nil if the daemon knows it,
+// errOlderVersion if not, and another error if the daemon does not answer.
+func (r *versionsRun) routesBy(ctx context.Context, d launcher.Daemon) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.CallerURL+r.routes[len(r.routes)-1].Prefix, nil)
+	if err != nil {
+		return err
+	}
+	req.Host = versionsHost
+	headers := platform.HeaderNames()
+	req.Header.Set(headers.RequestID, fmt.Sprintf("%s-%d", d.Name, time.Now().UnixNano()))
+	req.Header.Set(headers.Deadline, "300")
+	res, err := r.client.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = res.Body.Close()
+	if res.StatusCode == http.StatusNotFound {
+		return errOlderVersion
+	}
+	return nil
+}
+
+// change begins a fault, writes a version shortly afterwards, and requests the new route of
+// every daemon until it knows it.
+func (r *versionsRun) change(ctx context.Context) error {
+	victims := r.drawVictims(ctx)
+	lead := time.Duration(r.random.Int64N(int64(maxLead)))
+	hold := minVersionFault + time.Duration(r.random.Int64N(int64(maxVersionFault-minVersionFault)))
+	pause := time.Duration(r.random.Int64N(int64(time.Second)))
+	if err := sleeper.Sleep(ctx, pause); err != nil {
+		return err
+	}
+	var g errgroup.Group
+	r.logf("%s %v for %s", r.cfg.Fault, victims, hold)
+	for _, name := range victims {
+		g.Go(func() error { return r.runVersionFault(ctx, name, hold) })
+	}
+	if err := sleeper.Sleep(ctx, lead); err != nil {
+		return err
+	}
+	for r.writeVersion(ctx) != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	confirmed := time.Now()
+	r.logf("version %d is confirmed", len(r.routes))
+	for _, d := range r.fleet.Daemons() {
+		g.Go(func() error { return r.probe(ctx, d, confirmed) })
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	return sleeper.Sleep(ctx, r.cfg.Touch)
+}
+
+// drawVictims draws up to Victims daemons: relays, with the one that watches the store among
+// them, if the fault is one of relays.
+func (r *versionsRun) drawVictims(ctx context.Context) []string {
+	if r.cfg.Fault == NoFault || r.cfg.Victims < 1 {
+		return nil
+	}
+	var names []string
+	for _, d := range r.fleet.Daemons() {
+		switch r.cfg.Fault {
+		case FreezeDaemons, CutFromPeers:
+			names = append(names, d.Name)
+		default:
+			status, err := r.status(ctx, d)
+			if err == nil && status.Role == operator.RoleRelay {
+				names = append(names, d.Name)
+			}
+		}
+	}
+	r.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(len(names), 1+r.random.IntN(r.cfg.Victims))]
+}
+
+// runVersionFault begins the fault on a daemon and ends it after the duration hold.
+func (r *versionsRun) runVersionFault(ctx context.Context, name string, hold time.Duration) error {
+	begin, end := func() error { return nil }, func() error { return nil }
+	excuses := true
+	setLink := func(link string, f faulter.Fault) func() error {
+		return func() error {
+			p, err := r.fleet.Link(name + link)
+			if err == nil {
+				p.Set(f)
+			}
+			return err
+		}
+	}
+	switch r.cfg.Fault {
+	case FreezeDaemons, FreezeRelays:
+		begin, end = func() error { return r.fleet.Freeze(name) }, func() error { return r.fleet.Thaw(name) }
+	case KillRelays:
+		begin, end = func() error { return r.fleet.Kill(name) }, func() error { return r.fleet.Restart(name) }
+	case CutFromPeers, CutRelays:
+		excuses = false
+		begin, end = setLink(":peers", faulter.Fault{Silence: faulter.Both}), setLink(":peers", faulter.Fault{})
+	case CutRelayStores:
+		begin, end = setLink(":store", faulter.Fault{Silence: faulter.Both}), setLink(":store", faulter.Fault{})
+	}
+	if excuses {
+		r.mu.Lock()
+		r.outUntil[name] = time.Now().Add(hold + r.cfg.Touch)
+		r.mu.Unlock()
+	}
+	if err := begin(); err != nil {
+		return err
+	}
+	_ = sleeper.Sleep(ctx, hold)
+	if excuses {
+		r.mu.Lock()
+		r.outUntil[name] = time.Now().Add(r.cfg.Touch)
+		r.mu.Unlock()
+	}
+	return end()
+}
+
+// probe requests the newest route of a daemon until it has known it for the bound or
+// probeExtra has passed since.
+func (r *versionsRun) probe(ctx context.Context, d launcher.Daemon, confirmed time.Time) error {
+	var lag time.Duration
+	end := confirmed.Add(r.cfg.Bound + probeExtra)
+	for time.Now().Before(end) {
+		sent := time.Now()
+		err := r.routesBy(ctx, d)
+		r.mu.Lock()
+		inTouch := sent.After(r.outUntil[d.Name])
+		r.mu.Unlock()
+		isOlder := errors.Is(err, errOlderVersion)
+		if inTouch && sent.Sub(confirmed) > r.cfg.Bound && (err == nil || isOlder) {
+			r.mu.Lock()
+			r.result.Judged++
+			if isOlder {
+				r.result.Late++
+			}
+			r.mu.Unlock()
+			if !isOlder {
+				break
+			}
+		}
+		if inTouch && isOlder {
+			lag = sent.Sub(confirmed)
+		}
+		if err := sleeper.Sleep(ctx, probeInterval); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Lags = append(r.result.Lags, lag)
+	if lag > r.cfg.Bound {
+		detail := fmt.Sprintf("version %d not in force %s after the store had confirmed it, at %.2fs, want at most %s",
+			len(r.routes), lag.Round(time.Millisecond), confirmed.Sub(r.start).Seconds(), r.cfg.Bound)
+		r.result.Violations = append(r.result.Violations, checker.Violation{Invariant: InForceInTime, Subject: d.Name, Detail: detail})
+		r.logf("%s: %s", d.Name, detail)
+	}
+	return nil
+}
+
+// status returns the status of a daemon.
+func (r *versionsRun) status(ctx context.Context, d launcher.Daemon) (operator.Status, error) {
+	var status operator.Status
+	return status, r.getJSON(ctx, d.OperatorURL+operator.StatusPath, &status)
+}
+
+// daemonCount returns how many daemons a daemon knows.
+func (r *versionsRun) daemonCount(ctx context.Context, d launcher.Daemon) int {
+	status, err := r.status(ctx, d)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, c := range status.DaemonsByVersion {
+		n += c.Daemons
+	}
+	return n
+}
+
+// storeCalls returns the calls of the store that all daemons have made, by kind.
+func (r *versionsRun) storeCalls(ctx context.Context) map[string]int64 {
+	total := make(map[string]int64)
+	for _, d := range r.fleet.Daemons() {
+		var vars struct {
+			Instances map[string]struct {
+				Store map[string]int64 `json:"store"`
+			} `json:"bambooweir"`
+		}
+		if r.getJSON(ctx, d.OperatorURL+operator.MetricsPath, &vars) != nil {
+			continue
+		}
+		for name, n := range vars.Instances[d.Name].Store {
+			total[name] += n
+		}
+	}
+	return total
+}
+
+// getJSON decodes the answer to a GET request.
+func (r *versionsRun) getJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(out)
+}
