Report no lost store when a daemon stops watching by itself

What operators saw: store-lost with "context canceled" at daemons whose store was sound, up to 67 lines at once, each time that a fleet passed 32 daemons.

Cause: a watch that the daemon ends itself, because others watch, was taken for a failed call.

Why the fix works: the watch returns without a word once its context has ended. The test failed before (failed calls of the store: got 1, want 0).

Conclusion: store-lost and the counter of failures again speak of the store only.

--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -212,6 +212,9 @@
 		if err == nil {
 			version, err = s.handleHeadItem(ctx, item, began)
 		}
+		if err != nil && ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
 			if failures == 0 {
