Log who watches the store, why, and how long a lost parent was silent

What was missing: the logs did not say which daemons watch the store at a time, so that a relay that is late could not be told from a tree that is; nor whether a parent ended the session or fell silent.

What changed: events watch-begun, with the reason, and watch-ended; parent-lost has the time since the last message. No logic changes; isWatcher returns its reason.

--- a/logger/events.go
+++ b/logger/events.go
@@ -30,6 +30,8 @@
 		{"version-in-force", "a configuration came into force", "version, source"},
 		{"version-refused", "a configuration was not put in force; the one before stays", "version or revision, error"},
 		{"version-unconfirmed", "a newly started daemon puts a version in force that it has from peers, without a confirmation from the store", "version"},
+		{"watch-begun", "this daemon watches the store for new versions: small-fleet if all daemons do, relay if it does for its failure domain", "reason"},
+		{"watch-ended", "this daemon leaves watching the store to others", ""},
 		{"store-lost", "the first failed call of a watch", "error, silent"},
 		{"store-regained", "the first successful call after failures", "failures"},
 		{"store-restored", "the store came back from an older copy of its data; what was written there since is gone", "era, former-era"},
@@ -37,7 +39,7 @@
 		{"relay-begun", "this daemon became a relay", "slot"},
 		{"relay-ended", "this daemon is no longer a relay", "slot"},
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
-		{"parent-lost", "the session with the parent ended", "parent, by-choice"},
+		{"parent-lost", "the session with the parent ended", "parent, by-choice, silent"},
 
 		{"announcement-held", "neither the store nor a peer has said whether the run is leaving; the target gets calls once one of them has", "run-id, epoch"},
 		{"departure-recalled", "this daemon read from the store that a run of its target is leaving or has left; the run gets no new calls", "epoch"},
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -42,37 +42,52 @@
 	staleWatchPercent = 150
 )
 
+// watchReason says why a daemon watches the external configuration, and is "" if it does not.
+type watchReason string
+
+const (
+	// reasonSmallFleet means that every daemon watches.
+	reasonSmallFleet watchReason = "small-fleet"
+	// reasonRelay means that this daemon is the relay that watches for its failure domain.
+	reasonRelay watchReason = "relay"
+)
+
 // watchExternal watches the external configuration until ctx ends, whenever
-// isWatcher holds.
+// there is a reason.
 func (s *Spreader) watchExternal(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !s.isWatcher() {
+		reason := s.watchReason()
+		if reason == "" {
 			_ = sleeper.Sleep(ctx, watcherCheckInterval)
 			continue
 		}
+		s.Log.Info("watch-begun", zap.String("reason", string(reason)))
 		watchCtx, stop := context.WithCancel(ctx)
 		go func() {
-			for s.isWatcher() && sleeper.Sleep(watchCtx, watcherCheckInterval) == nil {
+			for s.watchReason() != "" && sleeper.Sleep(watchCtx, watcherCheckInterval) == nil {
 			}
 			stop()
 		}()
 		s.watchHead(watchCtx)
 		stop()
+		s.Log.Info("watch-ended")
 	}
 }
 
-// isWatcher reports whether this daemon should watch the external
-// configuration: because every daemon does, or because it is the relay that
-// watches for its failure domain. It updates fleetSize.
-func (s *Spreader) isWatcher() bool {
+// watchReason returns why this daemon should watch the external configuration. It updates
+// fleetSize.
+func (s *Spreader) watchReason() watchReason {
 	liveCount := s.Table.LiveCount()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleetSize = liveCount
-	if s.everyDaemonWatches() {
-		return true
+	switch {
+	case s.everyDaemonWatches():
+		return reasonSmallFleet
+	case s.relaySlot != "" && !s.isWatchedByOtherRelay():
+		return reasonRelay
 	}
-	return s.relaySlot != "" && !s.isWatchedByOtherRelay()
+	return ""
 }
 
 // everyDaemonWatches reports whether the fleet is small enough for every daemon
--- a/spreader/external_test.go
+++ b/spreader/external_test.go
@@ -70,7 +70,7 @@
 func (f *fleet) watchers() map[string][]*member {
 	watchers := make(map[string][]*member)
 	for _, m := range f.members {
-		if m.isWatcher() {
+		if m.watchReason() != "" {
 			watchers[m.Domain] = append(watchers[m.Domain], m)
 		}
 	}
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -260,7 +260,7 @@
 	s.Counters.SessionsLost.Add(1)
 	switch sess.role {
 	case roleParent:
-		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.endedLocally))
+		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.endedLocally), zap.Duration("silent", time.Since(sess.heardAt)))
 		s.parent = nil
 		s.path = nil
 		s.sendPathToChildren()
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -64,6 +64,8 @@
 	pingRequested bool
 	lastPing      time.Time
 	sequence      uint64
+	// heardAt is when the last message arrived.
+	heardAt time.Time
 	// pings holds when the pings that await an answer were sent, by sequence.
 	pings map[uint64]time.Time
 	// digestsSequence is that of the last ping before this daemon answered the peer's
@@ -137,6 +139,7 @@
 	sess.pings = make(map[uint64]time.Time)
 	sess.reports = make(map[string]struct{})
 	sess.cursor = s.Table.Now()
+	sess.heardAt = time.Now()
 	s.sessions[sess.id] = sess
 	s.Counters.SessionsOpened.Add(1)
 	sess.wakeWriter()
@@ -175,6 +178,9 @@
 		if err != nil {
 			return err
 		}
+		s.mu.Lock()
+		sess.heardAt = time.Now()
+		s.mu.Unlock()
 		if !s.handleSafely(ctx, sess, m) {
 			return errHandling
 		}
