Watch the store while the source of versions is silent

Cause: above 32 daemons a daemon hears of versions from one peer, and takes its silence for no news. It finds out after SilentAfter, then lists the relays in the store and tries them at random, the silent one among them, for as long again; it never asks the store for the version. Likewise the second relay of a failure domain relies on a first one that has stopped, and daemons on a parent that answers but has neither parent nor store. The patience of the steps adds up, and without another peer it has no end.

What changed: a peer counts as a source of versions only while it is heard and does not say that it is none itself. A daemon whose sources are silent for 3.5 to 4 heartbeats watches the store until one is back; a relay does so after two. A daemon that has lost its parent joins another known relay first, without listing them in the store, so that a parent's end brings no child there that finds another parent. When the store is down, children of relays are not told, so that the fleet does not call it.

Why it works: no daemon waits for anyone longer than that patience plus one call of the store.

--- a/logger/events.go
+++ b/logger/events.go
@@ -30,7 +30,7 @@
 		{"version-in-force", "a configuration came into force", "version, source"},
 		{"version-refused", "a configuration was not put in force; the one before stays", "version or revision, error"},
 		{"version-unconfirmed", "a newly started daemon puts a version in force that it has from peers, without a confirmation from the store", "version"},
-		{"watch-begun", "this daemon watches the store for new versions: small-fleet if all daemons do, relay if it does for its failure domain", "reason"},
+		{"watch-begun", "this daemon watches the store for new versions: small-fleet if all daemons do, relay if it does for its failure domain, silent-source if those from which versions come are silent", "reason"},
 		{"watch-ended", "this daemon leaves watching the store to others", ""},
 		{"store-lost", "the first failed call of a watch", "error, silent"},
 		{"store-regained", "the first successful call after failures", "failures"},
@@ -38,6 +38,7 @@
 		{"head-not-restored", "a version that the restored store had lost could not be written there; another daemon or the next change does it", "error"},
 		{"relay-begun", "this daemon became a relay", "slot"},
 		{"relay-ended", "this daemon is no longer a relay", "slot"},
+		{"source-silent", "a peer from which versions come reaches neither the store nor a daemon that may", "peer"},
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
 		{"parent-lost", "the session with the parent ended", "parent, by-choice, silent"},
 
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -139,6 +139,10 @@
 	// Fleet is the tally of all daemons that the sender knows of. A parent sends
 	// it to its children.
 	Fleet *Tally `cbor:"5,keyasint,omitempty"`
+	// IsSourceSilent says that the sender would not learn of a new version now: it does not
+	// reach the store and hears from no daemon that may. A relay says it to another one of its
+	// failure domain while it does not watch the store.
+	IsSourceSilent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // State carries a complete configuration document.
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -50,15 +50,17 @@
 	reasonSmallFleet watchReason = "small-fleet"
 	// reasonRelay means that this daemon is the relay that watches for its failure domain.
 	reasonRelay watchReason = "relay"
+	// reasonSilentSource means that the peers from which versions come are silent.
+	reasonSilentSource watchReason = "silent-source"
 )
 
-// watchExternal watches the external configuration until ctx ends, whenever
+// watchWhenNeeded watches the newest version in the store until ctx ends, whenever
 // there is a reason.
-func (s *Spreader) watchExternal(ctx context.Context) {
+func (s *Spreader) watchWhenNeeded(ctx context.Context) {
 	for ctx.Err() == nil {
 		reason := s.watchReason()
 		if reason == "" {
-			_ = sleeper.Sleep(ctx, watcherCheckInterval)
+			s.waitForWatcherCheck(ctx)
 			continue
 		}
 		s.Log.Info("watch-begun", zap.String("reason", string(reason)))
@@ -74,18 +76,39 @@
 	}
 }
 
-// watchReason returns why this daemon should watch the external configuration. It updates
-// fleetSize.
+// waitForWatcherCheck waits until this daemon has to check again whether to watch.
+func (s *Spreader) waitForWatcherCheck(ctx context.Context) {
+	s.mu.Lock()
+	overdueIn := s.patience() - time.Since(s.peerSourceAt())
+	s.mu.Unlock()
+	wait := watcherCheckInterval
+	if overdueIn > 0 {
+		wait = min(wait, overdueIn+time.Millisecond)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.watcherWake:
+	}
+}
+
+// watchReason returns why this daemon should watch the newest version, in addition to what a
+// relay does for a configuration that is not external. It updates fleetSize.
 func (s *Spreader) watchReason() watchReason {
 	liveCount := s.Table.LiveCount()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleetSize = liveCount
+	isRelay := s.relaySlot != ""
 	switch {
-	case s.everyDaemonWatches():
+	case s.External != nil && s.everyDaemonWatches():
 		return reasonSmallFleet
-	case s.relaySlot != "" && !s.isWatchedByOtherRelay():
+	case s.External != nil && isRelay && !s.isWatchedByOtherRelay():
 		return reasonRelay
+	case !isRelay && s.versionInForce() > 0 && s.isSourceOverdue():
+		return reasonSilentSource
 	}
 	return ""
 }
@@ -99,10 +122,10 @@
 
 // isWatchedByOtherRelay reports whether another relay of this failure domain,
 // with an earlier slot and a session with this daemon, watches for both. It is
-// false when the newest confirmation is too old, since that relay's watch may
-// have failed. The caller holds mu.
+// false when no relay has been heard of or the newest confirmation is too old, since
+// that relay's watch may have failed. The caller holds mu.
 func (s *Spreader) isWatchedByOtherRelay() bool {
-	if time.Since(s.lastConfirmation.at) > staleWatchPercent*s.cfg.WatchWait/100 {
+	if s.isSourceOverdue() || time.Since(s.lastConfirmation.at) > staleWatchPercent*s.cfg.WatchWait/100 {
 		return false
 	}
 	for _, o := range s.slots {
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -142,6 +142,7 @@
 	if s.External != nil {
 		item, err := s.Store.Get(ctx, s.External.Key)
 		if err == nil {
+			s.noteStoreRead(began)
 			s.handleExternalItem(item, began)
 		}
 		return err
@@ -150,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	s.noteStoreRead(began)
 	s.recordConfirmation(head.Version, began)
 	if head.Version == 0 {
 		return nil
@@ -157,6 +159,13 @@
 	return s.syncToHead(ctx, head)
 }
 
+// noteStoreRead keeps that the store answered a read that began at the given time.
+func (s *Spreader) noteStoreRead(began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sourceAt = began
+}
+
 // surveyPeers asks the known peers for their versions. The newest document that
 // they send becomes pending.
 func (s *Spreader) surveyPeers(ctx context.Context) {
--- a/spreader/heartbeat.go
+++ b/spreader/heartbeat.go
@@ -51,7 +51,10 @@
 	s.reconcilePosition(sess, m.Position)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pong := &messenger.HeartbeatAnswer{Sequence: m.Sequence, Position: position, MembersDigest: membersDigest, Confirm: s.confirmationMessage()}
+	pong := &messenger.HeartbeatAnswer{
+		Sequence: m.Sequence, Position: position, MembersDigest: membersDigest,
+		Confirm: s.confirmationMessage(), IsSourceSilent: s.isSilentFor(sess),
+	}
 	if sess.role == roleChild {
 		fleet := s.fleetTally()
 		pong.Fleet = &fleet
@@ -74,6 +77,7 @@
 // to a ping carries.
 func (s *Spreader) handlePong(sess *session, m *messenger.HeartbeatAnswer) {
 	s.reconcilePosition(sess, m.Position)
+	s.handleSourceSilent(sess, m.IsSourceSilent)
 	s.mu.Lock()
 	sent, ok := sess.pings[m.Sequence]
 	delete(sess.pings, m.Sequence)
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -73,7 +73,11 @@
 		if time.Since(began) > s.cfg.LeaseTTL {
 			retry.Reset()
 		}
-		s.waitForRetryOrInvite(ctx, retry.NextBackOff())
+		wait := retry.NextBackOff()
+		if s.hasLostParent() {
+			wait = jitter(initialJoinBackoff)
+		}
+		s.waitForRetryOrInvite(ctx, wait)
 	}
 }
 
@@ -81,6 +85,9 @@
 // when neither is possible. The children of this daemon keep their sessions
 // with it throughout.
 func (s *Spreader) attach(ctx context.Context) {
+	if s.joinOtherRelay(ctx) {
+		return
+	}
 	slots, err := s.readSlots(ctx)
 	s.firstSlotReadOnce.Do(func() { close(s.firstSlotRead) })
 	if err != nil {
@@ -105,6 +112,33 @@
 	s.joinAny(ctx, s.candidates())
 }
 
+// hasLostParent reports whether this daemon has lost a parent and has not looked for another
+// since.
+func (s *Spreader) hasLostParent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lostParent != ""
+}
+
+// joinOtherRelay joins a relay of this failure domain that was known before this daemon lost
+// its parent and is not that parent, and reports whether there was a session. It calls the store
+// for nothing, so that a lost parent does not bring all its children there.
+func (s *Spreader) joinOtherRelay(ctx context.Context) bool {
+	s.mu.Lock()
+	lost, known, isAppointed := s.lostParent, s.ownSlots(s.slots), s.appointedSlot != ""
+	s.lostParent = ""
+	s.mu.Unlock()
+	if lost == "" || isAppointed {
+		return false
+	}
+	for i := range known {
+		if known[i].addr == lost {
+			known[i].addr = ""
+		}
+	}
+	return s.joinRelay(ctx, known)
+}
+
 // joinKnownRelay joins a relay of this failure domain that the store names, if it answers,
 // and reports whether there was a session. It claims no slot, so that it can do with slots
 // that are some seconds old: most daemons start after a failure, and the slots name the
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -258,6 +258,10 @@
 	defer s.mu.Unlock()
 	delete(s.sessions, sess.id)
 	s.Counters.SessionsLost.Add(1)
+	if sess.isSource() && sess.heardAt.After(s.sourceAt) {
+		s.sourceAt = sess.heardAt
+	}
+	s.wakeWatcher()
 	switch sess.role {
 	case roleParent:
 		s.Log.Info("parent-lost", zap.String("parent", sess.node.InstanceID), zap.Bool("by-choice", sess.endedLocally), zap.Duration("silent", time.Since(sess.heardAt)))
@@ -265,6 +269,7 @@
 		s.path = nil
 		s.sendPathToChildren()
 		if !sess.endedLocally {
+			s.lostParent = sess.node.PeerAddress
 			s.recordLostSession(sess)
 		}
 	case roleChild:
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -196,12 +196,14 @@
 	var after storer.Revision
 	var version versioner.Version
 	failures := 0
+	defer s.setStoreAnswering(false)
 	for ctx.Err() == nil {
 		began := time.Now()
 		item, err := s.Store.Watch(ctx, s.headKey(), after, s.cfg.WatchWait)
 		var unchanged *storer.NotFoundError
 		if errors.As(err, &unchanged) {
 			failures = s.resetFailures(failures)
+			s.setStoreAnswering(true)
 			s.recordConfirmation(version, began)
 			if time.Since(began) < s.cfg.WatchWait/2 {
 				// The store did not wait: there is no head yet, or nothing to wait for.
@@ -215,6 +217,7 @@
 		if err != nil && ctx.Err() != nil {
 			return
 		}
+		s.setStoreAnswering(err == nil)
 		if err != nil {
 			s.Counters.StoreFailures.Add(1)
 			if failures == 0 {
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -66,6 +66,9 @@
 	sequence      uint64
 	// heardAt is when the last message arrived.
 	heardAt time.Time
+	// isSourceSilent says that the peer knows of no new versions, as its last answer to a
+	// heartbeat stated.
+	isSourceSilent bool
 	// pings holds when the pings that await an answer were sent, by sequence.
 	pings map[uint64]time.Time
 	// digestsSequence is that of the last ping before this daemon answered the peer's
--- /dev/null
+++ b/spreader/source.go
@@ -0,0 +1,93 @@
+package spreader
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// This file decides when a daemon stops relying on others for new versions. A source that has
+// nothing to tell and one that has stopped are both silent, so that a source counts only while it
+// answers heartbeats.
+
+const (
+	// relayPatienceHeartbeats is for how many heartbeats a relay relies on the relays that it
+	// is linked with after the last message of any of them.
+	relayPatienceHeartbeats = 2
+	// patienceHalfHeartbeats is for how many half heartbeats any other daemon relies on its
+	// parent. It leaves the parent after SilentAfter, by default six, and mostly has another
+	// before it would call the store.
+	patienceHalfHeartbeats = 7
+	// patienceSpreadHalfHeartbeats spreads the calls of the daemons below one parent.
+	patienceSpreadHalfHeartbeats = 1
+)
+
+// isSource reports whether the peer sends this daemon the versions of which it learns.
+func (sess *session) isSource() bool {
+	return (sess.role == roleParent || sess.role == roleNeighbor) && !sess.isSourceSilent
+}
+
+// peerSourceAt returns when a peer last showed that it is a source of versions. The caller
+// holds mu.
+func (s *Spreader) peerSourceAt() time.Time {
+	at := s.sourceAt
+	for _, sess := range s.sessions {
+		if sess.isSource() && sess.heardAt.After(at) {
+			at = sess.heardAt
+		}
+	}
+	return at
+}
+
+// patience returns how long after peerSourceAt this daemon watches the store itself. The caller
+// holds mu.
+func (s *Spreader) patience() time.Duration {
+	if s.relaySlot != "" {
+		return relayPatienceHeartbeats * s.cfg.Heartbeat
+	}
+	return patienceHalfHeartbeats*s.cfg.Heartbeat/2 + s.patienceSpread
+}
+
+// isSourceOverdue reports whether the sources of versions among the peers have been silent for
+// too long. The caller holds mu.
+func (s *Spreader) isSourceOverdue() bool { return time.Since(s.peerSourceAt()) > s.patience() }
+
+// isSilentFor reports whether the answer to a heartbeat must tell the peer that this daemon is no
+// source of versions. Another relay of the failure domain has to know whether this one watches the
+// store. Children of a relay are not told: when the store is down, all of them would call it. The
+// caller holds mu.
+func (s *Spreader) isSilentFor(sess *session) bool {
+	switch {
+	case sess.role == roleNeighbor:
+		return sess.domain == s.Domain && !s.isStoreAnswering
+	case s.relaySlot != "":
+		return false
+	}
+	return !s.isStoreAnswering && s.isSourceOverdue()
+}
+
+// handleSourceSilent keeps whether the peer has said that it is no source of versions.
+func (s *Spreader) handleSourceSilent(sess *session, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isSilent && !sess.isSourceSilent {
+		s.Log.Info("source-silent", zap.String("peer", sess.node.InstanceID))
+		s.wakeWatcher()
+	}
+	sess.isSourceSilent = isSilent
+}
+
+// wakeWatcher makes this daemon look at once whether to watch the store.
+func (s *Spreader) wakeWatcher() {
+	select {
+	case s.watcherWake <- struct{}{}:
+	default:
+	}
+}
+
+// setStoreAnswering keeps whether the last call of this daemon's watch was answered.
+func (s *Spreader) setStoreAnswering(isAnswering bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isStoreAnswering = isAnswering
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -64,6 +64,10 @@
 	firstSlotReadOnce sync.Once
 	// inviteWake holds a token when an invitation has arrived.
 	inviteWake chan struct{}
+	// watcherWake holds a token when a reason to watch the store may have come up.
+	watcherWake chan struct{}
+	// patienceSpread is this daemon's part of the spread of calls to the store.
+	patienceSpread time.Duration
 	// hasMetAll says that the table has had a record of every instance of the rosters.
 	hasMetAll atomic.Bool
 	cfg       Settings
@@ -83,6 +87,14 @@
 	parent        *session
 	// path leads from the root to this daemon, which is not included.
 	path []messenger.Node
+	// sourceAt is when the store last answered a read, or a message last came from a source
+	// of versions whose session has ended.
+	sourceAt time.Time
+	// isStoreAnswering says that this daemon watches the store and that the last call was
+	// answered.
+	isStoreAnswering bool
+	// lostParent is the peer address of a parent that was lost, until the next attempt to attach.
+	lostParent string
 	// lastConfirmation is the most recent confirmation of the store's version.
 	lastConfirmation confirmation
 	// unconfirmed says that the version in force was applied without a
@@ -146,7 +158,10 @@
 		s.firstSlotRead = make(chan struct{})
 		s.inviteWake = make(chan struct{}, 1)
 		s.reports = make(map[string]*rootReport)
+		s.watcherWake = make(chan struct{}, 1)
+		s.patienceSpread = jitter(patienceSpreadHalfHeartbeats * s.cfg.Heartbeat / 2)
 		s.began = time.Now()
+		s.sourceAt = s.began
 		s.epoch = uint64(s.began.UnixNano())
 	})
 }
@@ -164,9 +179,7 @@
 		wg.Go(func() { s.fetchFirstVersion(ctx) })
 		wg.Go(func() { s.runMaintenance(ctx) })
 		wg.Go(func() { s.saveQuarantine(ctx) })
-		if s.External != nil {
-			wg.Go(func() { s.watchExternal(ctx) })
-		}
+		wg.Go(func() { s.watchWhenNeeded(ctx) })
 		s.stayAttached(ctx)
 		wg.Wait()
 	}
