Cut daemons off from all others in the versions soak

What was missing: a proxy stands before each daemon and silences all of its clients or none, so that no run of processes could cut a group of daemons off while the links within it last.

--- a/faulter/faulter.go
+++ b/faulter/faulter.go
@@ -43,6 +43,9 @@
 	// Silence stops forwarding in these directions, also of the end of the stream,
 	// while the connections stay open.
 	Silence Direction
+	// IsHit, if not nil, says whether Silence is for the connections of the client with the
+	// address. It must always say the same of one address.
+	IsHit func(client net.Addr) bool
 	// Delay is the time by which each chunk is delayed, in either direction.
 	Delay time.Duration
 	// BytesPerSecond limits each direction of each connection; 0 means no limit.
@@ -270,7 +273,7 @@
 			<-c.done
 			return fault, false
 		}
-		if fault.Silence&d == 0 {
+		if fault.Silence&d == 0 || fault.IsHit != nil && !fault.IsHit(c.client.RemoteAddr()) {
 			return fault, true
 		}
 		select {
--- a/faulter/faulter_test.go
+++ b/faulter/faulter_test.go
@@ -189,3 +189,28 @@
 		}
 	}
 }
+
+// TestSilenceOfSomeClients guards against a cut between two groups of processes that also
+// silences the links within one of them.
+func TestSilenceOfSomeClients(t *testing.T) {
+	l := newLink(t)
+	other := &http.Client{Transport: new(http.Transport)}
+	if _, err := l.post("/first"); err != nil {
+		t.Fatal(err)
+	}
+	open := make(map[string]bool)
+	l.proxy.mu.Lock()
+	for c := range l.proxy.conns {
+		open[c.client.RemoteAddr().String()] = true
+	}
+	l.proxy.mu.Unlock()
+	l.proxy.Set(Fault{Silence: Both, IsHit: func(client net.Addr) bool { return open[client.String()] }})
+	if _, err := l.post("/silenced"); err == nil {
+		t.Error("request of a silenced client: got an answer, want none")
+	}
+	res, err := other.Get("http://" + l.proxy.Addr() + "/other")
+	if err != nil {
+		t.Fatalf("request of another client: got %v, want an answer", err)
+	}
+	_ = res.Body.Close()
+}
--- a/launcher/attributes_other.go
+++ b/launcher/attributes_other.go
@@ -13,3 +13,6 @@
 
 // peakBytes returns 0: only /proc shows the resident size of a process.
 func peakBytes(int) (int64, error) { return 0, nil }
+
+// dialers knows of no connection whose it is.
+func dialers(map[string]int) map[int]string { return make(map[int]string) }
--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -55,13 +55,14 @@
 	FreezeRelays   VersionFault = "freeze-relays"
 	KillRelays     VersionFault = "kill-relays"
 	CutFromPeers   VersionFault = "cut"
+	CutOffGroup    VersionFault = "cut-off"
 	CutRelays      VersionFault = "cut-relays"
 	CutRelayStores VersionFault = "cut-relay-stores"
 )
 
 // VersionFaults returns all kinds of faults.
 func VersionFaults() []VersionFault {
-	return []VersionFault{NoFault, FreezeDaemons, FreezeRelays, KillRelays, CutFromPeers, CutRelays, CutRelayStores}
+	return []VersionFault{NoFault, FreezeDaemons, FreezeRelays, KillRelays, CutFromPeers, CutOffGroup, CutRelays, CutRelayStores}
 }
 
 // VersionsConfig configures RunVersions. Program, Dir, Changes, Daemons and Bound must be set.
@@ -120,7 +121,7 @@
 		outUntil: make(map[string]time.Time),
 	}
 	defer r.fleet.Close()
-	r.fleet.DirectCalls = cfg.Fault != CutFromPeers && cfg.Fault != CutRelays
+	r.fleet.DirectCalls = !slices.Contains([]VersionFault{CutFromPeers, CutOffGroup, CutRelays}, cfg.Fault)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := r.startFleet(ctx); err != nil {
@@ -279,8 +280,16 @@
 	}
 	var g errgroup.Group
 	r.logf("%s %v for %s", r.cfg.Fault, victims, hold)
-	for _, name := range victims {
-		g.Go(func() error { return r.runVersionFault(ctx, name, hold) })
+	if r.cfg.Fault == CutOffGroup {
+		g.Go(func() error {
+			r.fleet.CutOff(victims)
+			defer r.fleet.HealPeers()
+			return sleeper.Sleep(ctx, hold)
+		})
+	} else {
+		for _, name := range victims {
+			g.Go(func() error { return r.runVersionFault(ctx, name, hold) })
+		}
 	}
 	if err := sleeper.Sleep(ctx, lead); err != nil {
 		return err
@@ -310,7 +319,7 @@
 	var names []string
 	for _, d := range r.fleet.Daemons() {
 		switch r.cfg.Fault {
-		case FreezeDaemons, CutFromPeers:
+		case FreezeDaemons, CutFromPeers, CutOffGroup:
 			names = append(names, d.Name)
 		default:
 			status, err := r.status(ctx, d)
