Let a daemon that has read a version wait before it watches the store

What operators paid: a daemon whose sources fall silent makes two calls, a read and a watch, although it mostly has a parent a second later.

What changed: after the read it waits for two heartbeats, and leaves if a source is back. A version that comes in that wait is in force at most that much later.

Conclusion: some watches are saved; a cut of many daemons still costs a read and mostly a watch for each one that no other source reaches.

--- a/spreader/external.go
+++ b/spreader/external.go
@@ -70,7 +70,11 @@
 			}
 			stop()
 		}()
-		s.watchHead(watchCtx)
+		var firstPause time.Duration
+		if reason == reasonSilentSource {
+			firstPause = silentSourcePauseHeartbeats * s.cfg.Heartbeat
+		}
+		s.watchHead(watchCtx, firstPause)
 		stop()
 		s.Log.Info("watch-ended")
 	}
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -94,7 +94,7 @@
 	defer s.setSlot("")
 	var wg sync.WaitGroup
 	if s.External == nil {
-		wg.Go(func() { s.watchHead(ctx) })
+		wg.Go(func() { s.watchHead(ctx, 0) })
 	}
 	wg.Go(func() { s.keepNeighbors(ctx, key) })
 	wg.Go(func() { s.maintainRosters(ctx, key) })
@@ -191,8 +191,8 @@
 }
 
 // watchHead watches the head, or the external configuration, and applies each
-// new version until ctx ends.
-func (s *Spreader) watchHead(ctx context.Context) {
+// new version until ctx ends. It waits for firstPause after the first answer.
+func (s *Spreader) watchHead(ctx context.Context, firstPause time.Duration) {
 	var after storer.Revision
 	var version versioner.Version
 	failures := 0
@@ -207,8 +207,9 @@
 			s.recordConfirmation(version, began)
 			if time.Since(began) < s.cfg.WatchWait/2 {
 				// The store did not wait: there is no head yet, or nothing to wait for.
-				_ = sleeper.Sleep(ctx, around(s.cfg.WatchWait/16))
+				_ = sleeper.Sleep(ctx, max(firstPause, around(s.cfg.WatchWait/16)))
 			}
+			firstPause = 0
 			continue
 		}
 		if err == nil {
@@ -229,9 +230,12 @@
 		}
 		failures = s.resetFailures(failures)
 		after = item.Revision
+		pause := firstPause
 		if s.External != nil {
-			_ = sleeper.Sleep(ctx, s.cfg.Heartbeat*watchPausePercent/100)
+			pause = max(pause, s.cfg.Heartbeat*watchPausePercent/100)
 		}
+		_ = sleeper.Sleep(ctx, pause)
+		firstPause = 0
 	}
 }
 
--- a/spreader/source.go
+++ b/spreader/source.go
@@ -20,6 +20,10 @@
 	patienceHalfHeartbeats = 7
 	// patienceSpreadHalfHeartbeats spreads the calls of the daemons below one parent.
 	patienceSpreadHalfHeartbeats = 1
+	// silentSourcePauseHeartbeats is for how many heartbeats a daemon that has read the newest
+	// version, because its sources are silent, leaves the store alone. Most have a parent by then
+	// and need not watch.
+	silentSourcePauseHeartbeats = 2
 )
 
 // isSource reports whether the peer sends this daemon the versions of which it learns.
--- a/spreader/watch_test.go
+++ b/spreader/watch_test.go
@@ -32,7 +32,7 @@
 		}
 		s.init()
 		ctx, cancel := context.WithCancel(t.Context())
-		go s.watchHead(ctx)
+		go s.watchHead(ctx, 0)
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
