Report in the versions soak when a version goes back

What was missing: CONFIG also breaks when a daemon returns to an older version; the run looked only for late ones.

What changed: an answer by an older version, from a daemon in touch that has routed by the newer one, is a violation of versions-only-rise.

--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -377,6 +377,7 @@
 // probeExtra has passed since.
 func (r *versionsRun) probe(ctx context.Context, d launcher.Daemon, confirmed time.Time) error {
 	var lag time.Duration
+	hasKnown := false
 	end := confirmed.Add(r.cfg.Bound + probeExtra)
 	for time.Now().Before(end) {
 		sent := time.Now()
@@ -398,23 +399,33 @@
 		}
 		if inTouch && isOlder {
 			lag = sent.Sub(confirmed)
+			if hasKnown {
+				r.addViolation(checker.VersionsOnlyRise, d.Name, fmt.Sprintf("version %d no longer in force %s after the store had confirmed it", len(r.routes), lag))
+			}
 		}
+		hasKnown = inTouch && (hasKnown || err == nil)
 		if err := sleeper.Sleep(ctx, probeInterval); err != nil {
 			return err
 		}
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.result.Lags = append(r.result.Lags, lag)
+	r.mu.Unlock()
 	if lag > r.cfg.Bound {
-		detail := fmt.Sprintf("version %d not in force %s after the store had confirmed it, at %.2fs, want at most %s",
-			len(r.routes), lag.Round(time.Millisecond), confirmed.Sub(r.start).Seconds(), r.cfg.Bound)
-		r.result.Violations = append(r.result.Violations, checker.Violation{Invariant: InForceInTime, Subject: d.Name, Detail: detail})
-		r.logf("%s: %s", d.Name, detail)
+		r.addViolation(InForceInTime, d.Name, fmt.Sprintf("version %d not in force %s after the store had confirmed it, at %.2fs, want at most %s",
+			len(r.routes), lag.Round(time.Millisecond), confirmed.Sub(r.start).Seconds(), r.cfg.Bound))
 	}
 	return nil
 }
 
+// addViolation records and logs a violation of an invariant by a daemon.
+func (r *versionsRun) addViolation(invariant checker.Invariant, daemon, detail string) {
+	r.logf("%s: %s", daemon, detail)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Violations = append(r.result.Violations, checker.Violation{Invariant: invariant, Subject: daemon, Detail: detail})
+}
+
 // status returns the status of a daemon.
 func (r *versionsRun) status(ctx context.Context, d launcher.Daemon) (operator.Status, error) {
 	var status operator.Status
