Call a store that is down less often without a source of versions

What operators would see: when relays are lost while the store is down, every daemon below a detached one tries to watch the store twice a second, where only the relays did so before.

Cause: the watch for a silent source backs off no further than a relay's.

Only a parent's silence is logged as source-silent.

--- a/logger/events.go
+++ b/logger/events.go
@@ -38,7 +38,7 @@
 		{"head-not-restored", "a version that the restored store had lost could not be written there; another daemon or the next change does it", "error"},
 		{"relay-begun", "this daemon became a relay", "slot"},
 		{"relay-ended", "this daemon is no longer a relay", "slot"},
-		{"source-silent", "a peer from which versions come reaches neither the store nor a daemon that may", "peer"},
+		{"source-silent", "the parent says that it reaches neither the store nor a daemon that may", "parent"},
 		{"parent-joined", "this daemon joined the tree below another", "parent, depth"},
 		{"parent-lost", "the session with the parent ended", "parent, by-choice, silent"},
 
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -70,11 +70,11 @@
 			}
 			stop()
 		}()
-		var firstPause time.Duration
+		var pace watchPace
 		if reason == reasonSilentSource {
-			firstPause = silentSourcePauseHeartbeats * s.cfg.Heartbeat
+			pace = watchPace{firstPause: silentSourcePauseHeartbeats * s.cfg.Heartbeat, maxBackoff: s.cfg.LeaseTTL}
 		}
-		s.watchHead(watchCtx, firstPause)
+		s.watchHead(watchCtx, pace)
 		stop()
 		s.Log.Info("watch-ended")
 	}
--- a/spreader/relay.go
+++ b/spreader/relay.go
@@ -1,6 +1,7 @@
 package spreader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -94,7 +95,7 @@
 	defer s.setSlot("")
 	var wg sync.WaitGroup
 	if s.External == nil {
-		wg.Go(func() { s.watchHead(ctx, 0) })
+		wg.Go(func() { s.watchHead(ctx, watchPace{}) })
 	}
 	wg.Go(func() { s.keepNeighbors(ctx, key) })
 	wg.Go(func() { s.maintainRosters(ctx, key) })
@@ -190,9 +191,17 @@
 	return false
 }
 
+// watchPace limits the calls of a watch.
+type watchPace struct {
+	// firstPause is the shortest time from the first answer to the next call.
+	firstPause time.Duration
+	// maxBackoff bounds the mean pause after a failed call; 0 means LeaseTTL/6.
+	maxBackoff time.Duration
+}
+
 // watchHead watches the head, or the external configuration, and applies each
-// new version until ctx ends. It waits for firstPause after the first answer.
-func (s *Spreader) watchHead(ctx context.Context, firstPause time.Duration) {
+// new version until ctx ends.
+func (s *Spreader) watchHead(ctx context.Context, pace watchPace) {
 	var after storer.Revision
 	var version versioner.Version
 	failures := 0
@@ -207,9 +216,9 @@
 			s.recordConfirmation(version, began)
 			if time.Since(began) < s.cfg.WatchWait/2 {
 				// The store did not wait: there is no head yet, or nothing to wait for.
-				_ = sleeper.Sleep(ctx, max(firstPause, around(s.cfg.WatchWait/16)))
+				_ = sleeper.Sleep(ctx, max(pace.firstPause, around(s.cfg.WatchWait/16)))
 			}
-			firstPause = 0
+			pace.firstPause = 0
 			continue
 		}
 		if err == nil {
@@ -225,17 +234,17 @@
 				s.Log.Warn("store-lost", zap.Error(err), zap.Duration("silent", time.Since(began)))
 			}
 			failures++
-			_ = sleeper.Sleep(ctx, around(min(s.cfg.LeaseTTL/6, storeBackoffBase<<min(failures, maxBackoffDoublings))))
+			_ = sleeper.Sleep(ctx, around(min(cmp.Or(pace.maxBackoff, s.cfg.LeaseTTL/6), storeBackoffBase<<min(failures, maxBackoffDoublings))))
 			continue
 		}
 		failures = s.resetFailures(failures)
 		after = item.Revision
-		pause := firstPause
+		pause := pace.firstPause
 		if s.External != nil {
 			pause = max(pause, s.cfg.Heartbeat*watchPausePercent/100)
 		}
 		_ = sleeper.Sleep(ctx, pause)
-		firstPause = 0
+		pace.firstPause = 0
 	}
 }
 
@@ -251,7 +260,7 @@
 const (
 	// storeBackoffBase is the base of the pause after failed calls of a watch:
 	// after the nth failure in a row its mean is storeBackoffBase<<n, at most
-	// LeaseTTL/6.
+	// watchPace.maxBackoff.
 	storeBackoffBase = 50 * time.Millisecond
 	// maxBackoffDoublings bounds n.
 	maxBackoffDoublings = 10
--- a/spreader/source.go
+++ b/spreader/source.go
@@ -15,8 +15,8 @@
 	// is linked with after the last message of any of them.
 	relayPatienceHeartbeats = 2
 	// patienceHalfHeartbeats is for how many half heartbeats any other daemon relies on its
-	// parent. It leaves the parent after SilentAfter, by default six, and mostly has another
-	// before it would call the store.
+	// parent. After SilentAfter, by default six of them, it looks for another parent, and it
+	// mostly has one before it would call the store.
 	patienceHalfHeartbeats = 7
 	// patienceSpreadHalfHeartbeats spreads the calls of the daemons below one parent.
 	patienceSpreadHalfHeartbeats = 1
@@ -75,7 +75,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if isSilent && !sess.isSourceSilent {
-		s.Log.Info("source-silent", zap.String("peer", sess.node.InstanceID))
+		if sess.role == roleParent {
+			s.Log.Info("source-silent", zap.String("parent", sess.node.InstanceID))
+		}
 		s.wakeWatcher()
 	}
 	sess.isSourceSilent = isSilent
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -171,7 +171,7 @@
 	s.init()
 	switch s.cfg.Mode {
 	case ModeWatch:
-		s.watchHead(ctx, 0)
+		s.watchHead(ctx, watchPace{})
 	case ModePoll:
 		s.pollHead(ctx)
 	default:
