Try the parent that fell silent after the other relays

What operators paid: a daemon that had left a silent parent listed the relays in the store and tried the silent one first half of the time, for another SilentAfter.

Cause: the relays that a daemon remembers are from its start, when mostly one slot is claimed, so that joinOtherRelay knows no other; after the list the order was random.

TestSilentParentIsTriedLast fails without the change of order (slot 1 is not last in some of 100 draws).

--- a/spreader/heartbeat.go
+++ b/spreader/heartbeat.go
@@ -34,6 +34,10 @@
 	sess.appendMessage(ping)
 }
 
+// minPingInterval is the shortest time between two pings that carry a new
+// tally.
+func (s *Spreader) minPingInterval() time.Duration { return s.cfg.Heartbeat / 4 }
+
 // requestParentPing requests a ping to the parent, which carries a changed
 // tally. The caller holds mu.
 func (s *Spreader) requestParentPing() {
--- a/spreader/join.go
+++ b/spreader/join.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -85,7 +83,8 @@
 // when neither is possible. The children of this daemon keep their sessions
 // with it throughout.
 func (s *Spreader) attach(ctx context.Context) {
-	if s.joinOtherRelay(ctx) {
+	lost := s.consumeLostParent()
+	if s.joinOtherRelay(ctx, lost) {
 		return
 	}
 	slots, err := s.readSlots(ctx)
@@ -96,7 +95,7 @@
 	}
 	own := s.ownSlots(slots)
 	appointed := s.consumeAppointment()
-	if appointed == "" && s.joinRelay(ctx, own) {
+	if appointed == "" && s.joinRelay(ctx, own, lost) {
 		return
 	}
 	if free, ok := s.claimableSlot(own, appointed); ok {
@@ -105,73 +104,13 @@
 		}
 		// Another daemon claimed the slot first: read its address and join it.
 		if slots, err = s.readSlots(ctx); err == nil {
-			s.joinRelay(ctx, s.ownSlots(slots))
+			s.joinRelay(ctx, s.ownSlots(slots), lost)
 		}
 		return
 	}
 	s.joinAny(ctx, s.candidates())
 }
 
-// hasLostParent reports whether this daemon has lost a parent and has not looked for another
-// since.
-func (s *Spreader) hasLostParent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lostParent != ""
-}
-
-// joinOtherRelay joins a relay of this failure domain that was known before this daemon lost
-// its parent and is not that parent, and reports whether there was a session. It calls the store
-// for nothing, so that a lost parent does not bring all its children there.
-func (s *Spreader) joinOtherRelay(ctx context.Context) bool {
-	s.mu.Lock()
-	lost, known, isAppointed := s.lostParent, s.ownSlots(s.slots), s.appointedSlot != ""
-	s.lostParent = ""
-	s.mu.Unlock()
-	if lost == "" || isAppointed {
-		return false
-	}
-	for i := range known {
-		if known[i].addr == lost {
-			known[i].addr = ""
-		}
-	}
-	return s.joinRelay(ctx, known)
-}
-
-// joinKnownRelay joins a relay of this failure domain that the store names, if it answers,
-// and reports whether there was a session. It claims no slot, so that it can do with slots
-// that are some seconds old: most daemons start after a failure, and the slots name the
-// relays from before.
-func (s *Spreader) joinKnownRelay(ctx context.Context) bool {
-	items, err := s.Store.ListStale(ctx, relayPrefix)
-	s.firstSlotReadOnce.Do(func() { close(s.firstSlotRead) })
-	if err != nil {
-		s.Counters.StoreFailures.Add(1)
-		return false
-	}
-	return s.joinRelay(ctx, s.ownSlots(s.keepSlots(items)))
-}
-
-// joinRelay joins a relay of this failure domain, and reports whether there was
-// a session. It clears the address in own of a relay that refuses connections:
-// its process is gone, so its slot may be claimed.
-func (s *Spreader) joinRelay(ctx context.Context, own []slot) bool {
-	for _, i := range rand.Perm(len(own)) {
-		if own[i].addr == "" || own[i].addr == s.PeerAddress {
-			continue
-		}
-		joined, err := s.join(ctx, own[i].addr)
-		if joined {
-			return true
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			own[i].addr = ""
-		}
-	}
-	return false
-}
-
 // claimableSlot returns the slot that this daemon should claim: one that names
 // this daemon already, otherwise the appointed slot if it is vacant, or any
 // vacant one if appointed is "". A slot that names another relay is never
--- a/spreader/session.go
+++ b/spreader/session.go
@@ -330,10 +330,6 @@
 	}
 }
 
-// minPingInterval is the shortest time between two pings that carry a new
-// tally.
-func (s *Spreader) minPingInterval() time.Duration { return s.cfg.Heartbeat / 4 }
-
 // consumeUrgent returns and clears the session's urgent flag.
 func (s *Spreader) consumeUrgent(sess *session) bool {
 	s.mu.Lock()
--- a/spreader/silence_test.go
+++ b/spreader/silence_test.go
@@ -67,3 +67,15 @@
 	f.writeExternal()
 	f.waitConverged()
 }
+
+// TestSilentParentIsTriedLast guards against a daemon that has left a silent parent waiting for
+// the same one again while another relay would take it.
+func TestSilentParentIsTriedLast(t *testing.T) {
+	own := []slot{{addr: "127.0.0.1:1"}, {addr: "127.0.0.1:2"}, {addr: "127.0.0.1:3"}}
+	for range 100 {
+		order := joinOrder(own, "127.0.0.1:2")
+		if got := order[len(order)-1]; len(order) != len(own) || got != 1 {
+			t.Fatalf("order: got %v, want all three slots, slot 1 last", order)
+		}
+	}
+}
