--- a/launcher/cut.go
+++ b/launcher/cut.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -56,6 +57,8 @@
 // dialerTable tells which daemon opened a connection.
 type dialerTable struct {
 	find func() map[int]string
+	// finding is held during find, so that the connections that are known don't wait for it.
+	finding sync.Mutex
 
 	mu    sync.Mutex
 	ports map[int]string
@@ -64,15 +67,28 @@
 // dialer returns the daemon whose end of a connection has the address, or "".
 func (d *dialerTable) dialer(client net.Addr) string {
 	port := portOf(client)
+	if name, ok := d.known(port); ok {
+		return name
+	}
+	d.finding.Lock()
+	defer d.finding.Unlock()
+	if name, ok := d.known(port); ok {
+		return name
+	}
+	found := d.find()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.ports[port]; !ok {
-		d.ports = d.find()
-		if _, ok := d.ports[port]; !ok {
-			d.ports[port] = ""
-		}
-	}
-	return d.ports[port]
+	maps.Copy(d.ports, found)
+	d.ports[port] = found[port]
+	return found[port]
+}
+
+// known returns the daemon that has the port open, if it has been found.
+func (d *dialerTable) known(port int) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	name, ok := d.ports[port]
+	return name, ok
 }
 
 // portOf returns the port of a TCP address.
