Ask daemons that watch the store before calling it

What changed: after 2.5 heartbeats of silence a daemon asks up to three others, relays first, for what it lacks; the answer to a survey starts from the asking daemon's position, so that it holds a few deltas. A daemon that watches the store vouches for the newest version by this, others only hand on what they have: two daemons without a source may not rely on each other (an earlier form, which let them, hung in TestVersionPassesAParentWithoutSource). For the same reason only relays rely on neighbors.

The new test TestVersionPassesASilentRelayWithoutTheStore waits in vain on the parent commit.

--- a/messenger/control.go
+++ b/messenger/control.go
@@ -69,6 +69,8 @@
 	Path []Node `cbor:"6,keyasint,omitempty"`
 	// Subtree lists the instances below the sender, for neighbors.
 	Subtree []string `cbor:"7,keyasint,omitempty"`
+	// IsWatching says that the sender watches the store, and that its last call was answered.
+	IsWatching bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Redirect refuses a Hello and names daemons to try instead.
--- a/spreader/external.go
+++ b/spreader/external.go
@@ -60,6 +60,7 @@
 	for ctx.Err() == nil {
 		reason := s.watchReason()
 		if reason == "" {
+			s.surveyIfSilent(ctx)
 			s.waitForWatcherCheck(ctx)
 			continue
 		}
@@ -67,6 +68,7 @@
 		watchCtx, stop := context.WithCancel(ctx)
 		go func() {
 			for s.watchReason() != "" && sleeper.Sleep(watchCtx, watcherCheckInterval) == nil {
+				s.surveyIfSilent(ctx)
 			}
 			stop()
 		}()
@@ -83,11 +85,14 @@
 // waitForWatcherCheck waits until this daemon has to check again whether to watch.
 func (s *Spreader) waitForWatcherCheck(ctx context.Context) {
 	s.mu.Lock()
-	overdueIn := s.patience() - time.Since(s.peerSourceAt())
+	silence := time.Since(s.peerSourceAt())
+	patiences := []time.Duration{s.surveyPatience(), s.patience()}
 	s.mu.Unlock()
 	wait := watcherCheckInterval
-	if overdueIn > 0 {
-		wait = min(wait, overdueIn+time.Millisecond)
+	for _, patience := range patiences {
+		if patience > silence {
+			wait = min(wait, patience-silence+time.Millisecond)
+		}
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -208,7 +213,7 @@
 // that the peer lacked, however many have followed since. The caller holds mu.
 func (s *Spreader) pushDelay(sess *session, remote versioner.Version) time.Duration {
 	isOtherDomain := sess.role == roleNeighbor && sess.domain != s.Domain
-	if s.External == nil || remote == 0 || !isOtherDomain && !s.everyDaemonWatches() {
+	if s.External == nil || remote == 0 || sess.role == roleSurveyor || !isOtherDomain && !s.everyDaemonWatches() {
 		return 0
 	}
 	history := s.Applier.History()
--- a/spreader/freshness.go
+++ b/spreader/freshness.go
@@ -142,7 +142,7 @@
 	if s.External != nil {
 		item, err := s.Store.Get(ctx, s.External.Key)
 		if err == nil {
-			s.noteStoreRead(began)
+			s.noteSource(began)
 			s.handleExternalItem(item, began)
 		}
 		return err
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s.noteStoreRead(began)
+	s.noteSource(began)
 	s.recordConfirmation(head.Version, began)
 	if head.Version == 0 {
 		return nil
@@ -159,21 +159,26 @@
 	return s.syncToHead(ctx, head)
 }
 
-// noteStoreRead keeps that the store answered a read that began at the given time.
-func (s *Spreader) noteStoreRead(began time.Time) {
+// noteSource keeps that this daemon has the version that was the newest in the store, or at a
+// daemon that watches it, at a time.
+func (s *Spreader) noteSource(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sourceAt = began
+	if at.After(s.sourceAt) {
+		s.sourceAt = at
+	}
 }
 
 // surveyPeers asks the known peers for their versions. The newest document that
 // they send becomes pending.
 func (s *Spreader) surveyPeers(ctx context.Context) {
-	s.Counters.Surveys.Add(1)
 	addrs := s.candidates()
-	if len(addrs) > maxSurveyPeers {
-		addrs = addrs[:maxSurveyPeers]
-	}
+	s.survey(ctx, addrs[:min(len(addrs), maxSurveyPeers)])
+}
+
+// survey asks the daemons at the addresses for their versions at the same time.
+func (s *Spreader) survey(ctx context.Context, addrs []string) {
+	s.Counters.Surveys.Add(1)
 	var wg sync.WaitGroup
 	for _, addr := range addrs {
 		wg.Go(func() { s.surveyPeer(ctx, addr) })
@@ -197,18 +202,23 @@
 		return
 	}
 	s.handleConfirmation(welcome.Confirm, began)
-	if welcome.Position.Version <= s.position().Version {
-		return
-	}
-	m, err := link.Receive(ctx)
-	if err != nil {
-		return
+	if welcome.Position.Version > s.position().Version {
+		m, err := link.Receive(ctx)
+		if err != nil {
+			return
+		}
+		from := &session{role: roleSurveyor, node: welcome.Node}
+		switch m := m.(type) {
+		case *messenger.State:
+			s.handleState(m, from)
+		case *messenger.Deltas:
+			s.handleDeltas(m.Deltas, from)
+		}
 	}
-	switch m := m.(type) {
-	case *messenger.State:
-		s.handleState(m, nil)
-	case *messenger.Deltas:
-		s.handleDeltas(m.Deltas, nil)
+	// Only a daemon that watches can say that there is nothing newer: two others might each
+	// rely on what the other says.
+	if welcome.IsWatching && welcome.Position.Version <= s.position().Version {
+		s.noteSource(began)
 	}
 }
 
--- a/spreader/membership.go
+++ b/spreader/membership.go
@@ -258,7 +258,7 @@
 	defer s.mu.Unlock()
 	delete(s.sessions, sess.id)
 	s.Counters.SessionsLost.Add(1)
-	if sess.isSource() && sess.heardAt.After(s.sourceAt) {
+	if s.isSource(sess) && sess.heardAt.After(s.sourceAt) {
 		s.sourceAt = sess.heardAt
 	}
 	s.wakeWatcher()
--- a/spreader/serve.go
+++ b/spreader/serve.go
@@ -47,7 +47,7 @@
 		return errorx.IllegalFormat.New("link opened by a message of kind %d", m.Kind())
 	}
 	if hello.Purpose == messenger.PurposeSurvey {
-		return s.serveSurvey(ctx, link)
+		return s.serveSurvey(ctx, link, hello.Position)
 	}
 	if hello.Purpose == messenger.PurposeInvite {
 		s.handleInvite(hello.Node.PeerAddress)
@@ -64,16 +64,16 @@
 	return s.runSession(ctx, sess)
 }
 
-// serveSurvey sends the configuration in force with the last confirmation, and
-// then waits for the peer to close the link.
-func (s *Spreader) serveSurvey(ctx context.Context, link *messenger.Link) error {
+// serveSurvey sends the last confirmation and, if the peer's position is older, the
+// configuration in force, and then waits for the peer to close the link.
+func (s *Spreader) serveSurvey(ctx context.Context, link *messenger.Link, remote messenger.Position) error {
 	s.mu.Lock()
 	welcome := s.welcome()
 	s.mu.Unlock()
 	if err := s.send(ctx, link, welcome); err != nil {
 		return err
 	}
-	sess := &session{link: link, role: roleSurveyor}
+	sess := &session{link: link, role: roleSurveyor, remote: remote}
 	if m := s.configurationMessage(sess); m != nil {
 		if err := s.send(ctx, link, m); err != nil {
 			return err
@@ -87,7 +87,7 @@
 func (s *Spreader) welcome() *messenger.Welcome {
 	w := &messenger.Welcome{
 		Node: s.node(), Domain: s.Domain, MembersDigest: s.Table.Digest(), Confirm: s.confirmationMessage(),
-		Path: append(slices.Clone(s.path), s.node()),
+		Path: append(slices.Clone(s.path), s.node()), IsWatching: s.isStoreAnswering,
 	}
 	if snapshot := s.Applier.Current(); snapshot != nil {
 		w.Position = messenger.Position{Version: snapshot.Version(), Digest: snapshot.Digest}
--- a/spreader/silence_test.go
+++ b/spreader/silence_test.go
@@ -43,6 +43,21 @@
 	f.waitConverged(f.others(silent)...)
 }
 
+// TestVersionPassesASilentRelayWithoutTheStore guards against daemons behind a relay that has
+// stopped depending on the store while other relays know the version.
+func TestVersionPassesASilentRelayWithoutTheStore(t *testing.T) {
+	f := newTreeFleet(t, 2, 3, 7)
+	silent := f.watchers()["mobile-bay"][0]
+	for _, m := range f.members {
+		if !m.Convergence().IsRelay {
+			m.storeFaults.Set(fakestorer.Fault{IsDown: true})
+		}
+	}
+	f.net.isolate(silent.PeerAddress)
+	f.writeExternal()
+	f.waitConverged(f.others(silent)...)
+}
+
 // TestVersionReachesADaemonWithoutPeers guards against a daemon that is cut off from all others
 // keeping an old version although it reaches the store.
 func TestVersionReachesADaemonWithoutPeers(t *testing.T) {
--- a/spreader/source.go
+++ b/spreader/source.go
@@ -1,6 +1,9 @@
 package spreader
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +17,11 @@
 	// relayPatienceHeartbeats is for how many heartbeats a relay relies on the relays that it
 	// is linked with after the last message of any of them.
 	relayPatienceHeartbeats = 2
+	// surveyHalfHeartbeats is for how many half heartbeats of silence any other daemon waits
+	// before it asks other daemons. They send it what it lacks, the store the whole configuration.
+	surveyHalfHeartbeats = 5
+	// maxSurveyedSources bounds the peers that it asks.
+	maxSurveyedSources = 3
 	// patienceHalfHeartbeats is for how many half heartbeats any other daemon relies on its
 	// parent. After SilentAfter, by default six of them, it looks for another parent, and it
 	// mostly has one before it would call the store.
@@ -26,9 +34,12 @@
 	silentSourcePauseHeartbeats = 2
 )
 
-// isSource reports whether the peer sends this daemon the versions of which it learns.
-func (sess *session) isSource() bool {
-	return (sess.role == roleParent || sess.role == roleNeighbor) && !sess.isSourceSilent
+// isSource reports whether this daemon relies on the peer for new versions. Only relays rely on
+// neighbors: one of them always watches the store, while two other roots might rely on each other.
+// The caller holds mu.
+func (s *Spreader) isSource(sess *session) bool {
+	isTrusted := sess.role == roleParent || sess.role == roleNeighbor && s.relaySlot != ""
+	return isTrusted && !sess.isSourceSilent
 }
 
 // peerSourceAt returns when a peer last showed that it is a source of versions. The caller
@@ -36,7 +47,7 @@
 func (s *Spreader) peerSourceAt() time.Time {
 	at := s.sourceAt
 	for _, sess := range s.sessions {
-		if sess.isSource() && sess.heardAt.After(at) {
+		if s.isSource(sess) && sess.heardAt.After(at) {
 			at = sess.heardAt
 		}
 	}
@@ -52,6 +63,45 @@
 	return patienceHalfHeartbeats*s.cfg.Heartbeat/2 + s.patienceSpread
 }
 
+// surveyPatience returns how long after peerSourceAt this daemon asks other peers.
+func (s *Spreader) surveyPatience() time.Duration {
+	return surveyHalfHeartbeats * s.cfg.Heartbeat / 2
+}
+
+// surveyIfSilent asks some peers for their versions, in the background, if the sources of
+// versions have been silent for surveyPatience.
+func (s *Spreader) surveyIfSilent(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isDue := time.Since(s.peerSourceAt()) > s.surveyPatience() && time.Since(s.surveyedAt) > s.cfg.Heartbeat
+	if !isDue || s.isStoreAnswering || s.relaySlot != "" || s.versionInForce() == 0 {
+		return
+	}
+	s.surveyedAt = time.Now()
+	go s.survey(ctx, s.surveyedSources())
+}
+
+// surveyedSources returns the addresses of at most maxSurveyedSources daemons to ask for versions:
+// known relays, except the parent, and random members for the rest, first of other failure domains.
+// The caller holds mu.
+func (s *Spreader) surveyedSources() []string {
+	var addrs []string
+	for _, i := range rand.Perm(len(s.slots)) {
+		addrs = append(addrs, s.slots[i].addr)
+	}
+	addrs = slices.Concat(addrs, s.randomMembers(false), s.randomMembers(true))
+	left := map[string]bool{"": true, s.PeerAddress: true, s.lostParent: true}
+	if s.parent != nil {
+		left[s.parent.node.PeerAddress] = true
+	}
+	addrs = slices.DeleteFunc(addrs, func(addr string) bool {
+		isLeft := left[addr]
+		left[addr] = true
+		return isLeft
+	})
+	return addrs[:min(len(addrs), maxSurveyedSources)]
+}
+
 // isSourceOverdue reports whether the sources of versions among the peers have been silent for
 // too long. The caller holds mu.
 func (s *Spreader) isSourceOverdue() bool { return time.Since(s.peerSourceAt()) > s.patience() }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -87,9 +87,11 @@
 	parent        *session
 	// path leads from the root to this daemon, which is not included.
 	path []messenger.Node
-	// sourceAt is when the store last answered a read, or a message last came from a source
-	// of versions whose session has ended.
+	// sourceAt is when the store last answered a read, a survey last found a daemon that watches
+	// it, or a message last came from a source whose session has ended.
 	sourceAt time.Time
+	// surveyedAt is when this daemon last made a survey because its sources were silent.
+	surveyedAt time.Time
 	// isStoreAnswering says that this daemon watches the store and that the last call was
 	// answered.
 	isStoreAnswering bool
