--- a/cmd/soakversions.go
+++ b/cmd/soakversions.go
@@ -36,6 +36,7 @@
 	c.Flags().IntVar(&s.cfg.Daemons, "daemons", 40, "number of daemons, each beside a target")
 	c.Flags().StringVar((*string)(&s.cfg.Fault), "fault", string(soaker.FreezeRelays), fmt.Sprintf("what begins before each change: one of %v", soaker.VersionFaults()))
 	c.Flags().IntVar(&s.cfg.Victims, "victims", 3, "largest number of daemons that a fault hits at once")
+	c.Flags().IntVar(&s.cfg.Burst, "burst", 1, "number of versions of one change, 0.1 s apart")
 	c.Flags().DurationVar(&s.cfg.Bound, "bound", 2500*time.Millisecond, "time within which a version must be in force")
 	c.Flags().DurationVar(&s.cfg.Touch, "touch", 3*time.Second, "time for which a daemon does not count after it was frozen, killed or cut off from the store")
 	c.Flags().StringVar(&s.logs, "logs", "", "directory to keep the logs in; by default they are deleted")
--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -14,9 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bambooweir.example/bambooweir/checker"
-	"bambooweir.example/bambooweir/faulter"
 	"bambooweir.example/bambooweir/launcher"
-	"bambooweir.example/bambooweir/operator"
 	"bambooweir.example/bambooweir/platform"
 	"bambooweir.example/bambooweir/sleeper"
 	"bambooweir.example/bambooweir/storer"
@@ -37,31 +35,14 @@
 	maxLead = 100 * time.Millisecond
 	// minVersionFault and maxVersionFault bound how long a fault lasts.
 	minVersionFault, maxVersionFault = time.Second, 4 * time.Second
-	versionsHost                     = "versions.example"
-	versionsService                  = "ledger-view"
+	// burstInterval is the time between two versions of one change.
+	burstInterval = 100 * time.Millisecond
+	// slowRun and slowPause are for how long a slowed daemon runs and stands still by turns.
+	slowRun, slowPause = 20 * time.Millisecond, 60 * time.Millisecond
+	versionsHost       = "versions.example"
+	versionsService    = "ledger-view"
 )
 
-// VersionFault is a kind of fault that begins just before each change.
-type VersionFault string
-
-// The kinds of faults. A daemon whose peers are cut off from it still reaches the store, and
-// the peers that it dials; one that is frozen or killed counts as out of touch for a while.
-const (
-	NoFault        VersionFault = "none"
-	FreezeDaemons  VersionFault = "freeze"
-	FreezeRelays   VersionFault = "freeze-relays"
-	KillRelays     VersionFault = "kill-relays"
-	CutFromPeers   VersionFault = "cut"
-	CutOffGroup    VersionFault = "cut-off"
-	CutRelays      VersionFault = "cut-relays"
-	CutRelayStores VersionFault = "cut-relay-stores"
-)
-
-// VersionFaults returns all kinds of faults.
-func VersionFaults() []VersionFault {
-	return []VersionFault{NoFault, FreezeDaemons, FreezeRelays, KillRelays, CutFromPeers, CutOffGroup, CutRelays, CutRelayStores}
-}
-
 // VersionsConfig configures RunVersions. Program, Dir, Changes, Daemons and Bound must be set.
 type VersionsConfig struct {
 	Program, Dir string
@@ -71,6 +52,8 @@
 	// Fault begins just before each change on up to Victims daemons.
 	Fault   VersionFault
 	Victims int
+	// Burst is the number of versions of one change, burstInterval apart; 0 means one.
+	Burst int
 	// Bound is the time within which a version must be in force, and Touch the time for which
 	// a daemon must have run and reached the store for it to count.
 	Bound, Touch time.Duration
@@ -118,7 +101,7 @@
 		outUntil: make(map[string]time.Time),
 	}
 	defer r.fleet.Close()
-	r.fleet.DirectCalls = !slices.Contains([]VersionFault{CutFromPeers, CutOffGroup, CutRelays}, cfg.Fault)
+	r.fleet.DirectCalls = !slices.Contains([]VersionFault{CutFromPeers, CutOffGroup, CutRelays, NarrowLinks}, cfg.Fault)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := r.startFleet(ctx); err != nil {
@@ -168,9 +151,14 @@
 	if err := sleeper.Sleep(ctx, lead); err != nil {
 		return err
 	}
-	for r.writeVersion(ctx) != nil {
-		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
-			return err
+	for n := range max(r.cfg.Burst, 1) {
+		if n > 0 {
+			_ = sleeper.Sleep(ctx, burstInterval)
+		}
+		for r.writeVersion(ctx) != nil {
+			if err := sleeper.Sleep(ctx, pollInterval); err != nil {
+				return err
+			}
 		}
 	}
 	confirmed := time.Now()
@@ -184,69 +172,6 @@
 	return sleeper.Sleep(ctx, r.cfg.Touch)
 }
 
-// drawVictims draws up to Victims daemons: relays, with the one that watches the store among
-// them, if the fault is one of relays.
-func (r *versionsRun) drawVictims(ctx context.Context) []string {
-	if r.cfg.Fault == NoFault || r.cfg.Victims < 1 {
-		return nil
-	}
-	var names []string
-	for _, d := range r.fleet.Daemons() {
-		switch r.cfg.Fault {
-		case FreezeDaemons, CutFromPeers, CutOffGroup:
-			names = append(names, d.Name)
-		default:
-			status, err := r.status(ctx, d)
-			if err == nil && status.Role == operator.RoleRelay {
-				names = append(names, d.Name)
-			}
-		}
-	}
-	r.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(len(names), 1+r.random.IntN(r.cfg.Victims))]
-}
-
-// runVersionFault begins the fault on a daemon and ends it after the duration hold.
-func (r *versionsRun) runVersionFault(ctx context.Context, name string, hold time.Duration) error {
-	begin, end := func() error { return nil }, func() error { return nil }
-	excuses := true
-	setLink := func(link string, f faulter.Fault) func() error {
-		return func() error {
-			p, err := r.fleet.Link(name + link)
-			if err == nil {
-				p.Set(f)
-			}
-			return err
-		}
-	}
-	switch r.cfg.Fault {
-	case FreezeDaemons, FreezeRelays:
-		begin, end = func() error { return r.fleet.Freeze(name) }, func() error { return r.fleet.Thaw(name) }
-	case KillRelays:
-		begin, end = func() error { return r.fleet.Kill(name) }, func() error { return r.fleet.Restart(name) }
-	case CutFromPeers, CutRelays:
-		excuses = false
-		begin, end = setLink(":peers", faulter.Fault{Silence: faulter.Both}), setLink(":peers", faulter.Fault{})
-	case CutRelayStores:
-		begin, end = setLink(":store", faulter.Fault{Silence: faulter.Both}), setLink(":store", faulter.Fault{})
-	}
-	if excuses {
-		r.mu.Lock()
-		r.outUntil[name] = time.Now().Add(hold + r.cfg.Touch)
-		r.mu.Unlock()
-	}
-	if err := begin(); err != nil {
-		return err
-	}
-	_ = sleeper.Sleep(ctx, hold)
-	if excuses {
-		r.mu.Lock()
-		r.outUntil[name] = time.Now().Add(r.cfg.Touch)
-		r.mu.Unlock()
-	}
-	return end()
-}
-
 // probe requests the newest route of a daemon until it has known it for the bound or
 // probeExtra has passed since.
 func (r *versionsRun) probe(ctx context.Context, d launcher.Daemon, confirmed time.Time) error {
