Cut daemons off before the change in the versions soak, not beside it

Cause: it takes a tenth of a second and more to find the owners of all connections, 0.5 s with 120 daemons, and the cut began only then: a run with 120 daemons and cuts of 22 to 39 of them had every version in force within 0.123 s, since the change came first.

What changed: the time between the fault and the change begins once the cut is there.

--- a/soaker/versions.go
+++ b/soaker/versions.go
@@ -138,8 +138,8 @@
 	var g errgroup.Group
 	r.logf("%s %v for %s", r.cfg.Fault, victims, hold)
 	if r.cfg.Fault == CutOffGroup {
+		r.fleet.CutOff(victims)
 		g.Go(func() error {
-			r.fleet.CutOff(victims)
 			defer r.fleet.HealPeers()
 			return sleeper.Sleep(ctx, hold)
 		})
